--- /dev/null
+++ b/rosedeal/__main__.py
@@ -0,0 +1,52 @@
+"""The gateway's process: start, signals, exit code."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+from rosedeal.gateway.config import Config, ConfigError, load_config
+from rosedeal.gateway.downstream import Downstream
+from rosedeal.gateway.proxy import Proxy
+
+log = logging.getLogger(__name__)
+
+
+async def serve(config: Config) -> None:
+    """Run until told to end, and then until everything taken is answered."""
+    loop = asyncio.get_running_loop()
+    told = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    proxy = Proxy(config, loop)
+    downstream = Downstream(config, proxy, loop)
+    await proxy.start()
+    await downstream.start()
+    log.info("%s listens on %s:%d", config.name, *config.listen)
+    await told.wait()
+    await downstream.drain()
+    proxy.close()
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    try:
+        config = load_config(os.environ)
+    except ConfigError as error:
+        print(f"rosedeal: {error}", file=sys.stderr)
+        return 2
+    gc.freeze()  # what the imports made is never garbage
+    try:
+        asyncio.run(serve(config))
+    except OSError as error:
+        print(f"rosedeal: cannot start: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/rosedeal/gateway/config.py
@@ -0,0 +1,120 @@
+"""What the gateway is told at its start: the ROUTER_* variables and the configuration file behind them."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from rosedeal.interface import Settings
+from rosedeal.wire import WireError, parse_settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """The configuration is missing or cannot be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """The settings' names; the balancer knows each by its place."""
+
+    classes: tuple[str, ...]
+    tenants: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int  # file descriptors that the process may hold
+    settings: Settings
+    names: Names
+    known: dict[str, Any]  # the list of hosts as last held, in discovery's form
+    peer_listen: Address | None = None
+    peers: tuple[Address, ...] = ()
+    peers_all: Address | None = None
+
+
+def parse_address(text: object) -> Address:
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not colon or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65_536:
+        raise ConfigError(f"{text!r} is not an address of the form host:port")
+    return host, int(port)
+
+
+def load_config(environ: Mapping[str, str]) -> Config:
+    path = environ.get("ROUTER_CONFIG")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG is not set")
+    try:
+        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path} cannot be read: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path} is not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{path} is not a JSON object")
+    for key in ("name", "listen", "discovery"):
+        raw[key] = environ.get(f"ROUTER_{key.upper()}", raw.get(key))
+    return parse_config(raw)
+
+
+def parse_config(raw: dict[str, Any]) -> Config:
+    name, settings, known = raw.get("name"), raw.get("settings"), raw.get("known", {})
+    if not isinstance(name, str) or not name:
+        raise ConfigError("name is missing")
+    if not isinstance(settings, dict):
+        raise ConfigError("settings are missing")
+    if not isinstance(known, dict):
+        raise ConfigError("known is not an object")
+    try:
+        parsed = parse_settings(json.dumps(settings))
+    except WireError as error:
+        raise ConfigError(str(error)) from None
+    peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
+    return Config(
+        name=name,
+        listen=parse_address(raw.get("listen")),
+        discovery=parse_address(raw.get("discovery")),
+        seed=_seed(raw.get("seed", 0)),
+        sockets=_sockets(raw.get("limits", {})),
+        settings=parsed,
+        names=_names(settings),
+        known=known,
+        peer_listen=parse_address(peer_listen) if peer_listen else None,
+        peers=tuple(map(parse_address, raw.get("peers") or ())),
+        peers_all=parse_address(peers_all) if peers_all else None,
+    )
+
+
+def _seed(raw: object) -> int:
+    try:
+        return int(raw, 16) if isinstance(raw, str) else int(raw)  # type: ignore[call-overload]
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed {raw!r} is not a number") from None
+
+
+def _sockets(limits: object) -> int:
+    sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
+    if not isinstance(sockets, int) or sockets < 128:
+        raise ConfigError("limits.sockets is not a number of at least 128")
+    return sockets
+
+
+def _names(settings: dict[str, Any]) -> Names:
+    def named(key: str) -> tuple[str, ...]:
+        items = [item.get("name") if isinstance(item, dict) else item for item in settings.get(key, ())]
+        names = tuple(name for name in items if isinstance(name, str))
+        if len(names) < len(items):
+            raise ConfigError(f"{key} holds one with no name")
+        return names
+
+    return Names(named("lanes"), named("tenants"), named("zones"), named("shapes"))
--- /dev/null
+++ b/rosedeal/gateway/discovery.py
@@ -0,0 +1,245 @@
+"""The list of hosts: one-time reads and the watch on changes, from discovery's HTTP to list events."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import httptools
+
+from rosedeal.gateway.config import Address, ConfigError, Names, parse_address
+from rosedeal.interface import ListedServer, ListKind, ServerList, ServerStatus
+
+log = logging.getLogger(__name__)
+
+PATH = "/registry/instances"
+# A watch sends a line every 2 s. Guards against one that is open and says nothing more, as when the machine
+# at its other end has vanished: the list would go stale unseen.
+SILENCE_S = 6.0
+CONNECT_S = 2.0
+LINE_LIMIT = 8 * 1024 * 1024
+REOPEN_S = 0.5  # of a pushed list, where the balancer does not ask
+
+STATUSES = {"active": ServerStatus.READY, "leaving": ServerStatus.DRAINING, "left": ServerStatus.GONE}
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    server: ListedServer
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    kind: ListKind
+    entries: tuple[Entry, ...] = ()
+
+    def event(self) -> ServerList:
+        return ServerList(self.kind, tuple(entry.server for entry in self.entries))
+
+
+def host_id(name: str) -> int:
+    """A number for a name that is the same at every gateway and after every restart."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest())
+
+
+def parse_entry(raw: Any, names: Names) -> Entry:
+    try:
+        weight, since_ms = float(raw.get("weight", 1.0)), int(raw.get("since_ms", 0))
+        if not 0.0 < weight < math.inf or since_ms < 0:
+            raise ValueError("weight or since_ms is out of range")
+        if not isinstance(raw["name"], str) or not raw["name"]:
+            raise ValueError("name is no text")
+        server = ListedServer(
+            server=host_id(raw["name"]),
+            status=STATUSES[raw["status"]],
+            weight=weight,
+            zone=names.zones.index(raw["zone"]) if names.zones else 0,
+            group=int(raw.get("group", 0)),
+            kind=names.kinds.index(raw["type"]) if names.kinds else 0,
+            started_us=since_ms * 1000,
+        )
+        return Entry(server, parse_address(raw["address"]))
+    except KeyError as error:
+        raise ValueError(f"field or value {error} is missing or unknown") from None
+    except (AttributeError, TypeError, OverflowError) as error:
+        raise ValueError(str(error)) from None
+
+
+def parse_list(raw: Any, names: Names, full: ListKind = ListKind.FULL) -> News:
+    """One message of discovery. An entry that cannot be read is named in the log and left out."""
+    if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
+        raise ValueError("a list without endpoints")
+    entries: list[Entry] = []
+    for item in raw["endpoints"]:
+        try:
+            entries.append(parse_entry(item, names))
+        except (ValueError, ConfigError) as error:
+            log.warning("skipped a list entry: %s: %.200r", error, item)
+    return News(full if raw.get("snapshot", True) else ListKind.DELTA, tuple(entries))
+
+
+class Call(asyncio.Protocol):
+    """One call to discovery: a watch that goes on, or the whole list once."""
+
+    def __init__(self, discovery: Discovery, target: str, watch: bool) -> None:
+        self.discovery = discovery
+        self.target = target
+        self.watch = watch
+        self.parser = httptools.HttpResponseParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.buffer = bytearray()
+        self.over = False
+        self.silence: asyncio.TimerHandle | None = None
+        self.task = discovery.loop.create_task(self.open())
+
+    async def open(self) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                await self.discovery.loop.create_connection(lambda: self, *self.discovery.address)
+        except (OSError, TimeoutError) as error:
+            self.fail(f"no connection: {error}")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        if self.over:
+            transport.abort()
+            return
+        host, port = self.discovery.address
+        transport.write(f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+        self.heard()
+
+    def heard(self) -> None:
+        if self.silence is not None:
+            self.silence.cancel()
+        self.silence = self.discovery.loop.call_later(SILENCE_S, self.fail, "silent for too long")
+
+    def data_received(self, data: bytes) -> None:
+        self.heard()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self.fail(f"malformed answer: {error}")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.fail("connection lost")
+
+    def on_headers_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if status != 200:
+            self.fail(f"answered {status}")
+
+    def on_body(self, body: bytes) -> None:
+        if self.over:
+            return
+        self.buffer += body
+        if len(self.buffer) > LINE_LIMIT:
+            self.fail("a line too long")
+        elif self.watch:
+            *lines, rest = self.buffer.split(b"\n")
+            self.buffer = rest
+            for line in lines:
+                if line.strip() and not self.over:
+                    self.read(bytes(line))
+
+    def on_message_complete(self) -> None:
+        if self.over:
+            return
+        if self.watch:
+            self.fail("the watch ended")
+        else:
+            self.end()
+            if not self.read(bytes(self.buffer)):
+                self.discovery.failed(self)
+
+    def read(self, text: bytes) -> bool:
+        try:
+            self.discovery.told(json.loads(text))
+        except ValueError as error:
+            log.warning("skipped what discovery said: %s: %.200r", error, text)
+            return False
+        return True
+
+    def end(self) -> None:
+        self.over = True
+        if self.silence is not None:
+            self.silence.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def fail(self, why: str) -> None:
+        if self.over:
+            return
+        self.end()
+        log.info("discovery: %s", why)
+        self.discovery.failed(self)
+
+
+class Discovery:
+    """Carries out the balancer's calls; `news` gets each answer, in order."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        names: Names,
+        pushed: bool,
+        news: Callable[[News], None],
+    ) -> None:
+        self.loop = loop
+        self.address = address
+        self.names = names
+        self.pushed = pushed
+        self.news = news
+        self.index = 0
+        self.current: Call | None = None  # the watch
+        self.fetches: set[Call] = set()
+
+    def start(self, known: dict[str, Any]) -> None:
+        """Begin with the list as last held; a pushed list comes without being asked for."""
+        self.index = _index(known)
+        self.news(parse_list({"endpoints": [], **known, "snapshot": True}, self.names, ListKind.DISK))
+        if self.pushed:
+            self.watch(True)
+
+    def watch(self, on: bool) -> None:
+        if self.current is not None:
+            self.current.end()
+            self.current = None
+        if on:
+            self.current = Call(self, f"{PATH}?stream=1&index={self.index}", watch=True)
+
+    def fetch(self) -> None:
+        self.fetches.add(Call(self, PATH, watch=False))
+
+    def told(self, raw: Any) -> None:
+        news = parse_list(raw, self.names)
+        self.index = _index(raw)
+        self.fetches = {call for call in self.fetches if not call.over}
+        self.news(news)
+
+    def failed(self, call: Call) -> None:
+        self.fetches.discard(call)
+        if call is self.current:
+            self.current = None
+            if self.pushed:
+                self.loop.call_later(REOPEN_S, self.watch, True)
+                return
+        self.news(News(ListKind.ERROR))
+
+    def close(self) -> None:
+        for call in (self.current, *self.fetches):
+            if call is not None:
+                call.end()
+
+
+def _index(raw: dict[str, Any]) -> int:
+    index = raw.get("index", 0)
+    return index if isinstance(index, int) else 0
--- /dev/null
+++ b/rosedeal/gateway/proxy.py
@@ -0,0 +1,382 @@
+"""Drives one Balancer: what the sockets tell it goes in as events, its actions are carried out in order.
+
+Nothing is decided here. What this file adds is bookkeeping: exactly one final answer for every request taken,
+and exactly one outcome for every attempt.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from rosedeal.choice import Balancer
+from rosedeal.gateway.config import Address, Config
+from rosedeal.gateway.discovery import Discovery, News
+from rosedeal.gateway.upstream import Answer, Exchange, Upstream
+from rosedeal.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    CloseIdle,
+    Event,
+    Fail,
+    FetchList,
+    ListKind,
+    Log,
+    Outcome,
+    PeerMessage,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    ReportMode,
+    RequestArrived,
+    RequestGone,
+    Send,
+    SetTimer,
+    TellPeers,
+    TimerFired,
+    WatchList,
+)
+from rosedeal.wire import parse_load
+
+log = logging.getLogger(__name__)
+
+# Taken off the client's time: its request was on the way before it came here, and so will the answer be.
+TRANSIT_US = 4_000
+# After the balancer's own limits, before the client's: the answer of last resort.
+LAST_RESORT_US = 2_000
+PROBE_TIMEOUT_S = 1.0
+PEER_LIMIT = 256
+SWEEP_S = 1.0
+UPSTREAM_SHARE = 0.5  # of the sockets
+RESERVED_SOCKETS = 64  # for the listener, discovery, peers and connections that are turned away
+
+Reply = Callable[[Answer], None]
+
+
+class Clock:
+    """Microseconds since the Unix epoch that never step back, whatever is done to the wall clock."""
+
+    def __init__(self) -> None:
+        self._offset_ns = time.time_ns() - time.monotonic_ns()
+
+    def now_us(self) -> int:
+        return (self._offset_ns + time.monotonic_ns()) // 1000
+
+
+@dataclass(slots=True, frozen=True)
+class Asked:
+    """What a client asks, as the balancer and the hosts need it."""
+
+    klass: int
+    timeout_us: int
+    waited_us: int  # since its last byte came
+    method: bytes
+    target: bytes
+    headers: bytes  # those that go on to a host, as lines
+    body: bytes
+    key: int | None = None
+    work_us: int | None = None
+    is_retry: bool = False
+    tenant: int = 0
+    is_write: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    id: str
+    asked: Asked
+    deadline_us: int
+    reply: Reply | None  # None once it has had its final answer, or its client has gone
+    last_resort: asyncio.TimerHandle | None = None
+    attempts: list[Exchange | None] = field(default_factory=list)
+    out: int = 0
+
+
+def plain(status: int, text: str, *headers: tuple[bytes, bytes]) -> Answer:
+    return Answer(status, [(b"content-type", b"text/plain"), *headers], text.encode() + b"\n")
+
+
+class Peers(asyncio.DatagramProtocol):
+    def __init__(self, heard: Callable[[bytes, Address], None]) -> None:
+        self.heard = heard
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        self.heard(data, addr)
+
+
+class Proxy:
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        settings = config.settings
+        self.config, self.settings, self.loop = config, settings, loop
+        self.clock = Clock()
+        self.balancer = Balancer(settings, config.seed)
+        self.upstream = Upstream(
+            loop,
+            connections=int((config.sockets - RESERVED_SOCKETS) * UPSTREAM_SHARE),
+            connect_timeout_us=settings.connect_timeout_us,
+            idle_us=settings.idle_connection_us,
+            drain_grace_us=settings.drain_grace_us,
+        )
+        self.discovery = Discovery(
+            loop, config.discovery, config.names, settings.list_is_pushed, self.on_news
+        )
+        self.peers: asyncio.DatagramTransport | None = None
+        self.requests: dict[str, Request] = {}
+        self.open = 0  # requests that are owed an answer
+        self.taken = 0
+        self.events: deque[Event] = deque()
+        self.busy = False
+
+    async def start(self) -> None:
+        if self.settings.may_message and self.config.peer_listen is not None:
+            self.peers, _ = await self.loop.create_datagram_endpoint(
+                lambda: Peers(self.on_datagram), local_addr=self.config.peer_listen
+            )
+        self.discovery.start(self.config.known)
+        self.loop.call_later(SWEEP_S, self.sweep)
+
+    def sweep(self) -> None:
+        self.upstream.sweep()
+        self.loop.call_later(SWEEP_S, self.sweep)
+
+    def close(self) -> None:
+        self.discovery.close()
+        self.upstream.close()
+        if self.peers is not None:
+            self.peers.close()
+
+    @property
+    def ready(self) -> bool:
+        return bool(self.upstream.hosts)
+
+    # Events in, actions out
+
+    def feed(self, event: Event) -> None:
+        """Events that come of carrying out actions wait until those are carried out."""
+        self.events.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.events:
+                self.decide(self.events.popleft())
+        finally:
+            self.busy = False
+
+    def decide(self, event: Event) -> None:
+        """An exception must not end the process, nor leave the request that it concerns unanswered."""
+        try:
+            actions = self.balancer.handle(self.clock.now_us(), event)
+        except Exception:
+            log.exception("the balancer failed on %.300r", event)
+            self.answer_broken(getattr(event, "request", None))
+            return
+        for action in actions:
+            try:
+                self.carry_out(action)
+            except Exception:
+                log.exception("failed to carry out %.300r", action)
+                self.answer_broken(getattr(action, "request", None))
+
+    def answer_broken(self, number: str | None) -> None:
+        request = self.requests.get(number) if number is not None else None
+        if request is not None and request.reply is not None:
+            self.settle(request, plain(500, "internal error"))
+            self.events.append(RequestGone(request.id))
+            self.forget_if_over(request)
+
+    def carry_out(self, action: Action) -> None:
+        match action:
+            case Send():
+                self.send(action)
+            case SetTimer():
+                delay_us = action.due_us - self.clock.now_us()
+                self.loop.call_later(max(0, delay_us) / 1e6, self.feed, TimerFired(action.token))
+            case Refuse():
+                after_us = action.retry_after_us
+                advice = ((b"retry-after", b"%.3f" % (after_us / 1e6)),) if after_us > 0 else ()
+                self.finish(action.request, plain(503, "refused; trying again is harmless", *advice))
+            case Fail():
+                self.finish(action.request, plain(502, "failed"))
+            case Cancel():
+                request = self.requests.get(action.request)
+                exchange = request.attempts[action.attempt] if request is not None else None
+                if exchange is not None:
+                    exchange.give_up(Outcome.CANCELLED)
+            case WatchList():
+                self.discovery.watch(action.on)
+            case FetchList():
+                self.discovery.fetch()
+            case Probe():
+                self.probe(action.server)
+            case CloseIdle():
+                self.upstream.close_idle(action.server)
+            case TellPeers():
+                self.tell_peers(action)
+            case Log():
+                log.info("%s", action.line)
+
+    # Requests
+
+    def arrive(self, asked: Asked, reply: Reply) -> Request | None:
+        """Take a request: `reply` is called exactly once, unless `leave` comes first."""
+        if 0 < self.settings.max_open_requests <= self.open:
+            reply(plain(503, "too many requests"))
+            return None
+        self.taken += 1
+        patience_us = max(0, asked.timeout_us - asked.waited_us - TRANSIT_US)
+        request = Request(str(self.taken), asked, self.clock.now_us() + patience_us, reply)
+        self.requests[request.id] = request
+        self.open += 1
+        delay_s = (patience_us + LAST_RESORT_US) / 1e6
+        request.last_resort = self.loop.call_later(delay_s, self.answer_at_last, request)
+        self.feed(
+            RequestArrived(
+                request.id,
+                asked.klass,
+                patience_us,
+                asked.key,
+                asked.work_us,
+                asked.is_retry,
+                asked.tenant,
+                asked.is_write,
+            )
+        )
+        return request
+
+    def leave(self, request: Request) -> None:
+        """The client has closed its connection."""
+        if request.reply is not None:
+            self.close_account(request)
+            self.feed(RequestGone(request.id))
+            self.forget_if_over(request)
+
+    def answer_at_last(self, request: Request) -> None:
+        """Guards against a request that nobody has answered when its client is about to give up."""
+        if request.reply is not None:
+            log.warning("request %s had no answer at its deadline", request.id)
+            self.settle(request, plain(504, "out of time"))
+            self.feed(RequestGone(request.id))
+            self.forget_if_over(request)
+
+    def finish(self, number: str, answer: Answer) -> None:
+        request = self.requests.get(number)
+        if request is not None:
+            self.settle(request, answer)
+            self.forget_if_over(request)
+
+    def settle(self, request: Request, answer: Answer) -> None:
+        """Give the final answer, if it is still owed."""
+        reply = request.reply
+        if reply is not None:
+            self.close_account(request)
+            reply(answer)
+
+    def close_account(self, request: Request) -> None:
+        request.reply = None
+        self.open -= 1
+        if request.last_resort is not None:
+            request.last_resort.cancel()
+
+    def forget_if_over(self, request: Request) -> None:
+        if request.reply is None and request.out == 0:
+            self.requests.pop(request.id, None)
+
+    # Attempts
+
+    def send(self, action: Send) -> None:
+        request = self.requests.get(action.request)
+        if request is None:
+            log.warning("an attempt for request %s, which is over", action.request)
+            return
+        number, sent_us = len(request.attempts), self.clock.now_us()
+        left_us = min(action.timeout_us, request.deadline_us - sent_us)
+        if request.reply is None or left_us <= 0 or number >= self.settings.max_attempts:
+            request.attempts.append(None)
+            self.events.append(
+                AttemptEnded(request.id, number, action.server, Outcome.MOOT, 0, request.reply is None)
+            )
+            return
+
+        def ended(outcome: Outcome, answer: Answer | None) -> None:
+            request.out -= 1
+            latency_us = self.clock.now_us() - sent_us
+            if outcome is Outcome.OK and answer is not None:
+                self.settle(request, answer)
+            self.feed(
+                AttemptEnded(
+                    request.id,
+                    number,
+                    action.server,
+                    outcome,
+                    latency_us,
+                    request.reply is None,
+                    self.report(answer),
+                )
+            )
+            self.forget_if_over(request)
+
+        request.out += 1
+        payload = request_bytes(request.asked, left_us)
+        request.attempts.append(self.upstream.send(action.server, payload, left_us / 1e6, ended))
+
+    def report(self, answer: Answer | None) -> tuple[tuple[str, float], ...]:
+        if answer is None or self.settings.reports.mode is not ReportMode.ANSWERS:
+            return ()
+        return parse_report(answer.header(b"server-load"))
+
+    def probe(self, server: int) -> None:
+        if not self.settings.may_probe:
+            return
+        reports = self.settings.reports.mode is not ReportMode.NONE
+        sent_us = self.clock.now_us()
+
+        def ended(outcome: Outcome, answer: Answer | None) -> None:
+            load = parse_report(answer.body) if reports and answer is not None else ()
+            self.feed(ProbeEnded(server, outcome, self.clock.now_us() - sent_us, load))
+
+        path = b"/stats" if reports else b"/health/live"
+        payload = b"GET " + path + b" HTTP/1.1\r\nHost: service.internal\r\n\r\n"
+        self.upstream.send(server, payload, PROBE_TIMEOUT_S, ended)
+
+    # The list, peers
+
+    def on_news(self, news: News) -> None:
+        if news.kind in (ListKind.FULL, ListKind.DISK):
+            self.upstream.drain_others(entry.server.server for entry in news.entries)
+        for entry in news.entries:
+            self.upstream.list_host(entry.server.server, entry.address, entry.server.status)
+        self.feed(news.event())
+
+    def tell_peers(self, action: TellPeers) -> None:
+        to = self.config.peers_all if action.proxy is None else self.config.peers[action.proxy]
+        if len(action.data) > PEER_LIMIT:
+            raise ValueError(f"a message of {len(action.data)} bytes is too long")
+        if self.settings.may_message and self.peers is not None and to is not None:
+            self.peers.sendto(action.data, to)
+
+    def on_datagram(self, data: bytes, sender: Address) -> None:
+        if len(data) <= PEER_LIMIT and sender in self.config.peers:
+            self.feed(PeerMessage(self.config.peers.index(sender), data))
+
+
+def request_bytes(asked: Asked, timeout_us: int) -> bytes:
+    timeout_ms = -(-timeout_us // 1000)
+    length = b"Content-Length: %d\r\n" % len(asked.body) if asked.body or asked.method != b"GET" else b""
+    return b"%b %b HTTP/1.1\r\n%bRequest-Timeout-Ms: %d\r\n%b\r\n%b" % (
+        asked.method,
+        asked.target,
+        asked.headers,
+        timeout_ms,
+        length,
+        asked.body,
+    )
+
+
+def parse_report(text: bytes) -> tuple[tuple[str, float], ...]:
+    return parse_load(text.decode("latin-1").replace("=", ":"))
--- /dev/null
+++ b/rosedeal/gateway/upstream.py
@@ -0,0 +1,337 @@
+"""Connections to hosts. Every exchange on them, an attempt or a probe, ends with exactly one outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import httptools
+
+from rosedeal.gateway.config import Address
+from rosedeal.interface import Outcome, ServerStatus
+
+log = logging.getLogger(__name__)
+
+BODY_LIMIT = 64 * 1024
+HEAD_LIMIT = 16 * 1024
+# Part of the time after which hosts close idle connections. Guards against a request that crosses the host's
+# close: it would end as a reset, which may have run.
+IDLE_SHARE = 0.7
+IDLE_UNSTATED_S = 5.0
+CONNECT_UNSTATED_S = 1.0
+
+HostId = int
+
+
+@dataclass(slots=True)
+class Answer:
+    status: int = 0
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: bytes = b""
+
+    def header(self, name: bytes) -> bytes:
+        return next((value for key, value in self.headers if key == name), b"")
+
+
+Ended = Callable[[Outcome, Answer | None], None]
+
+
+def outcome_of(answer: Answer) -> Outcome:
+    if answer.status == 200:
+        return Outcome.OK
+    if answer.status in (503, 504) and answer.header(b"not-started").strip() == b"1":
+        return Outcome.FULL
+    return Outcome.ERROR
+
+
+class Exchange:
+    """One request to one host."""
+
+    __slots__ = ("_ended", "connection", "done", "payload", "timer", "written")
+
+    def __init__(self, payload: bytes, ended: Ended) -> None:
+        self.payload = payload
+        self._ended = ended
+        self.connection: HostConnection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.written = False  # the last byte has left the process: from here on it may have run
+        self.done = False
+
+    def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
+        if self.done:
+            return
+        self.done = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self._ended(outcome, answer)
+
+    def lost(self) -> None:
+        """The connection has gone, or what came on it was no answer."""
+        self.end(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
+
+    def give_up(self, outcome: Outcome) -> None:
+        """Stop waiting: the host learns of it by the close of its connection."""
+        if self.done:
+            return
+        connection = self.connection
+        self.end(outcome if self.written or outcome is Outcome.CANCELLED else Outcome.CONNECT_FAILED)
+        if connection is not None:
+            connection.abort()
+
+
+class HostConnection(asyncio.Protocol):
+    """One connection to a host; carries one exchange at a time."""
+
+    def __init__(self, pool: Upstream, host: Host) -> None:
+        self.pool = pool
+        self.host = host
+        self.exchange: Exchange | None = None
+        self.transport: asyncio.Transport | None = None
+        self.connecting: asyncio.Task[None] | None = None
+        self.idle_since = 0.0
+        self.answer = Answer()
+        self.size = 0
+        self.chunks: list[bytes] = []
+        self.complete = False
+        self.keep_alive = False
+        self.parser = httptools.HttpResponseParser(self)
+
+    # Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        # With no room in the buffer, pause_writing and resume_writing tell exactly when bytes are held back.
+        transport.set_write_buffer_limits(high=0)
+        exchange = self.exchange
+        if exchange is None or exchange.done:
+            self.abort()
+        elif not self.pool.may_send(self.host):
+            # Guards against a drain that began while the connection was being made.
+            exchange.lost()
+            self.abort()
+        else:
+            self.write(exchange)
+
+    def write(self, exchange: Exchange) -> None:
+        transport = self.transport
+        assert transport is not None
+        self.exchange = exchange
+        exchange.connection = self
+        exchange.written = True  # unless pause_writing says otherwise from within write
+        transport.write(exchange.payload)
+        if transport.is_closing():  # the write itself met a broken connection
+            exchange.written = False
+
+    def pause_writing(self) -> None:
+        if self.exchange is not None:
+            self.exchange.written = False
+
+    def resume_writing(self) -> None:
+        if self.exchange is not None:
+            self.exchange.written = True
+
+    def data_received(self, data: bytes) -> None:
+        if self.exchange is None:  # nothing was asked
+            self.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.fail()
+            return
+        if self.complete:
+            self.conclude()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.pool.drop(self)
+        if self.exchange is not None:
+            self.exchange.lost()
+
+    def abort(self) -> None:
+        self.exchange = None
+        self.pool.drop(self)
+        if self.connecting is not None:
+            self.connecting.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def fail(self) -> None:
+        """What came is no answer that can be passed on: as good as a broken connection."""
+        exchange = self.exchange
+        self.abort()
+        if exchange is not None:
+            exchange.lost()
+
+    # Parser
+
+    def on_message_begin(self) -> None:
+        if self.complete:
+            raise ValueError("a second answer to one request")  # the parser turns it into its own error
+        self.answer, self.chunks, self.size = Answer(), [], 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.answer.headers.append((name.lower(), value))
+        self.size += len(name) + len(value)
+        if self.size > HEAD_LIMIT:
+            raise ValueError("head too long")
+
+    def on_headers_complete(self) -> None:
+        self.size = 0
+
+    def on_body(self, body: bytes) -> None:
+        self.chunks.append(body)
+        self.size += len(body)
+        if self.size > BODY_LIMIT:
+            raise ValueError("body too long")
+
+    def on_message_complete(self) -> None:
+        self.complete = self.parser.get_status_code() >= 200  # else an interim answer: the final one follows
+        # Asked here and not later: once the message is over the parser has forgotten how it was framed, and
+        # calls every connection one that closes.
+        self.keep_alive = self.parser.should_keep_alive()
+
+    def conclude(self) -> None:
+        """Only now that the parser has read all there was: the next request may go out on this connection."""
+        exchange, answer = self.exchange, self.answer
+        assert exchange is not None
+        answer.status = self.parser.get_status_code()
+        answer.body = b"".join(self.chunks)
+        self.exchange, self.complete = None, False
+        if exchange.written and self.keep_alive:
+            self.pool.rest(self)
+        else:
+            self.abort()
+        exchange.end(outcome_of(answer), answer)
+
+
+@dataclass(slots=True, eq=False)
+class Host:
+    address: Address
+    stop_at: float | None = None  # loop time from which nothing new may be written, once it drains or is gone
+    idle: list[HostConnection] = field(default_factory=list)  # the one used last comes last
+
+
+class Upstream:
+    """The hosts that discovery has named and the connections to them."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        *,
+        connections: int,
+        connect_timeout_us: int,
+        idle_us: int,
+        drain_grace_us: int,
+    ) -> None:
+        self.loop = loop
+        self.limit = connections
+        self.connect_timeout_s = connect_timeout_us / 1e6 or CONNECT_UNSTATED_S
+        self.idle_s = (idle_us / 1e6 or IDLE_UNSTATED_S) * IDLE_SHARE
+        self.drain_grace_s = drain_grace_us / 1e6
+        self.hosts: dict[HostId, Host] = {}
+        self.connections: set[HostConnection] = set()
+
+    # Hosts
+
+    def list_host(self, number: HostId, address: Address, status: ServerStatus) -> None:
+        host = self.hosts.setdefault(number, Host(address))
+        if host.address != address:
+            self.close_idle(number)
+            host.address = address
+        if status is ServerStatus.READY:
+            host.stop_at = None
+        else:
+            self.drain_host(number)
+
+    def drain_host(self, number: HostId) -> None:
+        """The host drains or is gone: nothing new to it once the grace is over."""
+        host = self.hosts.get(number)
+        if host is not None and host.stop_at is None:
+            host.stop_at = self.loop.time() + self.drain_grace_s
+            self.close_idle(number)
+
+    def drain_others(self, listed: Iterable[HostId]) -> None:
+        for number in self.hosts.keys() - set(listed):
+            self.drain_host(number)
+
+    def may_send(self, host: Host) -> bool:
+        return host.stop_at is None or self.loop.time() < host.stop_at
+
+    # Exchanges
+
+    def send(self, number: HostId, payload: bytes, timeout_s: float, ended: Ended) -> Exchange:
+        exchange = Exchange(payload, ended)
+        host = self.hosts.get(number)
+        if host is None or not self.may_send(host):
+            self.loop.call_soon(exchange.lost)
+            return exchange
+        exchange.timer = self.loop.call_later(timeout_s, exchange.give_up, Outcome.TIMEOUT)
+        while host.idle:
+            connection = host.idle.pop()
+            if connection.transport is not None and not connection.transport.is_closing():
+                connection.write(exchange)
+                return exchange
+        self.connect(host, exchange)
+        return exchange
+
+    def connect(self, host: Host, exchange: Exchange) -> None:
+        if len(self.connections) >= self.limit and not self.close_oldest_idle():
+            self.loop.call_soon(exchange.lost)
+            return
+        connection = HostConnection(self, host)
+        connection.exchange, exchange.connection = exchange, connection
+        self.connections.add(connection)
+        connection.connecting = self.loop.create_task(self.open(connection, exchange))
+
+    async def open(self, connection: HostConnection, exchange: Exchange) -> None:
+        try:
+            async with asyncio.timeout(self.connect_timeout_s):
+                await self.loop.create_connection(lambda: connection, *connection.host.address)
+        except (OSError, TimeoutError):
+            self.drop(connection)
+            exchange.lost()
+        finally:
+            connection.connecting = None
+
+    # The pool
+
+    def rest(self, connection: HostConnection) -> None:
+        if connection.host.stop_at is not None:
+            connection.abort()
+            return
+        connection.idle_since = self.loop.time()
+        connection.host.idle.append(connection)
+
+    def drop(self, connection: HostConnection) -> None:
+        self.connections.discard(connection)
+        if connection in connection.host.idle:
+            connection.host.idle.remove(connection)
+
+    def close_idle(self, number: HostId) -> None:
+        host = self.hosts.get(number)
+        for connection in list(host.idle) if host is not None else ():
+            connection.abort()
+
+    def close_oldest_idle(self) -> bool:
+        """Make room for a new connection."""
+        idle = [host.idle[0] for host in self.hosts.values() if host.idle]
+        if not idle:
+            return False
+        min(idle, key=lambda c: c.idle_since).abort()
+        return True
+
+    def sweep(self) -> None:
+        """Close what has stood idle for long and forget hosts that are gone."""
+        oldest = self.loop.time() - self.idle_s
+        for number, host in list(self.hosts.items()):
+            while host.idle and host.idle[0].idle_since < oldest:
+                host.idle[0].abort()
+            if host.stop_at is not None and not self.may_send(host) and not host.idle:
+                del self.hosts[number]
+
+    def close(self) -> None:
+        for connection in list(self.connections):
+            connection.abort()
