--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,470 @@
+"""Requests, attempts and bad input over real sockets: a test for each way to go wrong."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+
+from rosedeal.gateway.discovery import host_id
+from rosedeal.gateway.downstream import BODY_LIMIT, HEAD_LIMIT
+from rosedeal.interface import (
+    Action,
+    AttemptEnded,
+    Event,
+    ListKind,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestArrived,
+    RequestGone,
+    Send,
+    ServerList,
+)
+from tests.sockets import Gateway, ask, chunk, entry, gateway, news, run, settings
+
+
+def test_a_request_goes_on_and_its_answer_comes_back_unchanged() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask("pay", body=b"\0\xffcard", X_Trace="t1", Tenant="acme"))
+            taken = await it.host.taken.get()
+            assert taken.first == "POST /pay?user=00ff HTTP/1.1" and taken.body == b"\0\xffcard"
+            assert taken.head["request-id"] == "0123abcd" and taken.head["idempotency-key"] == "77"
+            assert taken.head["x-trace"] == "t1"
+            assert 0 < int(taken.head["request-timeout-ms"]) <= 30_000
+            taken.answer(200, b"\1\xfepaid", Content_Type="application/x-slip")
+            status, head, body = await client.answer()
+            assert (status, body) == (200, b"\1\xfepaid") and head["content-type"] == "application/x-slip"
+            arrived = await it.event(RequestArrived)
+            assert (arrived.klass, arrived.key) == (1, 0xFF)
+
+    run(test())
+
+
+def test_connections_to_hosts_are_kept() -> None:
+    """The parser, asked after a message whether to keep the connection, always said no."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            for _ in range(3):
+                client.send(ask())
+                (await it.host.taken.get()).answer()
+                assert (await client.answer())[0] == 200
+            assert it.host.connections == 1
+
+    run(test())
+
+
+def test_a_host_that_closes_after_its_answer_is_not_asked_there_again() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            for _ in range(2):
+                client.send(ask())
+                (await it.host.taken.get()).answer(Connection="close")
+                assert (await client.answer())[0] == 200
+            assert it.host.connections == 2
+
+    run(test())
+
+
+ANSWERS = [
+    (b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+    (b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nNot-Started: 1\r\n\r\n", Outcome.FULL),
+    (b"HTTP/1.1 504 Late\r\nContent-Length: 0\r\nNot-Started: 1\r\n\r\n", Outcome.FULL),
+    (b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+    (b"HTTP/1.1 404 Lost\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+    (b"", Outcome.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", Outcome.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", Outcome.RESET),
+    (b"HTTP/1.1 200 OK\r\n\r\nunframed", Outcome.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n", Outcome.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + bytes(BODY_LIMIT + 1), Outcome.RESET),
+    (
+        b"HTTP/1.1 200 OK\r\nX: " + b"x" * HEAD_LIMIT + b"\r\nContent-Length: 0\r\n\r\n",
+        Outcome.RESET,
+    ),
+    (b"no HTTP at all\r\n\r\n", Outcome.RESET),
+]
+
+
+@pytest.mark.parametrize(("answer", "outcome"), ANSWERS)
+def test_outcomes(answer: bytes, outcome: Outcome) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask("buy"))
+            (await it.host.taken.get()).raw(answer, close=True)
+            assert (await it.event(AttemptEnded)).outcome is outcome
+            # An unsafe request is refused only where it is sure not to have run.
+            assert (await client.answer())[0] == (503 if outcome is Outcome.FULL else 502)
+
+    run(test())
+
+
+def test_an_interim_answer_is_not_the_final_one() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask())
+            taken = await it.host.taken.get()
+            taken.raw(b"HTTP/1.1 102 Processing\r\n\r\n")
+            taken.answer()
+            assert (await client.answer())[0] == 200
+
+    run(test())
+
+
+def test_a_host_that_refuses_the_connection_has_not_run_it() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            it.host.stop()
+            assert (await (await it.client()).ask(ask("buy")))[0] == 503
+            assert (await it.event(AttemptEnded)).outcome is Outcome.CONNECT_FAILED
+
+    run(test())
+
+
+def test_a_connection_that_does_not_come_up_in_time_has_not_run_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with gateway(settings=settings(connectTimeoutUs=1_000)) as it:
+            hold_connects(it, monkeypatch)
+            assert (await (await it.client()).ask(ask("buy")))[0] == 503
+            assert (await it.event(AttemptEnded)).outcome is Outcome.CONNECT_FAILED
+
+    run(test())
+
+
+def test_a_request_still_in_the_buffer_has_not_run() -> None:
+    """Handed to the transport is not written: the host had read a part, and the rest never left."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask())
+            (await it.host.taken.get()).answer()
+            await client.answer()
+            (connection,) = it.proxy.upstream.connections
+            assert connection.transport is not None
+            # No room on either side, so that most of a large body has to wait in the transport.
+            connection.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
+            (writer,) = it.host.writers
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.send(ask("buy", body=bytes(BODY_LIMIT)))
+            await it.event(RequestArrived, lambda e: e.klass == 2)
+            assert connection.transport.get_write_buffer_size() > 0
+            writer.transport.abort()
+            assert (
+                await it.event(AttemptEnded, lambda e: e.request == "2")
+            ).outcome is Outcome.CONNECT_FAILED
+            assert (await client.answer())[0] == 503
+
+    run(test())
+
+
+def test_an_attempt_that_times_out_closes_its_connection() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask("buy", Request_Timeout_Ms="200"))
+            await it.host.taken.get()
+            assert (await client.answer())[0] == 502
+            assert (await it.event(AttemptEnded)).outcome is Outcome.TIMEOUT
+            await it.host.left.get()
+
+    run(test())
+
+
+def test_a_client_that_leaves_takes_its_attempt_along() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask())
+            await it.host.taken.get()
+            client.writer.close()
+            await it.event(RequestGone)
+            assert (await it.event(AttemptEnded)).outcome is Outcome.CANCELLED
+            await it.host.left.get()
+            assert not it.proxy.requests and it.proxy.open == 0
+
+    run(test())
+
+
+def test_a_request_nobody_answers_gets_the_last_resort(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            it.proxy.balancer.handle = lambda now_us, event: []  # type: ignore[method-assign]
+            assert (await (await it.client()).ask(ask(Request_Timeout_Ms="50")))[0] == 504
+            assert "no answer at its deadline" in caplog.text and not it.proxy.requests
+
+    run(test())
+
+
+def test_a_refusal_comes_at_once_and_says_when_to_come_back() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+
+            def refuse(now_us: int, event: Event) -> list[Action]:
+                return [Refuse(event.request, 1_250_000)] if isinstance(event, RequestArrived) else []
+
+            it.proxy.balancer.handle = refuse  # type: ignore[method-assign]
+            status, head, _ = await (await it.client()).ask(ask())
+            assert status == 503 and float(head["retry-after"]) == 1.25
+
+    run(test())
+
+
+def test_an_exception_in_a_decision_fails_its_request_alone(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            handle = it.proxy.balancer.handle
+
+            def broken(now_us: int, event: Event) -> list[Action]:
+                if isinstance(event, RequestArrived):
+                    raise RuntimeError("a fault")
+                return handle(now_us, event)
+
+            client = await it.client()
+            it.proxy.balancer.handle = broken  # type: ignore[method-assign]
+            assert (await client.ask(ask()))[0] == 500
+            assert "a fault" in caplog.text and not it.proxy.requests
+            it.proxy.balancer.handle = handle  # type: ignore[method-assign]
+            client.send(ask())
+            (await it.host.taken.get()).answer()
+            assert (await client.answer())[0] == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize("attempts", [2, 1])
+def test_an_attempt_beyond_the_limit_is_never_sent(attempts: int) -> None:
+    async def test() -> None:
+        async with gateway(settings=settings(maxAttempts=attempts)) as it:
+
+            def twice(now_us: int, event: Event) -> list[Action]:
+                it.events.append(event)
+                it.changed.set()
+                send = Send(getattr(event, "request", ""), host_id("h0"), 20_000_000)
+                return [send, send] if isinstance(event, RequestArrived) else []
+
+            it.proxy.balancer.handle = twice  # type: ignore[method-assign]
+            client = await it.client()
+            client.send(ask())
+            for _ in range(attempts):
+                taken = await it.host.taken.get()
+            if attempts == 1:
+                assert (await it.event(AttemptEnded)).outcome is Outcome.MOOT
+            taken.answer()
+            assert (await client.answer())[0] == 200
+            assert it.host.taken.empty()
+
+    run(test())
+
+
+def hold_connects(it: Gateway, monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
+    """Connections to hosts come up only once the event is set."""
+    loop, free = it.proxy.loop, asyncio.Event()
+    connect = loop.create_connection
+
+    async def held(protocol: Any, host: str, port: int, **kwargs: Any) -> Any:
+        if f"{host}:{port}" == it.host.address:
+            await free.wait()
+        return await connect(protocol, host, port, **kwargs)
+
+    monkeypatch.setattr(loop, "create_connection", held)
+    return free
+
+
+def test_a_request_waiting_for_a_connection_is_not_written_after_a_drain(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            _, watch = await it.registry.watches.get()
+            free = hold_connects(it, monkeypatch)
+            client = await it.client()
+            client.send(ask("buy"))
+            await it.event(RequestArrived)
+            watch.write(chunk(news(entry("h0", it.host.address, "leaving"))))
+            await it.event(ServerList, lambda e: e.kind is ListKind.DELTA)
+            free.set()
+            assert (await it.event(AttemptEnded)).outcome is Outcome.CONNECT_FAILED
+            assert (await client.answer())[0] == 503
+            assert it.host.taken.empty()
+
+    run(test())
+
+
+BAD = [
+    (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+    (b"\0\0\0\0\r\n\r\n", 400),
+    (ask(Request_Id=None), 400),
+    (ask(Request_Id="two words"), 400),
+    (ask(Request_Timeout_Ms=None), 400),
+    (ask(Request_Timeout_Ms="0"), 400),
+    (ask(Request_Timeout_Ms="-5"), 400),
+    (ask(Request_Timeout_Ms="soon"), 400),
+    (ask("pay", Idempotency_Key=None), 400),
+    (ask("look").replace(b"/look", b"/pay"), 400),
+    (ask("nothing"), 404),
+    (ask("look").replace(b"/look", b"/lost"), 404),
+    (ask("look", method="POST"), 405),
+    (ask("buy", body=bytes(BODY_LIMIT + 1)), 413),
+    (ask(X="x" * HEAD_LIMIT), 431),
+    (b"GET /look HTTP/1.1\r\nX: " + b"x" * (HEAD_LIMIT + 1), 431),
+]
+
+
+@pytest.mark.parametrize(("data", "status"), BAD)
+def test_bad_input_is_answered_and_reaches_no_host(data: bytes, status: int) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(data)
+            assert (await client.answer())[0] == status
+            if status in (413, 431):  # the framing is lost
+                assert await client.closed()
+            good = await it.client()
+            good.send(ask(Request_Id="ffff"))
+            taken = await it.host.taken.get()
+            assert taken.head["request-id"] == "ffff"
+            taken.answer()
+            assert (await good.answer())[0] == 200
+
+    run(test())
+
+
+def test_requests_sent_ahead_are_answered_in_turn() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask(Request_Id="first") + ask(Request_Id="second"))
+            for name in ("first", "second"):
+                taken = await it.host.taken.get()
+                assert taken.head["request-id"] == name
+                taken.answer(body=name.encode())
+                assert (await client.answer())[2] == name.encode()
+
+    run(test())
+
+
+def test_more_open_requests_than_allowed_are_refused() -> None:
+    async def test() -> None:
+        async with gateway(settings=settings(mostHeld=1)) as it:
+            first = await it.client()
+            first.send(ask())
+            taken = await it.host.taken.get()
+            assert (await (await it.client()).ask(ask()))[0] == 503
+            taken.answer()
+            assert (await first.answer())[0] == 200
+            first.send(ask())
+            (await it.host.taken.get()).answer()
+            assert (await first.answer())[0] == 200
+
+    run(test())
+
+
+def test_connections_are_bounded_and_idle_ones_make_room() -> None:
+    async def test() -> None:
+        async with gateway(limits={"sockets": 128}) as it:
+            limit = it.downstream.limit
+            idle = [await it.client() for _ in range(limit)]
+            busy = await it.client()
+            busy.send(ask())
+            (await it.host.taken.get()).answer()
+            assert (await busy.answer())[0] == 200
+            assert await idle[0].closed()
+            held = [await it.client() for _ in range(limit)]
+            for client in held:
+                client.send(ask())
+                await it.event(RequestArrived)
+            turned_away = await it.client()
+            status, head, _ = await turned_away.ask(ask())
+            assert status == 503 and head["connection"] == "close"
+
+    run(test())
+
+
+def test_connections_to_hosts_are_bounded() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            it.proxy.upstream.limit = 3
+            clients = [await it.client() for _ in range(3)]
+            for client in clients:
+                client.send(ask())
+                await it.host.taken.get()
+            assert (await (await it.client()).ask(ask("buy")))[0] == 503
+            assert (await it.event(AttemptEnded)).outcome is Outcome.CONNECT_FAILED
+            assert it.host.connections == 3
+
+    run(test())
+
+
+def test_idle_connections_to_hosts_are_retired_early(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask())
+            (await it.host.taken.get()).answer()
+            await client.answer()
+            it.proxy.upstream.sweep()
+            assert len(it.proxy.upstream.connections) == 1
+            assert it.proxy.upstream.idle_s < 60  # what the settings say
+            monkeypatch.setattr(it.proxy.upstream, "idle_s", 0.0)
+            it.proxy.upstream.sweep()
+            await it.host.left.get()
+            assert not it.proxy.upstream.connections
+
+    run(test())
+
+
+def test_ready_once_hosts_are_known() -> None:
+    async def test() -> None:
+        for hosts, status in ((1, 200), (0, 503)):
+            async with gateway(hosts=hosts) as it:
+                client = await it.client()
+                assert (await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n"))[0] == status
+
+    run(test())
+
+
+def test_load_reports_come_with_answers() -> None:
+    async def test() -> None:
+        reports = {**settings(), "report": {"how": "piggyback", "fields": ["inflight", "util"]}}
+        async with gateway(settings=reports) as it:
+            client = await it.client()
+            client.send(ask())
+            (await it.host.taken.get()).answer(Server_Load="inflight=7,util=0.61")
+            assert "server-load" not in (await client.answer())[1]
+            assert (await it.event(AttemptEnded)).load == (("inflight", 7.0), ("util", 0.61))
+
+    run(test())
+
+
+@pytest.mark.parametrize(("how", "path"), [("silent", "/health/live"), ("pull", "/stats")])
+def test_probes(how: str, path: str) -> None:
+    async def test() -> None:
+        probing = {**settings(probes=True), "report": {"how": how, "fields": ["queue"]}}
+        async with gateway(settings=probing) as it:
+            it.proxy.carry_out(Probe(host_id("h0")))
+            taken = await it.host.taken.get()
+            assert taken.first == f"GET {path} HTTP/1.1" and "request-id" not in taken.head
+            taken.answer(body=b"queue=3")
+            ended = await it.event(ProbeEnded)
+            assert ended.outcome is Outcome.OK
+            assert ended.load == ((("queue", 3.0),) if how == "pull" else ())
+
+    run(test())
+
+
+def test_hosts_have_the_same_number_everywhere() -> None:
+    assert host_id("s-5be2a07c") == 0x850D21AD14919D0C
