Bound the end of a drain by half-sent requests; test discovery, process, configuration and peers

Found by these tests: a half-sent request held up the end after SIGTERM for 15 s (downstream.py, drain: the loop waited on every connection that was not idle), and peers that are no list ended in a traceback (config.py). Both mended: one second for the rest of a half-sent request, one line on stderr.

--- a/rosedeal/gateway/config.py
+++ b/rosedeal/gateway/config.py
@@ -90,7 +90,7 @@
         names=_names(settings),
         known=known,
         peer_listen=parse_address(peer_listen) if peer_listen else None,
-        peers=tuple(map(parse_address, raw.get("peers") or ())),
+        peers=_peers(raw.get("peers", [])),
         peers_all=parse_address(peers_all) if peers_all else None,
     )
 
@@ -109,6 +109,12 @@
     return sockets
 
 
+def _peers(raw: object) -> tuple[Address, ...]:
+    if not isinstance(raw, list):
+        raise ConfigError("peers is not a list")
+    return tuple(map(parse_address, raw))
+
+
 def _names(settings: dict[str, Any]) -> Names:
     def named(key: str) -> tuple[str, ...]:
         items = [item.get("name") if isinstance(item, dict) else item for item in settings.get(key, ())]
--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -29,6 +29,8 @@
 # New connections go on coming for 0.4 s after a planned restart has begun.
 LAST_ACCEPT_S = 0.5
 LAST_REQUEST_S = 0.6
+HALF_SENT_DRAIN_S = 1.0  # for the rest of a request that has only come in part by then
+FINISH_POLL_S = 0.01
 TURNED_AWAY = RESERVED_SOCKETS // 2  # connections over the limit that are told 503 at once
 
 # Between two machines only, or written anew by the gateway.
@@ -280,13 +282,23 @@
         """Planned end: take what still comes, answer everything, then close."""
         self.draining = True
         await asyncio.sleep(LAST_ACCEPT_S)
+        self.stop_listening()
+        await asyncio.sleep(LAST_REQUEST_S - LAST_ACCEPT_S)
+        await self.finish()
+
+    def stop_listening(self) -> None:
         if self.listener is not None:
             self.listener.close()
-        await asyncio.sleep(LAST_REQUEST_S - LAST_ACCEPT_S)
+
+    async def finish(self) -> None:
+        """Wait for the last answers. Only connections that are owed none are closed."""
+        half_sent_until = self.loop.time() + HALF_SENT_DRAIN_S
         while self.connections:
-            for connection in [c for c in self.connections if c.idle]:
-                connection.close()
-            await asyncio.sleep(0.01)
+            late = self.loop.time() >= half_sent_until
+            for connection in list(self.connections):
+                if connection.idle or (late and connection.current is None):
+                    connection.close()
+            await asyncio.sleep(FINISH_POLL_S)
 
     def read_request(self, incoming: Incoming, now: float) -> Asked:
         headers = {name.lower(): value for name, value in incoming.headers}
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -127,7 +127,8 @@
 
 def chunk(line: str) -> bytes:
     """One line of a watch, as it is framed."""
-    return b"%x\r\n%b\r\n" % (len(line), line.encode())
+    data = line.encode()
+    return b"%x\r\n%b\r\n" % (len(data), data)
 
 
 def entry(name: str, address: str, status: str = "active", **extra: object) -> dict[str, object]:
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,183 @@
+"""The list and the watch over real sockets."""
+
+from __future__ import annotations
+
+import pytest
+
+from rosedeal.gateway import discovery
+from rosedeal.gateway.discovery import host_id
+from rosedeal.interface import FetchList, ListKind, ServerList, ServerStatus
+from tests.sockets import Gateway, chunk, entry, gateway, news, run, settings
+
+
+async def told(it: Gateway) -> tuple[ListKind, list[str]]:
+    """The next list event: its kind and its hosts' states, by name."""
+    event = await it.event(ServerList)
+    names = {host_id(f"h{n}"): f"h{n}" for n in range(9)}
+    return event.kind, [f"{names[s.server]} {s.status.value}" for s in event.servers]
+
+
+def test_the_watch_starts_from_what_is_known_and_brings_changes() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            assert await told(it) == (ListKind.DISK, ["h0 ready"])
+            first, watch = await it.registry.watches.get()
+            assert first == "GET /registry/instances?stream=1&index=7 HTTP/1.1"
+            h1 = entry(
+                "h1", it.host.address, since_ms=1_700_000_000_123, zone="b", weight=1.5, group=3, new=1
+            )
+            watch.write(chunk(news(h1)) + chunk("\n"))
+            event = await it.event(ServerList)
+            assert event.kind is ListKind.DELTA
+            (server,) = event.servers
+            assert (server.zone, server.kind, server.group, server.weight) == (1, 0, 3, 1.5)
+            assert server.started_us == 1_700_000_000_123_000
+            watch.write(chunk(news(entry("h1", it.host.address, "left"))))
+            assert await told(it) == (ListKind.DELTA, ["h1 gone"])
+            watch.write(chunk(news(entry("h2", it.host.address), snapshot=True)))
+            assert await told(it) == (ListKind.FULL, ["h2 ready"])
+            assert it.proxy.upstream.hosts[host_id("h0")].stop_at is not None  # the full list lacks it
+
+    run(test())
+
+
+def test_a_line_in_pieces_is_one_line() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            line = news(entry("h1", it.host.address))
+            watch.write(chunk(line[:30]))
+            await watch.drain()
+            watch.write(chunk(line[30:] + news(entry("h2", it.host.address))))
+            assert await told(it) == (ListKind.DELTA, ["h1 ready"])
+            assert await told(it) == (ListKind.DELTA, ["h2 ready"])
+
+    run(test())
+
+
+BAD_ENTRIES: list[object] = [
+    7,
+    {"name": "h1"},
+    entry("h1", "nowhere"),
+    entry("h1", "127.0.0.1:70000"),
+    entry("h1", "127.0.0.1:1", status="asleep"),
+    entry("h1", "127.0.0.1:1", zone="mars"),
+    entry("h1", "127.0.0.1:1", type="abacus"),
+    entry("h1", "127.0.0.1:1", weight=0),
+    entry("h1", "127.0.0.1:1", weight="heavy"),
+    entry("h1", "127.0.0.1:1", since_ms=None),
+    entry("h1", "127.0.0.1:1", since_ms=-5),
+    entry("h1", "127.0.0.1:1", group=[]),
+]
+
+
+@pytest.mark.parametrize("bad", BAD_ENTRIES)
+def test_a_bad_entry_is_skipped(bad: object, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk(news(bad, entry("h2", it.host.address))))
+            assert await told(it) == (ListKind.DELTA, ["h2 ready"])
+            assert "skipped a list entry" in caplog.text
+
+    run(test())
+
+
+@pytest.mark.parametrize("bad", ["no json", "[]", '{"index":9}', '{"endpoints":{}}', "\xff"])
+def test_a_bad_line_is_skipped(bad: str, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk(bad + "\n") + chunk(news(entry("h2", it.host.address))))
+            assert await told(it) == (ListKind.DELTA, ["h2 ready"])
+            assert "skipped what discovery said" in caplog.text
+
+    run(test())
+
+
+@pytest.mark.parametrize("end", [b"0\r\n\r\n", b"no chunk\r\n", b""])
+def test_a_watch_that_breaks_is_an_error_and_asked_for_again(end: bytes) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk(news(index=12)) + end)
+            assert await told(it) == (ListKind.DELTA, [])
+            watch.close()
+            assert await told(it) == (ListKind.ERROR, [])
+            first, _ = await it.registry.watches.get()
+            assert "index=12" in first
+            assert it.proxy.upstream.hosts  # the old list stands
+
+    run(test())
+
+
+def test_a_silent_watch_is_broken(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "SILENCE_S", 0.05)
+
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            await it.registry.watches.get()
+            assert await told(it) == (ListKind.ERROR, [])
+            await it.registry.watches.get()
+
+    run(test())
+
+
+def test_discovery_that_is_down_is_an_error() -> None:
+    async def test() -> None:
+        async with gateway(discovery="127.0.0.1:1") as it:
+            await told(it)
+            assert await told(it) == (ListKind.ERROR, [])
+            assert await told(it) == (ListKind.ERROR, [])
+
+    run(test())
+
+
+def test_the_whole_list_once() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            it.registry.whole = news(entry("h3", it.host.address), snapshot=True).encode()
+            it.proxy.carry_out(FetchList())
+            assert await told(it) == (ListKind.FULL, ["h3 ready"])
+            it.registry.whole = b"no list"
+            it.proxy.carry_out(FetchList())
+            assert await told(it) == (ListKind.ERROR, [])
+
+    run(test())
+
+
+def test_a_pushed_list_comes_unasked_and_is_listened_to_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "REOPEN_S", 0.0)
+
+    async def test() -> None:
+        async with gateway(settings={**settings(), "membershipMode": "pushed"}) as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.close()
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk(news(entry("h1", it.host.address))))
+            assert await told(it) == (ListKind.DELTA, ["h1 ready"])  # and no error in between
+
+    run(test())
+
+
+def test_an_address_that_changes_is_followed() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk(news(entry("h0", "127.0.0.1:9"))))
+            await told(it)
+            host = it.proxy.upstream.hosts[host_id("h0")]
+            assert host.address == ("127.0.0.1", 9)
+            watch.write(chunk(news(entry("h0", it.host.address, "leaving"))))
+            assert await told(it) == (ListKind.DELTA, [f"h0 {ServerStatus.DRAINING.value}"])
+            assert not it.proxy.upstream.may_send(host)
+
+    run(test())
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,203 @@
+"""The process as a whole: its configuration, its end on SIGTERM, peers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rosedeal.interface import PeerMessage, TellPeers
+from tests.sockets import Client, Host, Registry, ask, configuration, gateway, run, settings
+
+
+def start(path: Path | str, **environ: str) -> subprocess.CompletedProcess[str]:
+    env = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")} | environ
+    return subprocess.run(
+        [sys.executable, "-m", "rosedeal"],
+        env=env | ({"ROUTER_CONFIG": str(path)} if path else {}),
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+def without(key: str) -> dict[str, Any]:
+    raw = configuration({}, "127.0.0.1:1")
+    del raw[key]
+    return raw
+
+
+BAD: list[tuple[object, str]] = [
+    (without("name"), "name"),
+    (without("listen"), "address"),
+    (without("discovery"), "address"),
+    (without("settings"), "settings"),
+    (configuration({}, "127.0.0.1:1", settings={"lanes": []}), "classes"),
+    (configuration({}, "127.0.0.1:1", seed="none"), "seed"),
+    (configuration({}, "127.0.0.1:1", limits={"sockets": 3}), "sockets"),
+    (configuration({}, "127.0.0.1:1", limits=7), "sockets"),
+    (configuration({}, "127.0.0.1:1", known=[]), "known"),
+    (configuration({}, "127.0.0.1:1", peers=["here"]), "address"),
+    (configuration({}, "127.0.0.1:1", peers=7), "peers"),
+    (configuration({}, "127.0.0.1:1", settings={**settings(), "zones": [7]}), "zones"),
+    (configuration({}, "127.0.0.1:1", settings={**settings(), "zones": 7}), "zones"),
+    ([], "object"),
+    ("", "JSON"),
+]
+
+
+@pytest.mark.parametrize(("raw", "named"), BAD)
+def test_a_bad_configuration_is_one_line_and_a_failure(raw: object, named: str, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw) if raw != "" else "{")
+    done = start(path)
+    assert done.returncode != 0 and not done.stdout
+    (line,) = done.stderr.splitlines()
+    assert line.startswith("rosedeal: ") and named in line
+
+
+def test_a_missing_configuration_is_one_line_and_a_failure(tmp_path: Path) -> None:
+    for done in (start(""), start(tmp_path / "none.json")):
+        assert done.returncode != 0 and len(done.stderr.splitlines()) == 1
+
+
+def test_an_address_in_use_is_one_line_and_a_failure(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration({}, "127.0.0.1:1")))
+        done = start(path, ROUTER_LISTEN=f"127.0.0.1:{taken.getsockname()[1]}")
+    assert done.returncode == 1 and "cannot start" in done.stderr.splitlines()[-1]
+
+
+@asynccontextmanager
+async def process(host: Host, tmp_path: Path) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
+    registry = Registry()
+    await host.start()
+    await registry.start()
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    path = tmp_path / "config.json"
+    path.write_text(
+        json.dumps(configuration({"h0": host.address}, registry.address, listen=f"127.0.0.1:{port}"))
+    )
+    child = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "rosedeal",
+        env={**os.environ, "ROUTER_CONFIG": str(path)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    try:
+        assert child.stderr is not None
+        assert b"listens" in await child.stderr.readline()
+        yield child, port
+    finally:
+        if child.returncode is None:
+            child.kill()
+        await child.wait()
+        host.stop()
+        registry.stop()
+
+
+def test_sigterm_answers_what_was_taken_and_ends_well(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = Host()
+        async with process(host, tmp_path) as (child, port):
+            held = Client(*await asyncio.open_connection("127.0.0.1", port))
+            assert (await held.ask(b"GET /health/ready HTTP/1.1\r\n\r\n"))[0] == 200
+            held.send(ask())
+            taken = await host.taken.get()
+            idle = Client(*await asyncio.open_connection("127.0.0.1", port))
+            child.send_signal(signal.SIGTERM)
+            assert await idle.closed()  # and so the signal has been heeded
+            taken.answer()
+            status, head, _ = await held.answer()
+            assert status == 200 and head["connection"] == "close"
+            assert await held.closed()
+            assert await child.wait() == 0
+
+    run(test())
+
+
+def test_requests_that_come_during_a_drain_are_served() -> None:
+    """The front goes on sending for a moment, on new connections and on those that it has."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            idle = await it.client()
+            idle.send(ask())
+            (await it.host.taken.get()).answer()
+            await idle.answer()
+            it.downstream.draining = True
+            late = await it.client()
+            assert (await (await it.client()).ask(b"GET /health/ready HTTP/1.1\r\n\r\n"))[0] == 503
+            for client in (late, idle):
+                client.send(ask())
+            for _ in range(2):
+                taken = await it.host.taken.get()
+                it.downstream.stop_listening()
+                finish = asyncio.create_task(it.downstream.finish())
+                taken.answer()
+            for client in (late, idle):
+                status, head, _ = await client.answer()
+                assert status == 200 and head["connection"] == "close"
+                assert await client.closed()
+            await finish
+
+    run(test())
+
+
+def test_an_idle_connection_does_not_hold_up_the_end(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with process(Host(), tmp_path) as (child, port):
+            idle = Client(*await asyncio.open_connection("127.0.0.1", port))
+            half = Client(*await asyncio.open_connection("127.0.0.1", port))
+            half.send(ask()[:20])
+            child.send_signal(signal.SIGTERM)
+            assert await idle.closed()
+            assert await child.wait() == 0
+
+    run(test())
+
+
+def test_messages_between_gateways() -> None:
+    async def test() -> None:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger,
+        ):
+            for each in (peer, stranger):
+                each.bind(("127.0.0.1", 0))
+                each.setblocking(False)
+            address = f"127.0.0.1:{peer.getsockname()[1]}"
+            async with gateway(
+                settings={**settings(peers=True), "balancers": 2},
+                peer_listen="127.0.0.1:0",
+                peers=["127.0.0.1:1", address],
+                peers_all=address,
+            ) as it:
+                loop = asyncio.get_running_loop()
+                for message in (TellPeers(b"to one", 1), TellPeers(b"to all")):
+                    it.proxy.carry_out(message)
+                    assert await loop.sock_recv(peer, 512) == message.data
+                with pytest.raises(ValueError, match="too long"):
+                    it.proxy.carry_out(TellPeers(bytes(257)))
+                assert it.proxy.peers is not None
+                to = it.proxy.peers.get_extra_info("sockname")
+                stranger.sendto(b"from nobody", to)
+                peer.sendto(b"hello", to)
+                heard = await it.event(PeerMessage)
+                assert (heard.proxy, heard.data) == (1, b"hello")
+
+    run(test())
