--- a/rosedeal/__main__.py
+++ b/rosedeal/__main__.py
@@ -9,6 +9,8 @@
 import signal
 import sys
 
+import uvloop
+
 from rosedeal.gateway.config import Config, ConfigError, load_config
 from rosedeal.gateway.downstream import Downstream
 from rosedeal.gateway.proxy import Proxy
@@ -41,7 +43,8 @@
         return 2
     gc.freeze()  # what the imports made is never garbage
     try:
-        asyncio.run(serve(config))
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(config))
     except OSError as error:
         print(f"rosedeal: cannot start: {error}", file=sys.stderr)
         return 1
