Answer what was read ahead before a drain closes; bound the drain by unread answers

Found by reading downstream.py against the rule that no taken request is lost: with more than one request read on a connection, the first answer of a drain (or of a refusing connection) cleared the rest and closed. A late reply could also have answered the next request after a fault; it is now bound to its own. A client that reads nothing held up the end; a known list that is no list, or an unknown tenant, was not named. 405 names the method.

--- a/rosedeal/gateway/config.py
+++ b/rosedeal/gateway/config.py
@@ -73,8 +73,8 @@
         raise ConfigError("name is missing")
     if not isinstance(settings, dict):
         raise ConfigError("settings are missing")
-    if not isinstance(known, dict):
-        raise ConfigError("known is not an object")
+    if not isinstance(known, dict) or not isinstance(known.get("endpoints", []), list):
+        raise ConfigError("known is not a list of hosts")
     try:
         parsed = parse_settings(json.dumps(settings))
     except WireError as error:
--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -7,6 +7,7 @@
 import logging
 from collections import deque
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 from typing import cast
 from urllib.parse import parse_qs
@@ -32,6 +33,7 @@
 LAST_ACCEPT_S = 0.5
 LAST_REQUEST_S = 0.6
 HALF_SENT_DRAIN_S = 1.0  # for the rest of a request that has only come in part by then
+UNREAD_DRAIN_S = 3.0  # for a client to read an answer that it was given
 FINISH_POLL_S = 0.01
 TURNED_AWAY = RESERVED_SOCKETS // 2  # connections over the limit that are told 503 at once
 
@@ -56,9 +58,9 @@
 
 
 class BadRequest(Exception):
-    def __init__(self, status: int, why: str) -> None:
+    def __init__(self, status: int, why: str, *headers: tuple[bytes, bytes]) -> None:
         super().__init__(why)
-        self.answer = plain(status, why)
+        self.answer = plain(status, why, *headers)
 
 
 @dataclass(slots=True)
@@ -160,7 +162,10 @@
         self.head_bytes = None
         incoming.size = 0
         incoming.method = self.parser.get_method()
-        if any(n.lower() == b"expect" and v.lower() == b"100-continue" for n, v in incoming.headers):
+        in_turn = self.current is None and not self.waiting
+        if in_turn and any(
+            n.lower() == b"expect" and v.lower() == b"100-continue" for n, v in incoming.headers
+        ):
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -196,10 +201,10 @@
             try:
                 self.take(incoming)
             except BadRequest as refusal:
-                self.answer(refusal.answer)
+                self.answer(incoming, refusal.answer)
             except Exception:
                 log.exception("failed on a request")
-                self.answer(plain(500, "internal error"))
+                self.answer(incoming, plain(500, "internal error"))
 
     def take(self, incoming: Incoming) -> None:
         if incoming.refusal is not None:
@@ -207,26 +212,25 @@
         path = incoming.target.partition(b"?")[0]
         if path == b"/health/ready":
             ready = self.server.proxy.ready and not self.server.draining
-            self.answer(plain(200, "ready") if ready else plain(503, "not ready"))
+            self.answer(incoming, plain(200, "ready") if ready else plain(503, "not ready"))
             return
         if self.refusing:
             raise BadRequest(503, "too many connections")
         asked = self.server.read_request(incoming, self.server.loop.time())
-        request = self.server.proxy.arrive(asked, self.answer)
+        request = self.server.proxy.arrive(asked, partial(self.answer, incoming))
         if request is not None and request.reply is not None:
             self.request = request
 
-    def answer(self, answer: Answer) -> None:
-        incoming = self.current
-        if incoming is None:
+    def answer(self, incoming: Incoming, answer: Answer) -> None:
+        if incoming is not self.current:  # its client has gone, or it had its answer
             return
-        last = not incoming.keep_alive or self.refusing or self.server.draining
+        # A connection is never closed on a request that has been read and not answered.
+        last = not incoming.keep_alive or ((self.refusing or self.server.draining) and not self.waiting)
         self.current = self.request = None
         self.write(answer_bytes(answer, last, incoming.method == b"HEAD"))
         self.quiet_since = self.server.loop.time()
         if last:
             self.closing = True
-            self.waiting.clear()
             if incoming.refusal is None:
                 self.close()
             else:
@@ -252,6 +256,10 @@
         if self.transport is not None:
             self.transport.close()
 
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
 
 class Downstream:
     """The listener and its connections."""
@@ -314,20 +322,23 @@
 
     async def finish(self) -> None:
         """Wait for the last answers. Only connections that are owed none are closed."""
-        half_sent_until = self.loop.time() + HALF_SENT_DRAIN_S
+        began = self.loop.time()
         while self.connections:
-            late = self.loop.time() >= half_sent_until
-            for connection in list(self.connections):
-                if connection.idle or (late and connection.current is None):
+            waited_s = self.loop.time() - began
+            for connection in [c for c in self.connections if c.current is None]:
+                if connection.idle or waited_s > HALF_SENT_DRAIN_S:
                     connection.close()
+                if waited_s > UNREAD_DRAIN_S:
+                    connection.abort()
             await asyncio.sleep(FINISH_POLL_S)
 
     def read_request(self, incoming: Incoming, now: float) -> Asked:
         headers = {name.lower(): value for name, value in incoming.headers}
         klass = self._class(incoming.target, headers)
         effect = self.config.settings.classes[klass].effect
-        if incoming.method != (b"GET" if effect is Effect.SAFE else b"POST"):
-            raise BadRequest(405, "the class wants another method")
+        method = b"GET" if effect is Effect.SAFE else b"POST"
+        if incoming.method != method:
+            raise BadRequest(405, "the class wants another method", (b"allow", method))
         if effect is Effect.KEYED and not headers.get(b"idempotency-key"):
             raise BadRequest(400, "Idempotency-Key is missing")
         request_id = headers.get(b"request-id", b"")
@@ -336,7 +347,9 @@
         timeout_ms = _whole(headers.get(b"request-timeout-ms", b""))
         if timeout_ms is None or not 0 < timeout_ms <= LONGEST_TIMEOUT_MS:
             raise BadRequest(400, "Request-Timeout-Ms is missing or malformed")
-        tenant = self.tenants.get(headers.get(b"tenant", b""), 0)
+        tenant = self.tenants.get(headers.get(b"tenant", b""), None if self.tenants else 0)
+        if tenant is None:
+            raise BadRequest(400, "Tenant is missing or unknown")
         return Asked(
             klass=klass,
             timeout_us=timeout_ms * 1000,
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -31,6 +32,13 @@
         runner.run(bounded())
 
 
+def small_socket() -> socket.socket:
+    """Takes in little unread, so that a test can make the other side's writes wait."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    return sock
+
+
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, Head]:
     first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").rstrip().split("\r\n")
     return first, {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
@@ -51,7 +59,9 @@
         self.address = ""
 
     async def start(self) -> None:
-        self.listener = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        sock = small_socket()
+        sock.bind(("127.0.0.1", 0))
+        self.listener = await asyncio.start_server(self.accept, sock=sock)
         host, port = self.listener.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
@@ -252,7 +262,10 @@
     async def client(self) -> Client:
         assert self.downstream.listener is not None
         host, port = self.downstream.listener.sockets[0].getsockname()
-        return Client(*await asyncio.open_connection(host, port))
+        sock = small_socket()
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (host, port))
+        return Client(*await asyncio.open_connection(sock=sock))
 
 
 @asynccontextmanager
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -159,7 +159,6 @@
             )
             (writer,) = it.host.writers
             writer.transport.pause_reading()  # type: ignore[attr-defined]
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             client.send(ask("buy", body=bytes(BODY_LIMIT)))
             await it.event(RequestArrived, lambda e: e.klass == 2)
             assert connection.transport.get_write_buffer_size() > 0
@@ -373,7 +372,6 @@
             connection.transport.set_write_buffer_limits(high=0)
             ours = connection.transport.get_extra_info("socket")
             ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-            client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             taken.answer(body=bytes(BODY_LIMIT))
             assert (await it.event(AttemptEnded)).outcome is Outcome.OK
@@ -388,6 +386,21 @@
     run(test())
 
 
+def test_tenants_go_by_their_place() -> None:
+    async def test() -> None:
+        tenants = [{"name": "acme"}, {"name": "zeta"}]
+        async with gateway(settings={**settings(), "tenants": tenants}) as it:
+            client = await it.client()
+            assert (await client.ask(ask(Tenant="nobody")))[0] == 400
+            client.send(ask(Tenant="zeta", Work_Hint="1200", Client_Retry="1"))
+            (await it.host.taken.get()).answer()
+            assert (await client.answer())[0] == 200
+            arrived = await it.event(RequestArrived)
+            assert (arrived.tenant, arrived.work_us, arrived.is_retry) == (1, 1200, True)
+
+    run(test())
+
+
 def test_requests_sent_ahead_are_answered_in_turn() -> None:
     async def test() -> None:
         async with gateway() as it:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,7 +17,7 @@
 import pytest
 
 from rosedeal.gateway import downstream
-from rosedeal.interface import PeerMessage, TellPeers
+from rosedeal.interface import AttemptEnded, PeerMessage, TellPeers
 from tests.sockets import PATIENCE_S, Client, Host, Registry, ask, configuration, gateway, run, settings
 
 
@@ -49,6 +49,7 @@
     (configuration({}, "127.0.0.1:1", limits={"sockets": 3}), "sockets"),
     (configuration({}, "127.0.0.1:1", limits=7), "sockets"),
     (configuration({}, "127.0.0.1:1", known=[]), "known"),
+    (configuration({}, "127.0.0.1:1", known={"endpoints": {}}), "known"),
     (configuration({}, "127.0.0.1:1", peers=["here"]), "address"),
     (configuration({}, "127.0.0.1:1", peers=7), "peers"),
     (configuration({}, "127.0.0.1:1", settings={**settings(), "zones": [7]}), "zones"),
@@ -164,6 +165,46 @@
     run(test())
 
 
+def test_requests_read_ahead_are_answered_before_a_drain_closes() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask() + ask())
+            taken = await it.host.taken.get()
+            it.downstream.draining = True
+            taken.answer()
+            assert (await client.answer())[0] == 200
+            (await it.host.taken.get()).answer()
+            status, head, _ = await client.answer()
+            assert status == 200 and head["connection"] == "close"
+            assert await client.closed()
+
+    run(test())
+
+
+def test_a_client_that_reads_nothing_does_not_hold_up_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(downstream, "UNREAD_DRAIN_S", 0.0)
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask())
+            taken = await it.host.taken.get()
+            (connection,) = it.downstream.connections
+            assert connection.transport is not None
+            ours = connection.transport.get_extra_info("socket")
+            ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            it.downstream.draining = True
+            taken.answer(body=bytes(60_000))
+            await it.event(AttemptEnded)
+            assert connection.transport.get_write_buffer_size() > 0
+            await it.downstream.finish()
+            client.writer.transport.abort()
+
+    run(test())
+
+
 def test_an_idle_connection_does_not_hold_up_the_end(tmp_path: Path) -> None:
     async def test() -> None:
         async with process(Host(), tmp_path) as (child, port):
