Take an address that is none for a failed connect; share what the socket tests repeat

Found by reading upstream.py, open: a host name that cannot be encoded raises no OSError, so the attempt waited for its time-out and its place among the bounded connections was never given back. The test fails without the mend, as do those of the drain and of held-back writes on uvloop when their guards are taken out.

--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -290,7 +290,7 @@
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 await self.loop.create_connection(lambda: connection, *connection.host.address)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError):  # the last from an address that is none
             self.drop(connection)
             exchange.lost()
         finally:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from rosedeal.gateway.config import parse_config
-from rosedeal.gateway.downstream import Downstream
+from rosedeal.gateway.downstream import ClientConnection, Downstream
 from rosedeal.gateway.proxy import Proxy
 from rosedeal.interface import Action, Event
 
@@ -259,6 +259,21 @@
             self.changed.clear()
             await self.changed.wait()
 
+    async def served(self, client: Client, data: bytes = b"") -> None:
+        """One request of this client all the way."""
+        client.send(data or ask())
+        (await self.host.taken.get()).answer()
+        assert (await client.answer())[0] == 200
+
+    def stop_reading(self, client: Client) -> ClientConnection:
+        """The client takes in nothing more, and little is on the way; returns the gateway's side of it."""
+        (connection,) = self.downstream.connections
+        assert connection.transport is not None
+        ours = connection.transport.get_extra_info("socket")
+        ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        return connection
+
     async def client(self) -> Client:
         assert self.downstream.listener is not None
         host, port = self.downstream.listener.sockets[0].getsockname()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -54,9 +54,7 @@
         async with gateway() as it:
             client = await it.client()
             for _ in range(3):
-                client.send(ask())
-                (await it.host.taken.get()).answer()
-                assert (await client.answer())[0] == 200
+                await it.served(client)
             assert it.host.connections == 1
 
     run(test())
@@ -132,6 +130,19 @@
     run(test())
 
 
+def test_an_address_that_is_none_is_not_connected() -> None:
+    """It raises no OSError: its attempt waited for its time-out, its connection was never dropped."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            it.proxy.upstream.hosts[host_id("h0")].address = ("a..b", 80)
+            assert (await (await it.client()).ask(ask("buy")))[0] == 503
+            assert (await it.event(AttemptEnded)).outcome is Outcome.CONNECT_FAILED
+            assert not it.proxy.upstream.connections
+
+    run(test())
+
+
 def test_a_connection_that_does_not_come_up_in_time_has_not_run_it(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         async with gateway(settings=settings(connectTimeoutUs=1_000)) as it:
@@ -148,9 +159,7 @@
     async def test() -> None:
         async with gateway() as it:
             client = await it.client()
-            client.send(ask())
-            (await it.host.taken.get()).answer()
-            await client.answer()
+            await it.served(client)
             (connection,) = it.proxy.upstream.connections
             assert connection.transport is not None
             # No room on either side, so that most of a large body has to wait in the transport.
@@ -238,9 +247,7 @@
             assert (await client.ask(ask()))[0] == 500
             assert "a fault" in caplog.text and not it.proxy.requests
             it.proxy.balancer.handle = handle  # type: ignore[method-assign]
-            client.send(ask())
-            (await it.host.taken.get()).answer()
-            assert (await client.answer())[0] == 200
+            await it.served(client)
 
     run(test())
 
@@ -367,21 +374,16 @@
             client = await it.client()
             client.send(ask())
             taken = await it.host.taken.get()
-            (connection,) = it.downstream.connections
+            connection = it.stop_reading(client)
             assert connection.transport is not None
             connection.transport.set_write_buffer_limits(high=0)
-            ours = connection.transport.get_extra_info("socket")
-            ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             taken.answer(body=bytes(BODY_LIMIT))
             assert (await it.event(AttemptEnded)).outcome is Outcome.OK
             assert connection.transport.get_write_buffer_size() > 0
             assert not connection.transport.is_reading()
             client.writer.transport.resume_reading()  # type: ignore[attr-defined]
             assert len((await client.answer())[2]) == BODY_LIMIT
-            client.send(ask())
-            (await it.host.taken.get()).answer()
-            assert (await client.answer())[0] == 200
+            await it.served(client)
 
     run(test())
 
@@ -392,9 +394,7 @@
         async with gateway(settings={**settings(), "tenants": tenants}) as it:
             client = await it.client()
             assert (await client.ask(ask(Tenant="nobody")))[0] == 400
-            client.send(ask(Tenant="zeta", Work_Hint="1200", Client_Retry="1"))
-            (await it.host.taken.get()).answer()
-            assert (await client.answer())[0] == 200
+            await it.served(client, ask(Tenant="zeta", Work_Hint="1200", Client_Retry="1"))
             arrived = await it.event(RequestArrived)
             assert (arrived.tenant, arrived.work_us, arrived.is_retry) == (1, 1200, True)
 
@@ -424,9 +424,7 @@
             assert (await (await it.client()).ask(ask()))[0] == 503
             taken.answer()
             assert (await first.answer())[0] == 200
-            first.send(ask())
-            (await it.host.taken.get()).answer()
-            assert (await first.answer())[0] == 200
+            await it.served(first)
 
     run(test())
 
@@ -437,9 +435,7 @@
             limit = it.downstream.limit
             idle = [await it.client() for _ in range(limit)]
             busy = await it.client()
-            busy.send(ask())
-            (await it.host.taken.get()).answer()
-            assert (await busy.answer())[0] == 200
+            await it.served(busy)
             ends = [asyncio.create_task(client.closed()) for client in idle]
             await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
             assert any(end.done() and end.result() for end in ends)
@@ -474,9 +470,7 @@
     async def test() -> None:
         async with gateway() as it:
             client = await it.client()
-            client.send(ask())
-            (await it.host.taken.get()).answer()
-            await client.answer()
+            await it.served(client)
             it.proxy.upstream.sweep()
             assert len(it.proxy.upstream.connections) == 1
             assert it.proxy.upstream.idle_s < 60  # what the settings say
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -139,9 +139,7 @@
     async def test() -> None:
         async with gateway() as it:
             idle = await it.client()
-            idle.send(ask())
-            (await it.host.taken.get()).answer()
-            await idle.answer()
+            await it.served(idle)
             it.downstream.draining = True
             late = await it.client()
             assert (await (await it.client()).ask(b"GET /health/ready HTTP/1.1\r\n\r\n"))[0] == 503
@@ -190,11 +188,8 @@
             client = await it.client()
             client.send(ask())
             taken = await it.host.taken.get()
-            (connection,) = it.downstream.connections
+            connection = it.stop_reading(client)
             assert connection.transport is not None
-            ours = connection.transport.get_extra_info("socket")
-            ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             it.downstream.draining = True
             taken.answer(body=bytes(60_000))
             await it.event(AttemptEnded)
