Follow SIGHUP: read the configuration again, move the watch, keep hosts and balancer

Cause: __main__ set no handler, so the signal's default ended the process. Ruled out: discovery's own close (the crash came first, at 3.05 s). Now the file is read in a thread; a bad one is one log line; a moved discovery gets a watch at once, from version 0, while the old watch is heard out and its close is no error; a refused call is repeated after 0.2 s. The variable ROUTER_DISCOVERY, true at the start, no longer pins the process.

--- a/rosedeal/__main__.py
+++ b/rosedeal/__main__.py
@@ -11,7 +11,7 @@
 
 import uvloop
 
-from rosedeal.gateway.config import Config, ConfigError, load_config
+from rosedeal.gateway.config import Config, ConfigError, load_config, reload_config
 from rosedeal.gateway.downstream import Downstream
 from rosedeal.gateway.proxy import Proxy
 
@@ -21,19 +21,36 @@
 async def serve(config: Config) -> None:
     """Run until told to end, and then until everything taken is answered."""
     loop = asyncio.get_running_loop()
-    told = asyncio.Event()
+    told, hung_up = asyncio.Event(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
+    loop.add_signal_handler(signal.SIGHUP, hung_up.set)
     proxy = Proxy(config, loop)
     downstream = Downstream(config, proxy, loop)
     await proxy.start()
     await downstream.start()
     log.info("%s listens on %s:%d", config.name, *config.listen)
+    reloads = loop.create_task(reload(proxy, hung_up))
     await told.wait()
+    reloads.cancel()  # a process that ends follows no configuration; the signal is still caught
     await downstream.drain()
     proxy.close()
 
 
+async def reload(proxy: Proxy, hung_up: asyncio.Event) -> None:
+    """Read the file again at each SIGHUP, beside the serving loop; one that is bad changes nothing."""
+    while True:
+        await hung_up.wait()
+        hung_up.clear()
+        try:
+            config = await asyncio.to_thread(reload_config, os.environ, proxy.filed)
+        except ConfigError as error:
+            log.error("the old configuration stays: %s", error)
+        else:
+            proxy.take_over(config)
+            log.info("the configuration was read again")
+
+
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
--- a/rosedeal/gateway/config.py
+++ b/rosedeal/gateway/config.py
@@ -1,10 +1,10 @@
-"""What the gateway is told at its start: the ROUTER_* variables and the configuration file behind them."""
+"""What the gateway is told at its start and on SIGHUP: the ROUTER_* variables and the file behind them."""
 
 from __future__ import annotations
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -38,6 +38,7 @@
     settings: Settings
     names: Names
     known: dict[str, Any]  # the list of hosts as last held, in discovery's form
+    filed_discovery: object  # what the file itself says of discovery, whatever the environment says
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     peers_all: Address | None = None
@@ -62,12 +63,34 @@
         raise ConfigError(f"{path} is not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path} is not a JSON object")
+    filed_discovery = raw.get("discovery")
     for key in ("name", "listen", "discovery"):
         raw[key] = environ.get(f"ROUTER_{key.upper()}", raw.get(key))
-    return parse_config(raw)
+    return parse_config(raw, filed_discovery)
 
 
-def parse_config(raw: dict[str, Any]) -> Config:
+def reload_config(environ: Mapping[str, str], old: Config) -> Config:
+    """The file as it is now. A discovery that has moved in it counts over the environment.
+
+    Guards against a variable from the start that would pin the process to a service that is going away.
+    """
+    new = load_config(environ)
+    if new.filed_discovery == old.filed_discovery:
+        return replace(new, discovery=old.discovery)
+    return replace(new, discovery=parse_address(new.filed_discovery))
+
+
+def needs_restart(old: Config, new: Config) -> list[str]:
+    """What differs that a running process does not take over; `known` is for a start only."""
+    followed = {"discovery", "filed_discovery", "known"}
+    return [
+        f.name
+        for f in fields(Config)
+        if f.name not in followed and getattr(old, f.name) != getattr(new, f.name)
+    ]
+
+
+def parse_config(raw: dict[str, Any], filed_discovery: object = None) -> Config:
     name, settings, known = raw.get("name"), raw.get("settings"), raw.get("known", {})
     if not isinstance(name, str) or not name:
         raise ConfigError("name is missing")
@@ -89,6 +112,7 @@
         settings=parsed,
         names=_names(settings),
         known=known,
+        filed_discovery=filed_discovery,
         peer_listen=parse_address(peer_listen) if peer_listen else None,
         peers=_peers(raw.get("peers", [])),
         peers_all=parse_address(peers_all) if peers_all else None,
--- a/rosedeal/gateway/discovery.py
+++ b/rosedeal/gateway/discovery.py
@@ -22,8 +22,12 @@
 # A watch sends a line every 2 s. Guards against one that is open and says nothing more, as when the machine
 # at its other end has vanished: the list would go stale unseen. Discovery's news counts as told 6 s late at
 # the latest, and by then the next call should have been answered.
-SILENCE_S = 5.0
-CONNECT_S = 2.0
+SILENCE_S = 3.5
+CONNECT_S = 1.0
+# After a move news counts as told within 4 s: until the new service has answered once, or for MOVE_S, calls
+# that fail are made again here, so that the balancer's growing waits do not add up to more than that.
+MOVE_RETRY_S = 0.2
+MOVE_S = 10.0
 LINE_LIMIT = 8 * 1024 * 1024
 REOPEN_S = 0.5  # of a pushed list, where the balancer does not ask
 
@@ -91,6 +95,7 @@
 
     def __init__(self, discovery: Discovery, target: str, watch: bool) -> None:
         self.discovery = discovery
+        self.address = discovery.address
         self.target = target
         self.watch = watch
         self.parser = httptools.HttpResponseParser(self)
@@ -103,7 +108,7 @@
     async def open(self) -> None:
         try:
             async with asyncio.timeout(CONNECT_S):
-                await self.discovery.loop.create_connection(lambda: self, *self.discovery.address)
+                await self.discovery.loop.create_connection(lambda: self, *self.address)
         except (OSError, TimeoutError) as error:
             self.fail(f"no connection: {error}")
 
@@ -112,7 +117,7 @@
         if self.over:
             self.transport.abort()
             return
-        host, port = self.discovery.address
+        host, port = self.address
         self.transport.write(f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
         self.heard()
 
@@ -161,7 +166,7 @@
 
     def read(self, text: bytes) -> bool:
         try:
-            self.discovery.told(json.loads(text))
+            self.discovery.told(json.loads(text), self)
         except ValueError as error:
             log.warning("skipped what discovery said: %s: %.200r", error, text)
             return False
@@ -200,6 +205,8 @@
         self.news = news
         self.index = 0
         self.current: Call | None = None  # the watch
+        self.fading: Call | None = None  # the watch on the service before, until the new one has answered
+        self.moving_until = 0.0  # loop time; 0 once the new service has answered
         self.fetches: set[Call] = set()
 
     def start(self, known: dict[str, Any]) -> None:
@@ -210,34 +217,80 @@
             self.watch(True)
 
     def watch(self, on: bool) -> None:
-        if self.current is not None:
-            self.current.end()
-            self.current = None
+        if on and self.moving_until and self.current is not None:
+            return  # opened at the move, and still to be answered
+        self.stop_watch()
         if on:
-            self.current = Call(self, f"{PATH}?stream=1&index={self.index}", watch=True)
+            self.open_watch()
+        else:
+            self.moving_until = 0.0
+
+    def open_watch(self) -> None:
+        self.current = Call(self, f"{PATH}?stream=1&index={self.index}", watch=True)
+
+    def stop_watch(self) -> None:
+        for call in (self.current, self.fading):
+            if call is not None:
+                call.end()
+        self.current = self.fading = None
+
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere now: ask there at once for everything, and hear the old one out meanwhile.
+
+        Guards against a gap in the news: the old service goes on for a moment, the new one may come up late.
+        Version numbers of the one need mean nothing to the other.
+        """
+        heard = self.current if self.moving_until == 0.0 else self.fading
+        if heard is not self.current and self.current is not None:
+            self.current.end()  # a second move before the first was answered
+        self.address, self.index = address, 0
+        self.fading, self.moving_until = heard, self.loop.time() + MOVE_S
+        for call in self.fetches:
+            call.end()
+        if self.fetches:
+            self.fetches = set()
+            self.fetch()
+        self.open_watch()
+
+    def reopen(self) -> None:
+        if self.moving_until and self.current is None:
+            self.open_watch()
 
     def fetch(self) -> None:
         self.fetches.add(Call(self, PATH, watch=False))
 
-    def told(self, raw: Any) -> None:
+    def told(self, raw: Any, call: Call) -> None:
         news = parse_list(raw, self.names)
-        self.index = _index(raw)
+        if call is not self.fading:
+            self.index = _index(raw)
+        if call is self.current and self.moving_until:
+            self.moving_until = 0.0
+            if self.fading is not None:
+                self.fading.end()
+                self.fading = None
         self.fetches = {call for call in self.fetches if not call.over}
         self.news(news)
 
     def failed(self, call: Call) -> None:
         self.fetches.discard(call)
+        if call is self.fading:  # its service has moved: no error
+            self.fading = None
+            return
         if call is self.current:
             self.current = None
+            if self.moving_until > self.loop.time():
+                self.loop.call_later(MOVE_RETRY_S, self.reopen)
+                return
+            self.moving_until = 0.0
             if self.pushed:
                 self.loop.call_later(REOPEN_S, self.watch, True)
                 return
         self.news(News(ListKind.ERROR))
 
     def close(self) -> None:
-        for call in (self.current, *self.fetches):
-            if call is not None:
-                call.end()
+        self.stop_watch()
+        for call in self.fetches:
+            call.end()
 
 
 def _index(raw: dict[str, Any]) -> int:
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 
 from rosedeal.choice import Balancer
-from rosedeal.gateway.config import Address, Config
+from rosedeal.gateway.config import Address, Config, needs_restart
 from rosedeal.gateway.discovery import Discovery, News
 from rosedeal.gateway.upstream import Answer, Exchange, Upstream
 from rosedeal.interface import (
@@ -113,6 +113,7 @@
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         settings = config.settings
         self.config, self.settings, self.loop = config, settings, loop
+        self.filed = config  # as read last: the start of the next reload
         self.clock = Clock()
         self.balancer = Balancer(settings, config.seed)
         self.upstream = Upstream(
@@ -144,6 +145,15 @@
         self.upstream.sweep()
         self.loop.call_later(SWEEP_S, self.sweep)
 
+    def take_over(self, config: Config) -> None:
+        """A new configuration: hosts, connections and the balancer stay; what can be followed is."""
+        if config.discovery != self.discovery.address:
+            log.info("discovery has moved to %s:%d", *config.discovery)
+            self.discovery.move(config.discovery)
+        for name in needs_restart(self.config, config):
+            log.warning("the new configuration changes %s: that needs a restart", name)
+        self.filed = config
+
     def close(self) -> None:
         self.discovery.close()
         self.upstream.close()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+from dataclasses import replace
+
 import pytest
 
 from rosedeal.gateway import discovery
+from rosedeal.gateway.config import parse_address
 from rosedeal.gateway.discovery import host_id
 from rosedeal.interface import FetchList, ListKind, ServerList, ServerStatus
-from tests.sockets import Gateway, chunk, entry, gateway, news, run, settings
+from tests.sockets import Gateway, Registry, chunk, entry, gateway, news, run, settings
 
 
 async def told(it: Gateway) -> tuple[ListKind, list[str]]:
@@ -181,3 +185,49 @@
             assert not it.proxy.upstream.may_send(host)
 
     run(test())
+
+
+def test_a_move_keeps_the_hosts_and_hears_the_old_service_out() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, old = await it.registry.watches.get()
+            second = Registry()
+            await second.start()
+            it.proxy.take_over(replace(it.proxy.filed, discovery=parse_address(second.address)))
+            first, new = await second.watches.get()
+            assert "index=0" in first  # the numbers of the old service may mean nothing there
+            old.write(chunk(news(entry("h1", it.host.address), index=99)))
+            assert await told(it) == (ListKind.DELTA, ["h1 ready"])
+            old.close()  # no error: the service has moved
+            new.write(chunk(news(entry("h2", it.host.address), snapshot=True, index=3)))
+            assert await told(it) == (ListKind.FULL, ["h2 ready"])
+            new.close()
+            assert await told(it) == (ListKind.ERROR, [])
+            first, _ = await second.watches.get()
+            assert "index=3" in first
+            second.stop()
+
+    run(test())
+
+
+def test_a_new_service_that_is_not_up_yet_is_tried_again_soon() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            await it.registry.watches.get()
+            second = Registry()
+            await second.start()
+            address, port = second.address.split(":")
+            second.stop()
+            it.proxy.take_over(replace(it.proxy.filed, discovery=parse_address(second.address)))
+            while it.proxy.discovery.current is not None:  # refused
+                await asyncio.sleep(0.001)
+            third = Registry()
+            third.listener = await asyncio.start_server(third.accept, address, int(port))
+            _, new = await third.watches.get()
+            new.write(chunk(news(entry("h1", it.host.address))))
+            assert await told(it) == (ListKind.DELTA, ["h1 ready"])  # and no error in between
+            third.stop()
+
+    run(test())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -83,7 +83,9 @@
 
 
 @asynccontextmanager
-async def process(host: Host, tmp_path: Path) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
+async def process(
+    host: Host, tmp_path: Path, **environ: str
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
     registry = Registry()
     await host.start()
     await registry.start()
@@ -97,7 +99,7 @@
         sys.executable,
         "-m",
         "rosedeal",
-        env={**os.environ, "ROUTER_CONFIG": str(path)},
+        env={**os.environ, "ROUTER_CONFIG": str(path), **environ},
         stderr=asyncio.subprocess.PIPE,
     )
     try:
@@ -200,6 +202,45 @@
     run(test())
 
 
+async def logged(child: asyncio.subprocess.Process, text: bytes) -> bytes:
+    assert child.stderr is not None
+    while text not in (line := await child.stderr.readline()):
+        assert line, "the log has ended"
+    return line
+
+
+def test_sighup_follows_discovery_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    """With no handler the signal ended the process, and all that it held was lost."""
+
+    async def test() -> None:
+        host, second, path = Host(), Registry(), tmp_path / "config.json"
+        await second.start()
+        async with process(host, tmp_path, ROUTER_DISCOVERY="127.0.0.1:1") as (child, port):
+            client = Client(*await asyncio.open_connection("127.0.0.1", port))
+            client.send(ask())
+            taken = await host.taken.get()
+            good = path.read_text()
+            path.write_text("{")
+            child.send_signal(signal.SIGHUP)
+            assert b"ERROR" in await logged(child, b"the old configuration stays")
+            raw = json.loads(good) | {"discovery": second.address, "seed": "2f"}
+            path.write_text(json.dumps(raw))
+            child.send_signal(signal.SIGHUP)
+            await logged(child, b"changes seed: that needs a restart")
+            first, _ = await second.watches.get()
+            assert first == "GET /registry/instances?stream=1&index=0 HTTP/1.1"
+            taken.answer()
+            assert (await client.answer())[0] == 200
+            child.send_signal(signal.SIGTERM)
+            child.send_signal(signal.SIGHUP)
+            assert await client.closed()
+            child.send_signal(signal.SIGHUP)
+            assert await child.wait() == 0
+        second.stop()
+
+    run(test())
+
+
 def test_an_idle_connection_does_not_hold_up_the_end(tmp_path: Path) -> None:
     async def test() -> None:
         async with process(Host(), tmp_path) as (child, port):
