--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -54,7 +54,8 @@
 AIM_SHARE = 0.98  # of the time to the aim that is waited for an answer that is worth nothing later
 # Shedding
 TOLERATED = 0.25  # share of the slack under the tightest aim that an answer may have waited
-SHED_STEP = 0.1  # of the work asked for, shed more or less after one answer
+SHED_STEP = 0.1  # of the work asked for, shed more or less after one answer, at the most
+SHED_SPEED = 1.0  # at most so much a second, however many answers come
 HELD_PER_CORE = 1.0  # requests held by a core of the fleet, as live weights tell, beyond which more is shed
 SHED_RATE = 0.4  # the same for each second since the last answer, where that makes it more
 SHED_LONGEST_US = 500_000  # one answer speaks for no longer: a single long one on a quiet day is chance
@@ -365,10 +366,15 @@
         self.step_shed(event.outcome is not Outcome.OK or waited > tolerated)
 
     def step_shed(self, long: bool) -> None:
-        # Up by the time since the last answer: with few of them a jam must be noticed as soon as with many.
-        step = max(SHED_STEP, SHED_RATE * min(self.now_us - self.shed_at_us, SHED_LONGEST_US) / 1e6)
+        """By the time since the last answer: with few of them a jam must be noticed as soon as with many.
+
+        Guards against chance where there are many: at 250 answers a second ten long ones in a row, which come
+        every few seconds, shed nearly everything while no attempt was out.
+        """
+        since_s = min(self.now_us - self.shed_at_us, SHED_LONGEST_US) / 1e6
+        step = min(SHED_STEP, SHED_SPEED * since_s)
         self.shed_at_us = self.now_us
-        self.shed = min(SHED_MOST, max(0.0, self.shed + (step if long else -SHED_STEP)))
+        self.shed = min(SHED_MOST, max(0.0, self.shed + (max(step, SHED_RATE * since_s) if long else -step)))
 
     def expected_us(self, request: Request) -> float:
         return self.smoothed[request.klass] * request.size
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -389,7 +389,7 @@
     for latency_us, shed in ((390_000, [True, False]), (5_000, [False, False])):
         for _ in range(round(0.3 / SHED_STEP)):
             name, actions = driver.arrive(klass=1)
-            driver.balancer.shed_at_us = driver.now_us
+            driver.balancer.shed_at_us = driver.now_us - 100_000
             driver.end(name, sends(actions)[0].server, latency_us=latency_us)
             driver.now_us += 4_000_000
         refused = []
@@ -428,6 +428,17 @@
             driver.end(name, send.server)
 
 
+def test_a_few_long_answers_among_hundreds_shed_little() -> None:
+    """At 250 answers a second ten long ones in a row came every few seconds, and nearly all was refused."""
+    driver = Driver()
+    asked = [driver.arrive(klass=2) for _ in range(10)]
+    driver.balancer.shed_at_us = driver.now_us
+    for name, actions in asked:
+        driver.now_us += 4_000
+        driver.end(name, sends(actions)[0].server, latency_us=290_000)
+    assert 0.0 < driver.balancer.shed <= 0.1
+
+
 def test_live_weights_that_tell_of_a_crowd_shed_before_any_answer_does() -> None:
     """A proxy with few answers noticed a crowd when the servers had choked already."""
     for live in (True, False):
@@ -486,6 +497,7 @@
     driver.balancer.unhindered[0] = 150_000.0  # of an aim of 200 ms
     for latency_us, sheds in ((250_000, False), (310_000, True)):
         name, _ = driver.arrive()
+        driver.now_us += 100_000
         driver.end(name, 0, latency_us=latency_us)
         assert (driver.balancer.shed > 0.0) == sheds
 
