Bound clients in time and trust; draw by the fourth power of what is out

Now: a request has 2.25 s, the first on a connection from its accept; what never asked goes first when room is wanted; a small head is built anew and anything ambiguous is refused at the head; after a bad request the connection closes; more than 8 requests ahead are turned away at once. Ruled out by probe: httptools itself refuses Content-Length with Transfer-Encoding in either order, negative, huge and repeated lengths (tests pin that down). Draw: with 250 requests a second out counts are 0 to 6 at a host, and the square let a host with 6 out be drawn.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -42,6 +42,7 @@
 UNHINDERED_DOWN = 0.05  # share of the way that the unhindered latency falls to a shorter one
 FEW = 5  # answers: the first move the unhindered latency down by up to a sixth of the way, later ones less
 UNHINDERED_UP = 0.0005  # relative rise with each longer one: a jam must not pass for the usual within seconds
+FREE = 4  # how hard what this proxy has out at a server lowers its weight in the draw
 AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
 # Keys that warm a server
 HOME_FAVOUR = 20.0  # factor on the weight of a key's home: most of its requests, not all
@@ -642,7 +643,7 @@
         """A server's weight in the draw; 0 for one that is not eligible."""
         if not self.cold_room(server, request):
             return 0.0
-        free = 1.0 / (1.0 + len(server.out)) ** 2
+        free = 1.0 / (1.0 + len(server.out)) ** FREE
         share = self.cold_share(server)  # slow start
         return server.entry.weight * server.weight * free * self.nearness(server.entry) * share
 
--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import logging
+import re
 from collections import deque
 from dataclasses import dataclass, field
 from functools import partial
@@ -23,12 +24,18 @@
 
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
+# A body with its framing. Guards against chunk extensions and trailers that go on without end.
+RAW_LIMIT = 2 * HEAD_LIMIT + 2 * BODY_LIMIT
+TARGET_LIMIT = 4 * 1024
+ID_LIMIT = 128
 BACKLOG = 1024
 PIPELINED = 8  # requests read ahead of their turn on one connection
-IDLE_S = 75.0  # a connection between requests
+IDLE_S = 5.0  # a connection between requests
+# For a whole request: the first on a connection from its accept, a later one from its first byte. Guards
+# against clients that say nothing, or say it without end, and hold a descriptor meanwhile.
+REQUEST_S = 2.25
+SWEEP_S = 0.25
 LINGER_S = 1.0
-HALF_SENT_S = 15.0  # a request of which only a part has come
-LONGEST_TIMEOUT_MS = 3_600_000
 # New connections go on coming for 0.4 s after a planned restart has begun.
 LAST_ACCEPT_S = 0.5
 LAST_REQUEST_S = 0.6
@@ -37,7 +44,7 @@
 FINISH_POLL_S = 0.01
 TURNED_AWAY = RESERVED_SOCKETS // 2  # connections over the limit that are told 503 at once
 
-# Between two machines only, or written anew by the gateway.
+# Of a host's answer: between two machines only, or written anew by the gateway.
 HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -48,12 +55,40 @@
         b"transfer-encoding",
         b"upgrade",
         b"content-length",
-        b"expect",
-        b"request-timeout-ms",
         b"not-started",
         b"server-load",
     )
 )
+# What goes on to a host, each once and in this spelling; the deadline and the length are written anew. Guards
+# against heads that a host reads in another way than the gateway does: its 400 would count against the host.
+FORWARDED = {
+    name.lower(): name
+    for name in (
+        b"Host",
+        b"Request-Id",
+        b"Request-Class",
+        b"Tenant",
+        b"Idempotency-Key",
+        b"Client-Retry",
+        b"Work-Hint",
+        b"Request-Info",
+        b"Content-Type",
+        b"Content-Encoding",
+        b"Accept",
+        b"Accept-Encoding",
+        b"Accept-Language",
+        b"Authorization",
+        b"User-Agent",
+        b"Traceparent",
+        b"Tracestate",
+    )
+}
+# Said twice these are one list; anything else that is said twice is ambiguous.
+LISTS = frozenset((b"accept", b"accept-encoding", b"accept-language", b"content-encoding", b"tracestate"))
+READ_HERE = frozenset((b"request-timeout-ms", b"content-length", b"transfer-encoding", b"expect"))
+VALUE = re.compile(rb"[\t\x20-\x7e]*")
+TARGET = re.compile(rb"/[\x21\x23-\x7e]*")  # no space, no quote, nothing beyond ASCII
+VERSIONS = ("1.0", "1.1")
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -70,11 +105,43 @@
     came_at: float = 0.0  # loop time of its last byte
     target: bytes = b""
     method: bytes = b""
-    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    headers: dict[bytes, bytes] = field(default_factory=dict)  # of those that count, by lower name
     body: list[bytes] = field(default_factory=list)
     size: int = 0
+    raw: int = 0  # bytes since the first, however they are framed
+    head_read: bool = False
     keep_alive: bool = True
     refusal: BadRequest | None = None  # what it is answered in its turn, without a look at the rest
+    request_id: bytes = b""  # once it is among the open ones
+
+    def add_header(self, name: bytes, value: bytes) -> None:
+        name = name.lower()
+        if name not in FORWARDED and name not in READ_HERE:
+            return
+        if VALUE.fullmatch(value) is None:
+            raise BadRequest(400, "odd bytes in a header")
+        if name not in self.headers:
+            self.headers[name] = value
+        elif name in LISTS:
+            self.headers[name] += b", " + value
+        else:
+            raise BadRequest(400, "a header is repeated")
+
+    def check_head(self, version: str) -> None:
+        """What the head alone shows to be wrong, before any of the body has come."""
+        if version not in VERSIONS:
+            raise BadRequest(505, "neither HTTP/1.0 nor HTTP/1.1")
+        if len(self.target) > TARGET_LIMIT:
+            raise BadRequest(414, f"target over {TARGET_LIMIT} bytes")
+        if TARGET.fullmatch(self.target) is None:
+            raise BadRequest(400, "odd bytes in the target")
+        coding, length = self.headers.get(b"transfer-encoding"), self.headers.get(b"content-length")
+        if coding is not None and (length is not None or coding.lower() != b"chunked"):
+            raise BadRequest(400, "ambiguous length")
+        if length is not None and (_whole(length) is None or int(length) > BODY_LIMIT):
+            raise BadRequest(413, f"body over {BODY_LIMIT} bytes")
+        if self.method == b"GET" and (coding is not None or int(length or 0) > 0):
+            raise BadRequest(400, "GET with a body")
 
 
 class ClientConnection(asyncio.Protocol):
@@ -84,13 +151,13 @@
         self.parser = httptools.HttpRequestParser(self)
         self.incoming = Incoming()
         self.reading = False  # between a request's first byte and its last
-        self.head_bytes: int | None = None  # of a head that has not ended
         self.waiting: deque[Incoming] = deque()
         self.current: Incoming | None = None
         self.request: Request | None = None  # the current one, once the proxy has taken it
+        self.asked = False  # has brought a request that could be read
         self.closing = False  # the framing is lost, or this was the last request: nothing more is read
         self.refusing = False  # over the limit: every request hears 503
-        self.quiet_since = server.loop.time()
+        self.since = server.loop.time()  # its accept, last answer, or the first byte of what is being read
 
     # Transport
 
@@ -101,21 +168,29 @@
     def data_received(self, data: bytes) -> None:
         if self.closing:
             return
-        self.quiet_since = self.server.loop.time()
-        if self.head_bytes is None and not self.reading:
-            self.head_bytes = 0
-        if self.head_bytes is not None:
-            self.head_bytes += len(data)
+        if not self.reading:
+            self.begin()
+        self.incoming.raw += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self.closing = True  # the request stands; what follows it is no HTTP
+            self.last_of_all()  # the request stands; what follows it is no HTTP
         except httptools.HttpParserError:
             self.lose_framing(BadRequest(400, "malformed request"))
-        if self.head_bytes is not None and self.head_bytes > HEAD_LIMIT and not self.closing:
-            self.lose_framing(BadRequest(431, "head too long"))
+        if self.reading and not self.closing:
+            if not self.incoming.head_read and self.incoming.raw > HEAD_LIMIT:
+                self.lose_framing(BadRequest(431, "head too long"))
+            elif self.incoming.raw > RAW_LIMIT:
+                self.lose_framing(BadRequest(413, "request too long"))
         self.next()
 
+    def begin(self) -> None:
+        """The first byte of a request, also one that the parser skips."""
+        self.incoming = Incoming()
+        self.reading = True
+        if self.asked:
+            self.since = self.server.loop.time()
+
     def pause_writing(self) -> None:
         """Guards against a client that asks and asks but reads no answers: they would pile up in memory."""
         if self.transport is not None:
@@ -132,7 +207,13 @@
         self.server.drop(self)
         self.closing = True
         self.waiting.clear()
-        request, self.request, self.current = self.request, None, None
+        self.abandon()
+
+    def abandon(self) -> None:
+        """Nothing of the current request is wanted any more."""
+        current, request, self.current, self.request = self.current, self.request, None, None
+        if current is not None:
+            self.server.open_ids.discard(current.request_id)
         if request is not None:
             self.server.proxy.leave(request)
 
@@ -140,32 +221,48 @@
         """Where the next request begins is unknown: answer this one in its turn, then close."""
         if not self.closing:
             self.closing = True
+            self.reading = False
             self.waiting.append(Incoming(keep_alive=False, refusal=refusal))
 
+    def last_of_all(self) -> None:
+        """Nothing after the newest request is read: its answer is the connection's last."""
+        self.closing = True
+        self.incoming.keep_alive = False
+
     # Parser
 
     def on_message_begin(self) -> None:
-        self.incoming = Incoming()
-        self.reading = True
+        if not self.reading:  # a further one in the same data
+            self.begin()
 
     def on_url(self, url: bytes) -> None:
         self.incoming.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.incoming.headers.append((name, value))
-        self.incoming.size += len(name) + len(value) + 4
+        incoming = self.incoming
+        incoming.size += len(name) + len(value) + 4
+        if self.closing or incoming.head_read:  # trailers say nothing that counts
+            return
+        try:
+            incoming.add_header(name, value)
+        except BadRequest as refusal:
+            self.lose_framing(refusal)
 
     def on_headers_complete(self) -> None:
         incoming = self.incoming
-        if incoming.size + len(incoming.target) > HEAD_LIMIT:
-            self.lose_framing(BadRequest(431, "head too long"))
-        self.head_bytes = None
-        incoming.size = 0
         incoming.method = self.parser.get_method()
+        if self.closing:
+            return
+        try:
+            if incoming.size + len(incoming.target) > HEAD_LIMIT:
+                raise BadRequest(431, "head too long")
+            incoming.check_head(self.parser.get_http_version())
+        except BadRequest as refusal:
+            self.lose_framing(refusal)
+            return
+        incoming.head_read, incoming.size = True, 0
         in_turn = self.current is None and not self.waiting
-        if in_turn and any(
-            n.lower() == b"expect" and v.lower() == b"100-continue" for n, v in incoming.headers
-        ):
+        if in_turn and incoming.headers.get(b"expect", b"").lower() == b"100-continue":
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -177,7 +274,6 @@
 
     def on_message_complete(self) -> None:
         self.reading = False
-        self.head_bytes = 0
         if self.closing:
             return
         self.incoming.came_at = self.server.loop.time()
@@ -186,13 +282,27 @@
         if not self.incoming.keep_alive:
             self.closing = True
         elif len(self.waiting) > PIPELINED:
-            self.lose_framing(BadRequest(503, "too many requests ahead of their turn"))
+            self.turn_away()
+
+    def turn_away(self) -> None:
+        """Far more asked at once than clients do: answered once, now, and no more of it carried out.
+
+        Guards against one connection whose requests would be answered one after another for many seconds.
+        """
+        self.waiting.clear()
+        self.abandon()
+        self.lose_framing(BadRequest(400, "too many requests ahead of their turn"))
 
     # Requests, one at a time
 
+    @property
+    def owed(self) -> bool:
+        """Whether a request that has been read waits for its answer."""
+        return self.current is not None or bool(self.waiting)
+
     @property
     def idle(self) -> bool:
-        return self.current is None and not self.waiting and not self.reading and not self.head_bytes
+        return not self.owed and not self.reading
 
     def next(self) -> None:
         """Take up the next request unless one is in hand."""
@@ -201,6 +311,10 @@
             try:
                 self.take(incoming)
             except BadRequest as refusal:
+                # What it asked for could not be read: it is not trusted with the connection either.
+                incoming.refusal = refusal
+                incoming.keep_alive = False
+                self.waiting.clear()
                 self.answer(incoming, refusal.answer)
             except Exception:
                 log.exception("failed on a request")
@@ -212,11 +326,14 @@
         path = incoming.target.partition(b"?")[0]
         if path == b"/health/ready":
             ready = self.server.proxy.ready and not self.server.draining
+            self.asked = True
             self.answer(incoming, plain(200, "ready") if ready else plain(503, "not ready"))
             return
         if self.refusing:
             raise BadRequest(503, "too many connections")
         asked = self.server.read_request(incoming, self.server.loop.time())
+        self.asked = True
+        incoming.request_id = self.server.open_id(incoming)
         request = self.server.proxy.arrive(asked, partial(self.answer, incoming))
         if request is not None and request.reply is not None:
             self.request = request
@@ -226,9 +343,10 @@
             return
         # A connection is never closed on a request that has been read and not answered.
         last = not incoming.keep_alive or ((self.refusing or self.server.draining) and not self.waiting)
+        self.server.open_ids.discard(incoming.request_id)
         self.current = self.request = None
         self.write(answer_bytes(answer, last, incoming.method == b"HEAD"))
-        self.quiet_since = self.server.loop.time()
+        self.since = self.server.loop.time()
         if last:
             self.closing = True
             if incoming.refusal is None:
@@ -252,14 +370,40 @@
             self.server.loop.call_later(LINGER_S, self.transport.abort)
 
     def close(self) -> None:
+        """Closed once what has been written is sent, and soon in any case: a client need not read it."""
         self.closing = True
         if self.transport is not None:
             self.transport.close()
+            if self.transport.get_write_buffer_size():
+                self.server.loop.call_later(LINGER_S, self.transport.abort)
 
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
 
+    def make_room(self) -> None:
+        """Close now: its descriptor is wanted."""
+        self.closing = True
+        self.abort()
+
+    @property
+    def worth(self) -> tuple[bool, bool, float]:
+        """Least for the connection that is missed least, among those that are owed nothing.
+
+        Guards against floods: connections that have never asked for anything that could be read go before
+        those of the usual clients.
+        """
+        return not self.closing, self.asked, self.since
+
+    def check_time(self, now: float) -> None:
+        if self.owed or self.closing:
+            return
+        if self.reading and now - self.since > REQUEST_S:
+            self.lose_framing(BadRequest(408, "the rest of the request has not come"))
+            self.next()
+        elif not self.reading and now - self.since > (IDLE_S if self.asked else REQUEST_S):
+            self.close()
+
 
 class Downstream:
     """The listener and its connections."""
@@ -270,6 +414,7 @@
         self.tenants = {name.encode(): number for number, name in enumerate(config.names.tenants)}
         self.limit = int((config.sockets - RESERVED_SOCKETS) * (1 - UPSTREAM_SHARE))
         self.connections: set[ClientConnection] = set()
+        self.open_ids: set[bytes] = set()  # of the requests in hand, as their clients call them
         self.draining = False
         self.listener: asyncio.Server | None = None
 
@@ -278,14 +423,16 @@
         self.listener = await self.loop.create_server(
             lambda: ClientConnection(self), host, port, backlog=BACKLOG, reuse_address=True
         )
-        self.loop.call_later(1.0, self.sweep)
+        self.loop.call_later(SWEEP_S, self.sweep)
 
     def add(self, connection: ClientConnection) -> None:
-        """Guards against running out of descriptors: idle connections go first, then new ones hear 503."""
+        """Guards against running out of descriptors: what is missed least goes, else new ones hear 503."""
         if len(self.connections) >= self.limit:
-            idle = [c for c in self.connections if c.idle]
-            if idle:
-                min(idle, key=lambda c: c.quiet_since).close()
+            spare = [c for c in self.connections if not c.owed and not (c.asked and c.reading)]
+            if spare:
+                least = min(spare, key=lambda c: c.worth)
+                self.connections.discard(least)
+                least.make_room()
             else:
                 connection.refusing = True
         self.connections.add(connection)
@@ -296,17 +443,20 @@
     def drop(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
 
+    def open_id(self, incoming: Incoming) -> bytes:
+        """Guards against one client that names another's request: to a host the two would be one."""
+        request_id = incoming.headers[b"request-id"]
+        if request_id in self.open_ids:
+            raise BadRequest(409, "a request with this id is open")
+        self.open_ids.add(request_id)
+        return request_id
+
     def sweep(self) -> None:
         """Close connections that have been idle for long, and answer those whose request does not end."""
         now = self.loop.time()
         for connection in list(self.connections):
-            quiet_s = now - connection.quiet_since
-            if connection.idle and quiet_s > IDLE_S:
-                connection.close()
-            elif connection.current is None and not connection.idle and quiet_s > HALF_SENT_S:
-                connection.lose_framing(BadRequest(408, "the rest of the request has not come"))
-                connection.next()
-        self.loop.call_later(1.0, self.sweep)
+            connection.check_time(now)
+        self.loop.call_later(SWEEP_S, self.sweep)
 
     async def drain(self) -> None:
         """Planned end: take what still comes, answer everything, then close."""
@@ -333,33 +483,35 @@
             await asyncio.sleep(FINISH_POLL_S)
 
     def read_request(self, incoming: Incoming, now: float) -> Asked:
-        headers = {name.lower(): value for name, value in incoming.headers}
-        klass = self._class(incoming.target, headers)
-        effect = self.config.settings.classes[klass].effect
-        method = b"GET" if effect is Effect.SAFE else b"POST"
+        headers = incoming.headers
+        number = self._class(incoming.target, headers)
+        klass = self.config.settings.classes[number]
+        method = b"GET" if klass.effect is Effect.SAFE else b"POST"
         if incoming.method != method:
             raise BadRequest(405, "the class wants another method", (b"allow", method))
-        if effect is Effect.KEYED and not headers.get(b"idempotency-key"):
+        if klass.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
             raise BadRequest(400, "Idempotency-Key is missing")
         request_id = headers.get(b"request-id", b"")
-        if not 0 < len(request_id) <= 128 or not all(33 <= c <= 126 for c in request_id):
+        if not 0 < len(request_id) <= ID_LIMIT or b" " in request_id or b"\t" in request_id:
             raise BadRequest(400, "Request-Id is missing or malformed")
         timeout_ms = _whole(headers.get(b"request-timeout-ms", b""))
-        if timeout_ms is None or not 0 < timeout_ms <= LONGEST_TIMEOUT_MS:
+        if timeout_ms is None or timeout_ms <= 0:
             raise BadRequest(400, "Request-Timeout-Ms is missing or malformed")
         tenant = self.tenants.get(headers.get(b"tenant", b""), None if self.tenants else 0)
         if tenant is None:
             raise BadRequest(400, "Tenant is missing or unknown")
+        work_us = _whole(headers.get(b"work-hint", b""))
+        # Bounded by the class: one client's figures must not become the usual ones, nor last for hours.
         return Asked(
-            klass=klass,
-            timeout_us=timeout_ms * 1000,
+            klass=number,
+            timeout_us=min(timeout_ms * 1000, klass.give_up_us),
             waited_us=int((now - incoming.came_at) * 1e6),
             method=incoming.method,
             target=incoming.target,
-            headers=_end_to_end(incoming.headers, headers.get(b"connection", b"")),
+            headers=_rebuilt(headers),
             body=b"".join(incoming.body),
             key=_key(incoming.target),
-            work_us=_whole(headers.get(b"work-hint", b"")),
+            work_us=min(work_us, klass.give_up_us) if work_us else None,
             is_retry=headers.get(b"client-retry") == b"1",
             tenant=tenant,
             is_write=b"isWrite=1" in headers.get(b"request-info", b"").split(b","),
@@ -384,10 +536,11 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if head_only else answer.body)
 
 
-def _end_to_end(headers: list[tuple[bytes, bytes]], connection: bytes) -> bytes:
-    """The headers that go on, as lines: none between two machines, none that Connection names."""
-    left_out = HOP_HEADERS.union(name.strip().lower() for name in connection.split(b","))
-    return b"".join(b"%b: %b\r\n" % header for header in headers if header[0].lower() not in left_out)
+def _rebuilt(headers: dict[bytes, bytes]) -> bytes:
+    """The head that goes on, as lines."""
+    return b"".join(
+        b"%b: %b\r\n" % (spelt, headers[name]) for name, spelt in FORWARDED.items() if name in headers
+    )
 
 
 def _whole(text: bytes) -> int | None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
@@ -20,6 +21,7 @@
 PATIENCE_S = 30.0  # no test waits for this long unless it fails
 
 Head = dict[str, str]
+ids = itertools.count()  # of requests: new with every one
 E = TypeVar("E")
 
 
@@ -197,7 +199,7 @@
 def ask(klass: str = "look", method: str = "", body: bytes = b"", **headers: str | None) -> bytes:
     lines: dict[str, str | None] = {
         "Host": "service.internal",
-        "Request-Id": "0123abcd",
+        "Request-Id": f"{next(ids):08x}",
         "Request-Class": klass,
         "Request-Timeout-Ms": "30000",
         "Content-Length": str(len(body)) if body else None,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -32,11 +32,15 @@
     async def test() -> None:
         async with gateway() as it:
             client = await it.client()
-            client.send(ask("pay", body=b"\0\xffcard", X_Trace="t1", X_Hop="h", Connection="X-Hop"))
+            trace = {"Request_Id": "0123abcd", "Traceparent": "t1", "X_Own": "h", "Accept": "a"}
+            client.send(
+                ask("pay", body=b"\0\xffcard", **trace).replace(b"\r\n\r\n", b"\r\nAccept: b\r\n\r\n")
+            )
             taken = await it.host.taken.get()
             assert taken.first == "POST /pay?user=00ff HTTP/1.1" and taken.body == b"\0\xffcard"
             assert taken.head["request-id"] == "0123abcd" and taken.head["idempotency-key"] == "77"
-            assert taken.head["x-trace"] == "t1" and not {"x-hop", "connection"} & taken.head.keys()
+            assert taken.head["traceparent"] == "t1" and taken.head["accept"] == "a, b"
+            assert "x-own" not in taken.head
             assert 0 < int(taken.head["request-timeout-ms"]) <= 30_000
             taken.answer(200, b"\1\xfepaid", Content_Type="application/x-slip")
             status, head, body = await client.answer()
@@ -325,6 +329,26 @@
     (ask("nothing"), 404),
     (ask("look").replace(b"/look", b"/lost"), 404),
     (ask("look", method="POST"), 405),
+    (ask(Request_Id="a" * 129), 400),
+    (ask().replace(b"Request-Id", b"Request-Id: 7\r\nRequest-Id"), 400),
+    (ask().replace(b"Request-Class", b"Request-Class: look\r\nRequest-Class"), 400),
+    (ask().replace(b"Request-Timeout-Ms", b"Request-Timeout-Ms: 9\r\nRequest-Timeout-Ms"), 400),
+    (ask(User_Agent="caf\u00e9"), 400),
+    (ask().replace(b"user=", b"user=\xe9"), 400),
+    (ask().replace(b"user=00ff", b"x=" + b"x" * 5_000), 414),
+    (ask().replace(b"/look", b"http://other/look"), 400),
+    (ask().replace(b"HTTP/1.1", b"HTTP/2.0"), 505),
+    (ask().replace(b" HTTP/1.1", b""), 505),
+    (ask(Content_Length="3") + b"abc", 400),
+    (ask(Transfer_Encoding="chunked") + b"0\r\n\r\n", 400),
+    (ask("buy", Content_Length="3", Transfer_Encoding="chunked") + b"0\r\n\r\n", 400),
+    (ask("buy", Transfer_Encoding="chunked", Content_Length="3") + b"0\r\n\r\n", 400),
+    (ask("buy", Transfer_Encoding="gzip, chunked") + b"0\r\n\r\n", 400),
+    (ask("buy", Content_Length="-1"), 400),
+    (ask("buy", Content_Length="9" * 30), 400),
+    (ask("buy", Content_Length="3").replace(b"\r\n\r\n", b"\r\nContent-Length: 3\r\n\r\n") + b"abc", 400),
+    (ask("buy", Content_Length="60000000"), 413),
+    (ask("buy", Transfer_Encoding="chunked") + b"1;" + b"x" * downstream.RAW_LIMIT, 413),
     (ask("buy", body=bytes(BODY_LIMIT + 1)), 413),
     (ask(X="x" * HEAD_LIMIT), 431),
     (b"GET /look HTTP/1.1\r\nX: " + b"x" * (HEAD_LIMIT + 1), 431),
@@ -338,8 +362,7 @@
             client = await it.client()
             client.send(data)
             assert (await client.answer())[0] == status
-            if status in (413, 431):  # the framing is lost
-                assert await client.closed()
+            assert await client.closed()
             good = await it.client()
             good.send(ask(Request_Id="ffff"))
             taken = await it.host.taken.get()
@@ -392,8 +415,8 @@
     async def test() -> None:
         tenants = [{"name": "acme"}, {"name": "zeta"}]
         async with gateway(settings={**settings(), "tenants": tenants}) as it:
+            assert (await (await it.client()).ask(ask(Tenant="nobody")))[0] == 400
             client = await it.client()
-            assert (await client.ask(ask(Tenant="nobody")))[0] == 400
             await it.served(client, ask(Tenant="zeta", Work_Hint="1200", Client_Retry="1"))
             arrived = await it.event(RequestArrived)
             assert (arrived.tenant, arrived.work_us, arrived.is_retry) == (1, 1200, True)
@@ -401,6 +424,102 @@
     run(test())
 
 
+def test_figures_that_clients_give_are_bounded_by_the_class() -> None:
+    """An hour's time and a year's work went into what the balancer takes for usual, and into timers."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            await it.served(client, ask(Work_Hint="9" * 17, Request_Timeout_Ms="9" * 17))
+            arrived = await it.event(RequestArrived)
+            assert arrived.work_us == 60_000_000 and arrived.patience_us <= 60_000_000
+
+    run(test())
+
+
+def test_the_id_of_an_open_request_is_refused_to_another_client() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            first, second = await it.client(), await it.client()
+            first.send(ask(Request_Id="77"))
+            taken = await it.host.taken.get()
+            assert (await second.ask(ask(Request_Id="77")))[0] == 409
+            assert it.host.taken.empty()
+            taken.answer()
+            assert (await first.answer())[0] == 200
+            await it.served(first, ask(Request_Id="77"))  # over, and so free again
+            first.send(ask(Request_Id="77"))
+            await it.host.taken.get()
+            first.writer.close()
+            await it.event(RequestGone)
+            assert not it.downstream.open_ids
+
+    run(test())
+
+
+@pytest.mark.parametrize("start", [b"", b"GET /lo", ask("buy", Content_Length="9") + b"abc"])
+def test_a_client_that_does_not_get_on_is_closed_soon(start: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Silent ones stayed for 75 s, and those that sent a byte now and then for good."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(start)
+            (connection,) = [await connected(it)]
+            while start and not connection.reading:
+                await asyncio.sleep(0.001)
+            connection.check_time(connection.since + 0.9 * downstream.REQUEST_S)
+            assert not connection.closing
+            at = connection.since
+            if start:
+                client.send(start[-1:])
+                await asyncio.sleep(0.01)
+            connection.check_time(at + downstream.REQUEST_S + 0.01)  # from the accept, not from the last byte
+            if start:
+                assert (await client.answer())[0] == 408
+            assert await client.closed()
+
+    run(test())
+
+
+async def connected(it: Gateway) -> downstream.ClientConnection:
+    while not it.downstream.connections:
+        await asyncio.sleep(0.001)
+    return next(iter(it.downstream.connections))
+
+
+def test_far_too_many_requests_ahead_are_turned_away_at_once() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(b"".join(ask() for _ in range(100)))
+            assert (await client.answer())[0] == 400
+            assert await client.closed()
+            assert not it.downstream.open_ids and it.proxy.open == 0
+
+    run(test())
+
+
+def test_a_flood_of_silent_connections_does_not_push_out_the_usual_ones() -> None:
+    """The connection that was idle for longest went, and that was a client's own."""
+
+    async def test() -> None:
+        async with gateway(limits={"sockets": 128}) as it:
+            usual = await it.client()
+            await it.served(usual)
+            (ours,) = it.downstream.connections
+            flood = []
+            for number in range(2 * it.downstream.limit):
+                flood.append(await it.client())
+                if number % 2:
+                    flood[-1].send(b"GET /lo")
+            assert await flood[0].closed()
+            assert ours in it.downstream.connections and len(it.downstream.connections) == it.downstream.limit
+            await it.served(usual)
+
+    run(test())
+
+
 def test_requests_sent_ahead_are_answered_in_turn() -> None:
     async def test() -> None:
         async with gateway() as it:
