Serve good answers that bring more, bound spoilt ones, blame hosts only for what they did

Ruled out: bytes that come a moment later (none seen, so no rest before reuse), short lengths that cut an answer (none seen). Cause: HostConnection.data_received took any parser error for a spoilt answer, also behind a whole one. Also: only whole headers were counted; a busy connection outlived its host's change of address; the want of a connection or descriptor and the end of a drain were reported as CONNECT_FAILED and judged.

--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
+import select
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import cast
@@ -17,6 +19,11 @@
 
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
+# An answer with its framing. Guards against a header, a chunk extension or a trailer that does not end and
+# would grow inside the parser.
+RAW_LIMIT = 2 * HEAD_LIMIT + 2 * BODY_LIMIT
+INTERIM_LIMIT = 8  # answers of the kind 1xx ahead of the final one
+NO_DESCRIPTOR = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 # Part of the time after which hosts close idle connections. Guards against a request that crosses the host's
 # close: it would end as a reset, which may have run.
 IDLE_SHARE = 0.7
@@ -72,6 +79,10 @@
         """The connection has gone, or what came on it was no answer."""
         self.end(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
 
+    def never_sent(self) -> None:
+        """Nothing was tried, for a reason that lies with this gateway: the host is not to blame."""
+        self.end(Outcome.MOOT)
+
     def give_up(self, outcome: Outcome) -> None:
         """Stop waiting: the host learns of it by the close of its connection."""
         if self.done:
@@ -94,6 +105,8 @@
         self.idle_since = 0.0
         self.answer = Answer()
         self.size = 0
+        self.raw = 0  # bytes since the request went out, however they are framed
+        self.interim = 0
         self.chunks: list[bytes] = []
         self.complete = False
         self.keep_alive = False
@@ -110,7 +123,7 @@
             self.abort()
         elif not self.pool.may_send(self.host):
             # Guards against a drain that began while the connection was being made.
-            exchange.lost()
+            exchange.never_sent()
             self.abort()
         else:
             self.write(exchange)
@@ -119,6 +132,7 @@
         transport = self.transport
         assert transport is not None
         self.exchange = exchange
+        self.raw = self.interim = 0
         exchange.connection = self
         exchange.written = True  # unless pause_writing says otherwise from within write
         transport.write(exchange.payload)
@@ -137,13 +151,17 @@
         if self.exchange is None:  # nothing was asked
             self.abort()
             return
+        self.raw += len(data)
+        clean = True
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
-            self.fail()
-            return
+            clean = False
         if self.complete:
-            self.conclude()
+            # What comes right behind a whole answer spoils the connection, not the answer.
+            self.conclude(clean)
+        elif not clean or self.raw > RAW_LIMIT:
+            self.fail()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.drop(self)
@@ -165,11 +183,23 @@
         if exchange is not None:
             exchange.lost()
 
+    def is_quiet(self) -> bool:
+        """Whether nothing waits to be read, neither data nor an end.
+
+        Guards against what came unasked since the last answer: it would pass for the answer to the next.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     # Parser
 
     def on_message_begin(self) -> None:
         if self.complete:
-            raise ValueError("a second answer to one request")  # the parser turns it into its own error
+            # The parser turns it into its own error, and leaves the first answer as it is.
+            raise ValueError("a second answer to one request")
         self.answer, self.chunks, self.size = Answer(), [], 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -180,6 +210,14 @@
 
     def on_headers_complete(self) -> None:
         self.size = 0
+        if self.parser.get_status_code() < 200:
+            self.interim += 1
+            if self.interim > INTERIM_LIMIT:
+                raise ValueError("too many interim answers")
+        elif (
+            int(self.answer.header(b"content-length") or 0) > BODY_LIMIT
+        ):  # the parser takes nothing but digits
+            raise ValueError("body too long")
 
     def on_body(self, body: bytes) -> None:
         self.chunks.append(body)
@@ -193,14 +231,14 @@
         # calls every connection one that closes.
         self.keep_alive = self.parser.should_keep_alive()
 
-    def conclude(self) -> None:
+    def conclude(self, clean: bool) -> None:
         """Only now that the parser has read all there was: the next request may go out on this connection."""
         exchange, answer = self.exchange, self.answer
         assert exchange is not None
         answer.status = self.parser.get_status_code()
         answer.body = b"".join(self.chunks)
         self.exchange, self.complete = None, False
-        if exchange.written and self.keep_alive:
+        if clean and exchange.written and self.keep_alive:
             self.pool.rest(self)
         else:
             self.abort()
@@ -239,8 +277,10 @@
     def list_host(self, number: HostId, address: Address, status: ServerStatus) -> None:
         host = self.hosts.setdefault(number, Host(address))
         if host.address != address:
+            # Another machine. Guards against a connection to the one before that is busy now and rests later.
             self.close_idle(number)
-            host.address = address
+            host.stop_at = self.loop.time()
+            host = self.hosts[number] = Host(address)
         if status is ServerStatus.READY:
             host.stop_at = None
         else:
@@ -266,20 +306,21 @@
         exchange = Exchange(payload, ended)
         host = self.hosts.get(number)
         if host is None or not self.may_send(host):
-            self.loop.call_soon(exchange.lost)
+            self.loop.call_soon(exchange.never_sent)
             return exchange
         exchange.timer = self.loop.call_later(timeout_s, exchange.give_up, Outcome.TIMEOUT)
         while host.idle:
             connection = host.idle.pop()
-            if connection.transport is not None and not connection.transport.is_closing():
+            if connection.is_quiet():
                 connection.write(exchange)
                 return exchange
+            connection.abort()
         self.connect(host, exchange)
         return exchange
 
     def connect(self, host: Host, exchange: Exchange) -> None:
         if len(self.connections) >= self.limit and not self.close_oldest_idle():
-            self.loop.call_soon(exchange.lost)
+            self.loop.call_soon(exchange.never_sent)
             return
         connection = HostConnection(self, host)
         connection.exchange, exchange.connection = exchange, connection
@@ -290,9 +331,12 @@
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 await self.loop.create_connection(lambda: connection, *connection.host.address)
-        except (OSError, TimeoutError, ValueError):  # the last from an address that is none
+        except (OSError, TimeoutError, ValueError) as error:  # the last from an address that is none
             self.drop(connection)
-            exchange.lost()
+            if isinstance(error, OSError) and error.errno in NO_DESCRIPTOR:
+                exchange.never_sent()
+            else:
+                exchange.lost()
         finally:
             connection.connecting = None
 
