Shed a burst at once; a jam opens no breaker after the other

Causes: shedding heeds answers alone, which tell of a queue when all in it are late; common_share left out the rings of open breakers, so each that opened took its evidence with it.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -28,6 +28,7 @@
 MINIMUM = 5  # outcomes before a verdict: fewer convict on chance
 THRESHOLD = 0.5  # failure share that opens, beyond what all servers fail in common
 TRIALS = 3  # outcomes that decide in half-open
+OPEN_MOST = 1 / 3  # of the servers, on the evidence of rings that hold good answers too
 COOLDOWN_US = 1_000_000  # first cooldown; doubles with each reopening from half-open
 LONGEST_COOLDOWN_US = 8_000_000
 # The weight controller
@@ -61,6 +62,8 @@
 EASE_SPEED = 0.5  # the same for less: where answers come fast, one in three may be long
 CROWD = 1.0  # requests a server holds, if all proxies have as many out as this one: below it none is shed
 CROWD_MEMORY_US = 500_000  # over which what is out is averaged
+CROWD_WAIT = 0.5  # share of the tightest slack that the work held may take: beyond it some is shed at once
+CROWD_DOUBT = 2.0  # times the root of what is out: few of many proxies' requests tell nothing of the others'
 HELD_PER_CORE = 1.0  # requests held by a core of the fleet, as live weights tell, beyond which more is shed
 SHED_RATE = 0.4  # the same for each second since the last answer, where that makes it more
 SHED_LONGEST_US = 500_000  # one answer speaks for no longer: a single long one on a quiet day is chance
@@ -338,7 +341,8 @@
         """
         if self.now_us >= self.end_us(request):
             return True  # too late to earn anything
-        if self.shed <= 0.0:
+        shed = max(self.shed, self.crowding())
+        if shed <= 0.0:
             return False
         worths = self.worths()
         mine = worths[request.klass]
@@ -346,7 +350,28 @@
         total = sum(shares) or 1.0
         below = sum(share for share, worth in zip(shares, worths, strict=True) if worth < mine) / total
         point = below + shares[request.klass] / total * self.random.random()
-        return point < self.shed
+        return point < shed
+
+    def crowding(self) -> float:
+        """What to shed for what is out already, before any answer tells of it.
+
+        Guards against bursts: answers tell of a queue when it stands, and by then all in it are late. What a
+        server holds, in work, may take CROWD_WAIT of the slack under the tightest aim.
+        """
+        surely = self.out - CROWD_DOUBT * math.sqrt(self.out)
+        if surely <= 0.0:
+            return 0.0
+        total = sum(self.asked) or 1.0
+        mean_us = sum(a * u for a, u in zip(self.asked, self.unhindered, strict=True)) / total
+        slacks = (c.aim_us - u for c, u in zip(self.settings.classes, self.unhindered, strict=True))
+        wait_us = self.held(surely) * mean_us
+        return min(SHED_MOST, wait_us / (CROWD_WAIT * max(1.0, min(slacks))) - 1.0)
+
+    def held(self, out: float) -> float:
+        """Requests held by each server in use, if every proxy has as many out as this one."""
+        ready = [s for s in self.ranked if s.entry.status is ServerStatus.READY]
+        used = sum(s.breakers[0].state is State.CLOSED for s in ready)
+        return out * self.settings.proxies / max(1, used)
 
     def worths(self) -> list[float]:
         """What the goal gains from each unit of server time, by class."""
@@ -395,7 +420,7 @@
         Guards against work that is long by itself: one answer in five took twice the mean with no queue, and
         a proxy with three requests out at a dozen servers refused nine in ten.
         """
-        return self.mean_out * self.settings.proxies > CROWD * len(self.servers)
+        return self.held(self.mean_out) > CROWD
 
     def expected_us(self, request: Request) -> float:
         return self.smoothed[request.klass] * request.size
@@ -725,11 +750,17 @@
             server.weight = min(CEILING, server.weight + STEP)
 
     def common_share(self, server: Server, place: int) -> float:
-        """Failure share of the other servers' rings: what no single server is to blame for."""
+        """Failure share of the other servers' rings: what no single server is to blame for.
+
+        Those that are open count too, and all is common once OPEN_MOST of them are: then a breaker opens only
+        on nothing but failures. Guards against a jam that opens one after the other, each of which leaves its
+        work to the rest, until none is left and everything is refused.
+        """
         others = [s.breakers[place] for s in self.servers.values() if s is not server]
-        closed = [b for b in others if b.state is State.CLOSED]
-        entries = sum(len(b.ring) for b in closed)
-        return sum(b.failures for b in closed) / entries if entries else 0.0
+        if sum(b.state is not State.CLOSED for b in others) >= OPEN_MOST * len(others) > 0:
+            return 1.0
+        entries = sum(len(b.ring) for b in others)
+        return sum(b.failures for b in others) / entries if entries else 0.0
 
     # Cold servers
 
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -196,3 +196,19 @@
         name, actions = driver.arrive(klass=n % 3)
         driver.end(name, sends(actions)[0].server, Outcome.CONNECT_FAILED)
     assert driver.balancer.servers[0].breakers[0].state is State.OPEN
+
+
+def test_a_jam_does_not_open_one_breaker_after_the_other() -> None:
+    """Each one that opened left its work to the rest, until nine of twelve were open and all was refused."""
+    driver = Driver(servers=12)
+    servers = list(driver.balancer.servers.values())
+    for server in servers[:4]:
+        trip(server.breakers[0], driver.now_us)
+    rest = servers[4]
+    rest.breakers[0].record(driver.now_us, False, 0, 0.0)
+    for _ in range(RING - 2):
+        common = driver.balancer.common_share(rest, 0)
+        assert rest.breakers[0].record(driver.now_us, True, 0, common) is None
+    for _ in range(2):  # nothing but failures is evidence enough
+        state = rest.breakers[0].record(driver.now_us, True, 0, driver.balancer.common_share(rest, 0))
+    assert state is State.OPEN
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -329,7 +329,7 @@
 def test_a_proxy_with_more_in_hand_reaches_further() -> None:
     """One proxy with a fifth of all traffic would crush the few servers of a fixed subset."""
     driver = Driver(replace(SETTINGS, proxies=300), servers=60)
-    met = {sends(driver.arrive(klass=2)[1])[0].server for _ in range(40)}
+    met = {send.server for _ in range(40) for send in sends(driver.arrive(klass=2)[1])}
     assert len(met) > 3 * SUBSET
 
 
@@ -456,6 +456,15 @@
     assert shed[0] == 0.0 < shed[1]
 
 
+def test_a_burst_sheds_before_any_answer_tells_of_it() -> None:
+    """Of a burst of hundreds every request was sent, every one waited past its aim, and all were repeated."""
+    driver = Driver(servers=4)
+    sent = sum(bool(sends(driver.arrive()[1])) for _ in range(200))
+    assert 4 < sent < 100
+    lone = Driver(replace(SETTINGS, proxies=100), servers=4)  # three of its own tell nothing of the others'
+    assert all(sends(lone.arrive()[1]) for _ in range(3))
+
+
 def test_the_unhindered_latency_does_not_sink_to_the_shortest_work() -> None:
     """Of thousands of answers the shortest took a tenth of the mean: nearly all seemed to have waited."""
     driver = Driver(servers=1)
