Let at most a third of the client connections rest between requests

A count each second at the sockets: 160 connections of 160, 128 of them (a third of the descriptors) asked once and idle, 0 owed anything; no refusal of the gateway's own. Ruled out so: shedding, breakers, the limit on open requests. Cause: below its limit add() makes no room, and IDLE_S lets those that ask once and stay hold all places that a front gives its clients for 5 s.

--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -31,6 +31,7 @@
 BACKLOG = 1024
 PIPELINED = 8  # requests read ahead of their turn on one connection
 IDLE_S = 5.0  # a connection between requests
+RESTING_SHARE = 1 / 3  # of the connections that clients may have: so many of them between requests
 # For a whole request: the first on a connection from its accept, a later one from its first byte. Guards
 # against clients that say nothing, or say it without end, and hold a descriptor meanwhile.
 REQUEST_S = 2.25
@@ -168,6 +169,7 @@
     def data_received(self, data: bytes) -> None:
         if self.closing:
             return
+        self.server.resting.pop(self, None)
         if not self.reading:
             self.begin()
         self.incoming.raw += len(data)
@@ -355,6 +357,8 @@
                 self.linger()
         elif self.waiting:
             self.server.loop.call_soon(self.next)
+        elif not self.reading:
+            self.server.rest(self)
 
     def write(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
@@ -414,6 +418,8 @@
         self.tenants = {name.encode(): number for number, name in enumerate(config.names.tenants)}
         self.limit = int((config.sockets - RESERVED_SOCKETS) * (1 - UPSTREAM_SHARE))
         self.connections: set[ClientConnection] = set()
+        self.resting: dict[ClientConnection, None] = {}  # between requests, the one used last comes last
+        self.most_resting = int(self.limit * RESTING_SHARE)
         self.open_ids: set[bytes] = set()  # of the requests in hand, as their clients call them
         self.draining = False
         self.listener: asyncio.Server | None = None
@@ -442,6 +448,18 @@
 
     def drop(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
+        self.resting.pop(connection, None)
+
+    def rest(self, connection: ClientConnection) -> None:
+        """Guards against clients that ask once and stay: others, held to a number by a front, find no place.
+
+        They would wait for a connection while this side, below its own limit, has no cause to make room.
+        """
+        self.resting[connection] = None
+        if len(self.resting) > self.most_resting:
+            oldest = next(iter(self.resting))
+            del self.resting[oldest]
+            oldest.close()
 
     def open_id(self, incoming: Incoming) -> bytes:
         """Guards against one client that names another's request: to a host the two would be one."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -641,6 +641,23 @@
     run(test())
 
 
+def test_clients_that_ask_once_and_stay_do_not_fill_the_connections() -> None:
+    """Below the limit none was closed for 5 s, and clients that may hold no more found no connection."""
+
+    async def test() -> None:
+        async with gateway(limits={"sockets": 256}) as it:
+            most = it.downstream.most_resting
+            clients = [await it.client() for _ in range(most + 1)]
+            for client in clients:
+                await it.served(client)
+            assert await clients[0].closed()
+            assert len(it.downstream.connections) <= most < it.downstream.limit / 2
+            await it.served(clients[1])
+            assert not it.downstream.open_ids
+
+    run(test())
+
+
 def test_connections_to_hosts_are_bounded() -> None:
     """The want of a connection was blamed on the host, and could open every breaker."""
 
