--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -16,7 +16,16 @@
 import httptools
 
 from rosedeal.gateway.config import Config
-from rosedeal.gateway.proxy import RESERVED_SOCKETS, UPSTREAM_SHARE, Asked, Proxy, Request, plain
+from rosedeal.gateway.proxy import (
+    RESERVED_SOCKETS,
+    RETRY_AFTER,
+    UPSTREAM_SHARE,
+    Asked,
+    Proxy,
+    Request,
+    plain,
+    refused,
+)
 from rosedeal.gateway.upstream import Answer
 from rosedeal.interface import Effect
 
@@ -332,7 +341,7 @@
             self.answer(incoming, plain(200, "ready") if ready else plain(503, "not ready"))
             return
         if self.refusing:
-            raise BadRequest(503, "too many connections")
+            raise BadRequest(503, "too many connections", (b"retry-after", RETRY_AFTER))
         asked = self.server.read_request(incoming, self.server.loop.time())
         self.asked = True
         incoming.request_id = self.server.open_id(incoming)
@@ -443,7 +452,7 @@
                 connection.refusing = True
         self.connections.add(connection)
         if len(self.connections) > self.limit + TURNED_AWAY:
-            connection.write(answer_bytes(plain(503, "too many connections"), True, False))
+            connection.write(answer_bytes(refused("too many connections"), True, False))
             connection.close()
 
     def drop(self, connection: ClientConnection) -> None:
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -49,6 +49,7 @@
 TRANSIT_US = 4_000
 # After the balancer's own limits, before the client's: the answer of last resort.
 LAST_RESORT_US = 2_000
+RETRY_AFTER = b"1"  # seconds, where the decisions name no time; the least that every client understands
 PROBE_TIMEOUT_S = 1.0
 PEER_LIMIT = 256
 SWEEP_S = 1.0
@@ -101,6 +102,12 @@
     return Answer(status, [(b"content-type", b"text/plain"), *headers], text.encode() + b"\n")
 
 
+def refused(why: str, after_us: int = 0) -> Answer:
+    """A refusal, given at once, says when to come back: the decisions' time, or else in a moment."""
+    after = b"%.3f" % (after_us / 1e6) if after_us > 0 else RETRY_AFTER
+    return plain(503, why, (b"retry-after", after))
+
+
 class Peers(asyncio.DatagramProtocol):
     def __init__(self, heard: Callable[[bytes, Address], None]) -> None:
         self.heard = heard
@@ -208,9 +215,7 @@
                 delay_us = action.due_us - self.clock.now_us()
                 self.loop.call_later(max(0, delay_us) / 1e6, self.feed, TimerFired(action.token))
             case Refuse():
-                after_us = action.retry_after_us
-                advice = ((b"retry-after", b"%.3f" % (after_us / 1e6)),) if after_us > 0 else ()
-                self.finish(action.request, plain(503, "refused; trying again is harmless", *advice))
+                self.finish(action.request, refused("trying again is harmless", action.retry_after_us))
             case Fail():
                 self.finish(action.request, plain(502, "failed"))
             case Cancel():
@@ -236,7 +241,7 @@
     def arrive(self, asked: Asked, reply: Reply) -> Request | None:
         """Take a request: `reply` is called exactly once, unless `leave` comes first."""
         if 0 < self.settings.max_open_requests <= self.open:
-            reply(plain(503, "too many requests"))
+            reply(refused("too many requests"))
             return None
         self.taken += 1
         patience_us = max(0, asked.timeout_us - asked.waited_us - TRANSIT_US)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -292,16 +292,17 @@
     run(test())
 
 
-def test_a_refusal_comes_at_once_and_says_when_to_come_back() -> None:
+@pytest.mark.parametrize(("after_us", "told"), [(1_250_000, 1.25), (0, 1.0)])
+def test_a_refusal_comes_at_once_and_says_when_to_come_back(after_us: int, told: float) -> None:
     async def test() -> None:
         async with gateway() as it:
 
             def refuse(now_us: int, event: Event) -> list[Action]:
-                return [Refuse(event.request, 1_250_000)] if isinstance(event, RequestArrived) else []
+                return [Refuse(event.request, after_us)] if isinstance(event, RequestArrived) else []
 
             it.proxy.balancer.handle = refuse  # type: ignore[method-assign]
             status, head, _ = await (await it.client()).ask(ask())
-            assert status == 503 and float(head["retry-after"]) == 1.25
+            assert status == 503 and float(head["retry-after"]) == told
 
     run(test())
 
