Let what a host has spoilt go to another while some is shed

Cause: may_repeat allows no repeat of what may have run while shed is above 0, also where the host is done with it.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -574,6 +574,15 @@
         """
         return self.retry_tokens >= 1 and self.shed <= 0.0
 
+    def may_replace(self, request: Request, event: AttemptEnded) -> bool:
+        """Whether what a server has spoilt, and works on no more, may go to another while some is shed.
+
+        It competes like a first try, within the budget. Guards against losing what is worth most to spoilt
+        answers as soon as anything at all is shed. No such repeat of a time-out: it may be the jam itself.
+        """
+        over = event.outcome in (Outcome.ERROR, Outcome.RESET)
+        return over and self.retry_tokens >= 1 and not self.is_shed(request)
+
     def on_attempt_ended(self, event: AttemptEnded) -> None:
         request = self.requests.get(event.request)
         if request is None or not 0 <= event.attempt < len(request.attempts):
@@ -598,15 +607,15 @@
                 self.served[request.klass] += 1
             self.finish(request)
         elif request.out == 0:
-            self.try_again(request)
+            self.try_again(request, event)
 
-    def try_again(self, request: Request) -> None:
+    def try_again(self, request: Request, event: AttemptEnded) -> None:
         """After the last attempt out has failed: another one, a place in the queue, or the final answer."""
         klass = self.settings.classes[request.klass]
         ran = any(a.may_have_run for a in request.attempts)
         time_left = self.end_us(request) - self.now_us > self.unhindered[request.klass] * request.size
         allowed = not ran or klass.effect is not Effect.UNSAFE
-        if ran and not self.may_repeat():
+        if ran and not (self.may_repeat() or self.may_replace(request, event)):
             allowed = False
         if not allowed or not time_left or len(request.attempts) >= self.settings.max_attempts:
             self.answer_unserved(request)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -417,6 +417,16 @@
     assert not sends(driver.end(name, sends(actions)[0].server, Outcome.TIMEOUT))
 
 
+def test_what_a_server_spoilt_goes_to_another_even_while_some_is_shed() -> None:
+    """As soon as anything was shed, each spoilt answer lost its request, also one worth most."""
+    for outcome, again in ((Outcome.RESET, True), (Outcome.ERROR, True), (Outcome.TIMEOUT, False)):
+        driver = Driver()
+        name, actions = driver.arrive(klass=0)
+        crowd(driver)
+        driver.balancer.shed = SHED_STEP / 1e6
+        assert bool(sends(driver.end(name, sends(actions)[0].server, outcome))) == again
+
+
 def test_a_last_try_that_is_given_more_does_not_make_first_tries_late() -> None:
     """Clients leave their last try all the time left: first tries, given less, were refused as late."""
     late = replace(SAFE, late_worth=0.0)
