Hold signals off until the process is over; let the tests read past other log lines

Behind it, once in 40: the gateway ended with -1. When the loop closes it gives signals their own effect back, so a SIGHUP in the last milliseconds was a crash (likewise a second SIGTERM). Ruled out: the drain itself (its log is complete each time).

--- a/rosedeal/__main__.py
+++ b/rosedeal/__main__.py
@@ -17,12 +17,14 @@
 
 log = logging.getLogger(__name__)
 
+ENDING = (signal.SIGTERM, signal.SIGINT)
+
 
 async def serve(config: Config) -> None:
     """Run until told to end, and then until everything taken is answered."""
     loop = asyncio.get_running_loop()
     told, hung_up = asyncio.Event(), asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in ENDING:
         loop.add_signal_handler(number, told.set)
     loop.add_signal_handler(signal.SIGHUP, hung_up.set)
     proxy = Proxy(config, loop)
@@ -32,11 +34,22 @@
     log.info("%s listens on %s:%d", config.name, *config.listen)
     reloads = loop.create_task(reload(proxy, hung_up))
     await told.wait()
-    reloads.cancel()  # a process that ends follows no configuration; the signal is still caught
+    ignore_signals(loop)
+    reloads.cancel()  # a process that ends follows no configuration
     await downstream.drain()
     proxy.close()
 
 
+def ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """From here on the process ends by itself.
+
+    Guards against a signal after the loop has closed and handed them back: it would end as a crash.
+    """
+    for number in (*ENDING, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 async def reload(proxy: Proxy, hung_up: asyncio.Event) -> None:
     """Read the file again at each SIGHUP, beside the serving loop; one that is bad changes nothing."""
     while True:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -82,6 +82,14 @@
     assert done.returncode == 1 and "cannot start" in done.stderr.splitlines()[-1]
 
 
+async def logged(child: asyncio.subprocess.Process, text: bytes) -> bytes:
+    """The first line with this text; what other lines come before it is left to the scheduler."""
+    assert child.stderr is not None
+    while text not in (line := await child.stderr.readline()):
+        assert line, "the log has ended"
+    return line
+
+
 @asynccontextmanager
 async def process(
     host: Host, tmp_path: Path, **environ: str
@@ -103,8 +111,7 @@
         stderr=asyncio.subprocess.PIPE,
     )
     try:
-        assert child.stderr is not None
-        assert b"listens" in await child.stderr.readline()
+        await logged(child, b"listens")
         yield child, port
     finally:
         if child.returncode is None:
@@ -202,13 +209,6 @@
     run(test())
 
 
-async def logged(child: asyncio.subprocess.Process, text: bytes) -> bytes:
-    assert child.stderr is not None
-    while text not in (line := await child.stderr.readline()):
-        assert line, "the log has ended"
-    return line
-
-
 def test_sighup_follows_discovery_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     """With no handler the signal ended the process, and all that it held was lost."""
 
@@ -234,13 +234,29 @@
             child.send_signal(signal.SIGTERM)
             child.send_signal(signal.SIGHUP)
             assert await client.closed()
-            child.send_signal(signal.SIGHUP)
             assert await child.wait() == 0
         second.stop()
 
     run(test())
 
 
+def test_no_signal_cuts_the_end_short(tmp_path: Path) -> None:
+    """Once the loop had closed, signals had their own effect again: the last moments were a crash."""
+
+    async def test() -> None:
+        async with process(Host(), tmp_path) as (child, port):
+            idle = Client(*await asyncio.open_connection("127.0.0.1", port))
+            child.send_signal(signal.SIGTERM)
+            assert await idle.closed()
+            while child.returncode is None:
+                for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+                    child.send_signal(number)
+                await asyncio.sleep(0)
+            assert child.returncode == 0
+
+    run(test())
+
+
 def test_an_idle_connection_does_not_hold_up_the_end(tmp_path: Path) -> None:
     async def test() -> None:
         async with process(Host(), tmp_path) as (child, port):
