Count what is served on any try, and charge cold servers what work takes with no queue

Checked with a trace of the decisions by half-seconds: breakers closed, weights as usual, shed at 0.4 to 0.65. - worths() compared first tries only. Any answer in time counts now. - cold_cost_us() charged the mean of unhindered and usual replies, and in a jam those have waited: a cold server got less than half of what it can do. It is charged the unhindered latency, which still holds the way there and back. The bucket is a quarter of the planned budget instead of half and drains the rest, so that no window sees more than before allowed. Ruled out: the price of crossing zones and the breakers (no host was kept out by either).

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -71,6 +71,7 @@
 MEMORY = 500  # first tries after which the shares of asked and served work count half
 # Cold servers
 FALL_MARGIN = 0.5  # part of the fall budget that is planned with; the rest is for misjudged work and chance
+FALL_BURST = 0.25  # part of that which may come at once; the rest comes steadily over the window
 
 LOG_GAP_US = 100_000  # between two log lines
 FIRST_CALL_SHARE = 0.1  # of the time the rules give: the first call to the list service falls within it
@@ -603,7 +604,7 @@
             if request.out == 0:
                 self.forget(request)
         elif event.finished or event.outcome is Outcome.OK:
-            if event.outcome is Outcome.OK and request.first_try and self.now_us <= request.aim_us:
+            if event.outcome is Outcome.OK and self.now_us <= request.aim_us:
                 self.served[request.klass] += 1
             self.finish(request)
         elif request.out == 0:
@@ -778,25 +779,31 @@
         share = self.cold_share(server)
         if share >= 1.0:
             return True
-        half_us = self.fall_budget_us() * share / 2
+        budget_us = self.fall_budget_us() * share
+        burst_us = FALL_BURST * budget_us
         elapsed_us = self.now_us - server.spent_at_us
-        server.spent_us = max(0.0, server.spent_us - half_us * elapsed_us / self.settings.fall_us)
+        paid_us = (budget_us - burst_us) * elapsed_us / self.settings.fall_us
+        server.spent_us = max(0.0, server.spent_us - paid_us)
         server.spent_at_us = self.now_us
         cost_us = self.cold_cost_us(request)
-        return server.spent_us + cost_us <= max(half_us, cost_us)
+        return server.spent_us + cost_us <= max(burst_us, cost_us)
 
     def fall_budget_us(self) -> float:
         """This proxy's part of the work that a server of one core may be sent in a fall window when warm.
 
-        The parts of all who have the server in their reach add up to the whole. A bucket of half the budget
-        that drains half a budget in each window never passes the whole in any.
+        The parts of all who have the server in their reach add up to the whole. A bucket of a part of the
+        budget that drains the rest of it in each window never passes the whole in any.
         """
         users = max(1.0, self.settings.proxies * min(1.0, self.reach / max(1, len(self.ranked))))
         return FALL_MARGIN * self.settings.fall_multiple * self.settings.fall_us / users
 
     def cold_cost_us(self, request: Request) -> float:
-        """Work of a request: above the fastest replies, below the usual ones, which have waited too."""
-        return (self.unhindered[request.klass] + self.smoothed[request.klass]) / 2 * request.size
+        """Work of a request, as the time it takes where nothing queues: the way there and back is in it too.
+
+        Guards against cold servers that stand idle in a jam: the usual replies have waited, and counted as
+        work they left a cold server less than half of what it can do while half of all was refused.
+        """
+        return self.unhindered[request.klass] * request.size
 
     def cold_share(self, server: Server) -> float:
         """Share of its capacity that a server surely has by now."""
@@ -858,7 +865,7 @@
             # Hundreds of proxies hear of a cold server at once and each may send one request at the least:
             # each begins with a random part of that spent, so that these firsts do not come together.
             usual_us = max(self.smoothed)
-            server.spent_us = self.random.random() * max(usual_us, self.fall_budget_us() / 2)
+            server.spent_us = self.random.random() * max(usual_us, FALL_BURST * self.fall_budget_us())
             self.servers[entry.server] = server
         else:
             known.entry = entry
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -364,6 +364,29 @@
     assert sum(work_us) > 0
 
 
+def test_a_jam_leaves_a_cold_server_what_it_can_do() -> None:
+    """Replies that have waited counted as work: in a jam cold servers stood idle while half was refused."""
+    cold = replace(SETTINGS, classes=(UNSAFE,), start_capacity=0.25, warm_after_us=8_000_000, fall_multiple=4)
+    sent = []
+    for usual_us in (10_000.0, 100_000.0):
+        driver = Driver(cold, servers=0)
+        driver.list_servers(ListedServer(1, started_us=driver.now_us))
+        driver.balancer.unhindered, driver.balancer.smoothed = [10_000.0], [usual_us]
+        driver.balancer.servers[1].spent_us = 0.0
+        sent.append(sum(bool(sends(driver.arrive()[1])) for _ in range(300)))
+    assert sent[0] == sent[1] > 10
+
+
+def test_what_is_served_on_a_repeat_counts_for_its_class() -> None:
+    """Only first tries counted: the class whose clients come back most was taken for the worst served."""
+    for took_us, served in ((20_000, 1.0), (150_000, 0.0)):
+        driver = Driver()
+        name, actions = driver.arrive(patience_us=300_000, is_retry=True)  # 100 ms of the aim are left
+        driver.now_us += took_us
+        driver.end(name, sends(actions)[0].server)
+        assert driver.balancer.served[0] == served
+
+
 def test_a_cold_server_beyond_the_reach_is_not_used() -> None:
     """When many step aside from failing servers, all would meet on the same cold one."""
     driver = Driver(replace(COLD, proxies=300), servers=60)
