Draw keenly for what is worth most, and let less work wait

Lines to blame: pick() draws all classes alike, and crowding() lets the work held take half of the tightest slack.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -45,6 +45,7 @@
 RECENT = 0.2  # share of the newest answer in the mean of the last few
 UNHINDERED_UP = 0.0005  # relative rise with each longer one: a jam must not pass for the usual within seconds
 FREE = 4  # how hard what this proxy has out at a server lowers its weight in the draw
+KEEN = 4.0  # how much more surely what is worth most goes to the server that has most to spare
 AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
 # Keys that warm a server
 HOME_FAVOUR = 20.0  # factor on the weight of a key's home: most of its requests, not all
@@ -62,7 +63,7 @@
 EASE_SPEED = 0.5  # the same for less: where answers come fast, one in three may be long
 CROWD = 1.0  # requests a server holds, if all proxies have as many out as this one: below it none is shed
 CROWD_MEMORY_US = 500_000  # over which what is out is averaged
-CROWD_WAIT = 0.5  # share of the tightest slack that the work held may take: beyond it some is shed at once
+CROWD_WAIT = 0.35  # share of the tightest slack that the work held may take: beyond it some is shed at once
 CROWD_DOUBT = 2.0  # times the root of what is out: few of many proxies' requests tell nothing of the others'
 HELD_PER_CORE = 1.0  # requests held by a core of the fleet, as live weights tell, beyond which more is shed
 SHED_RATE = 0.4  # the same for each second since the last answer, where that makes it more
@@ -253,6 +254,7 @@
         self.unhindered = [c.aim_us / 4 for c in classes]  # the same where nothing queued
         self.recent = [0.0] * len(classes)  # good answers, the mean of the last few
         self.answers = [0] * len(classes)  # good ones by class
+        self.keen = [c.worth * len(classes) > sum(each.worth for each in classes) for c in classes]
         self.mean_work = [0.0] * len(classes)  # of hints
         self.patience = [(c.give_up_us, 0) for c in classes]  # of first tries, and the votes for it
         self.asked = [0.0] * len(classes)
@@ -664,13 +666,18 @@
     # The pick
 
     def pick(self, request: Request) -> Server | None:
-        """Weighted random choice among the servers that may take this request now."""
+        """Weighted random choice among the servers that may take this request now.
+
+        Hardly random for classes worth more than most: chance costs them more than a little unevenness costs
+        the rest.
+        """
         candidates = self.allowed_servers(request) if request.attempts else self.subset(request.klass)
         repeatable = self.settings.classes[request.klass].effect is not Effect.UNSAFE
+        keenness = KEEN if self.keen[request.klass] else 1.0
         weights: list[tuple[float, Server]] = []
         total = 0.0
         for server in candidates:
-            weight = self.draw_weight(server, request)
+            weight = self.draw_weight(server, request) ** keenness
             # Trials risk their request, so one that could not be repeated goes to closed servers.
             if weight > 0.0 and (repeatable or server.breakers[0].state is State.CLOSED):
                 weights.append((weight, server))
