Log the address that is really bound, and let the tests' process choose its own port

Seen: once in 80 runs of the process tests, forty at a time, the gateway ended before it listened. The test had found a free port and given it back, and another process had taken it ("cannot start"). It listens on port 0 now and the test reads the port from the log. Nothing else changes.

--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from rosedeal.gateway.config import Config
+from rosedeal.gateway.config import Address, Config
 from rosedeal.gateway.proxy import (
     RESERVED_SOCKETS,
     RETRY_AFTER,
@@ -433,12 +433,15 @@
         self.draining = False
         self.listener: asyncio.Server | None = None
 
-    async def start(self) -> None:
+    async def start(self) -> Address:
+        """Listen for clients; returns where, as port 0 leaves the choice to the system."""
         host, port = self.config.listen
         self.listener = await self.loop.create_server(
             lambda: ClientConnection(self), host, port, backlog=BACKLOG, reuse_address=True
         )
         self.loop.call_later(SWEEP_S, self.sweep)
+        bound: Address = self.listener.sockets[0].getsockname()[:2]
+        return bound
 
     def add(self, connection: ClientConnection) -> None:
         """Guards against running out of descriptors: what is missed least goes, else new ones hear 503."""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -97,12 +97,8 @@
     registry = Registry()
     await host.start()
     await registry.start()
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        port = free.getsockname()[1]
     path = tmp_path / "config.json"
-    path.write_text(
-        json.dumps(configuration({"h0": host.address}, registry.address, listen=f"127.0.0.1:{port}"))
-    )
+    path.write_text(json.dumps(configuration({"h0": host.address}, registry.address, listen="127.0.0.1:0")))
     child = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -111,8 +107,8 @@
         stderr=asyncio.subprocess.PIPE,
     )
     try:
-        await logged(child, b"listens")
-        yield child, port
+        line = await logged(child, b"listens")
+        yield child, int(line.rpartition(b":")[2])
     finally:
         if child.returncode is None:
             child.kill()
