Let the core learn hosts from several sources, merged by a roster, and run with rooms beside it

Need: an appliance takes its boxes from a file, an operator's drains and later etcd, where the gateway knew the platform's discovery alone.

Change: sources speak one protocol (gateway/sources.py), platform discovery is the first of them; a pure roster merges them and holds drains by hand. The process moved from __main__ to gateway/run.py, which lets further rooms in beside the core. Balancer.look shows what is made of each server and changes nothing; an observer may count answers. With a single source its news goes on as it came, so the platform's gateway is unchanged.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -19,8 +19,8 @@
 
 from rosedeal.interface import (
     MAY_STILL_RUN, NEVER_RAN, Action, AttemptEnded, Cancel, Effect, Event, Fail, ListedServer, ListKind, Log,
-    Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList, ServerStatus, SetTimer, Settings,
-    StreamStarted, TimerFired, WatchList,
+    Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList, ServerStatus, ServerView, SetTimer,
+    Settings, StreamStarted, TimerFired, WatchList,
 )
 
 # The breaker
@@ -286,6 +286,22 @@
             self.pass_turn(self.freed.pop())
         return self.actions
 
+    def look(self, now_us: int) -> tuple[ServerView, ...]:
+        """What is made of each server, for people to see. Decides and changes nothing."""
+        before_us, self.now_us = self.now_us, max(now_us, self.now_us)
+        views = tuple(self.view(server) for server in self.servers.values())
+        self.now_us = before_us  # the time between two events is reckoned in `handle`
+        return views
+
+    def view(self, server: Server) -> ServerView:
+        breaker = server.breakers[0]
+        is_open = breaker.state is State.OPEN and self.now_us < breaker.open_until_us
+        return ServerView(
+            server.entry.server, breaker.open_until_us if is_open else 0,
+            breaker.state is not State.CLOSED and not is_open, self.is_silent(server),
+            self.cold_share(server), server.weight, len(server.out),
+        )
+
     # Requests
 
     def on_request(self, event: RequestArrived) -> None:
--- a/rosedeal/gateway/config.py
+++ b/rosedeal/gateway/config.py
@@ -32,7 +32,7 @@
 class Config:
     name: str
     listen: Address
-    discovery: Address
+    discovery: Address | None  # None: the hosts come from other sources
     seed: int
     sockets: int  # file descriptors that the process may hold
     settings: Settings
--- a/rosedeal/gateway/discovery.py
+++ b/rosedeal/gateway/discovery.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import json
 import logging
 import math
-from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, cast
 
 import httptools
 
 from rosedeal.gateway.config import Address, ConfigError, Names, parse_address
-from rosedeal.interface import ListedServer, ListKind, ServerList, ServerStatus
+from rosedeal.gateway.sources import PLATFORM, Entry, News, Tell, host_id
+from rosedeal.interface import ListedServer, ListKind, ServerStatus
 
 log = logging.getLogger(__name__)
 
@@ -34,26 +32,6 @@
 STATUSES = {"active": ServerStatus.READY, "leaving": ServerStatus.DRAINING, "left": ServerStatus.GONE}
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
-    server: ListedServer
-    address: Address
-
-
-@dataclass(frozen=True, slots=True)
-class News:
-    kind: ListKind
-    entries: tuple[Entry, ...] = ()
-
-    def event(self) -> ServerList:
-        return ServerList(self.kind, tuple(entry.server for entry in self.entries))
-
-
-def host_id(name: str) -> int:
-    """A number for a name that is the same at every gateway and after every restart."""
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest())
-
-
 def parse_entry(raw: Any, names: Names) -> Entry:
     try:
         weight, since_ms = float(raw.get("weight", 1.0)), int(raw.get("since_ms", 0))
@@ -70,7 +48,7 @@
             kind=names.kinds.index(raw["type"]) if names.kinds else 0,
             started_us=since_ms * 1000,
         )
-        return Entry(server, parse_address(raw["address"]))
+        return Entry(server, parse_address(raw["address"]), raw["name"])
     except KeyError as error:
         raise ValueError(f"field or value {error} is missing or unknown") from None
     except (AttributeError, TypeError, OverflowError) as error:
@@ -188,7 +166,9 @@
 
 
 class Discovery:
-    """Carries out the balancer's calls; `news` gets each answer, in order."""
+    """A source of hosts. Carries out the balancer's calls; `news` gets each answer, in order."""
+
+    name, rank, dynamic = PLATFORM, 0, True
 
     def __init__(
         self,
@@ -196,12 +176,14 @@
         address: Address,
         names: Names,
         pushed: bool,
-        news: Callable[[News], None],
+        known: dict[str, Any],
+        news: Tell,
     ) -> None:
         self.loop = loop
         self.address = address
         self.names = names
         self.pushed = pushed
+        self.known = known  # the list as last held, to begin with
         self.news = news
         self.index = 0
         self.current: Call | None = None  # the watch
@@ -209,8 +191,9 @@
         self.moving_until = 0.0  # loop time; 0 once the new service has answered
         self.fetches: set[Call] = set()
 
-    def start(self, known: dict[str, Any]) -> None:
+    def start(self) -> None:
         """Begin with the list as last held; a pushed list comes without being asked for."""
+        known, self.known = self.known, {}
         self.index = _index(known)
         self.news(parse_list({"endpoints": [], **known, "snapshot": True}, self.names, ListKind.DISK))
         if self.pushed:
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -12,10 +12,14 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
+from typing import Protocol
 
 from rosedeal.choice import Balancer
 from rosedeal.gateway.config import Address, Config, needs_restart
-from rosedeal.gateway.discovery import Discovery, News
+from rosedeal.gateway.discovery import Discovery
+from rosedeal.gateway.roster import Roster
+from rosedeal.gateway.sources import HostSource, News
 from rosedeal.gateway.upstream import Answer, Exchange, Upstream
 from rosedeal.interface import (
     Action,
@@ -59,6 +63,19 @@
 Reply = Callable[[Answer], None]
 
 
+class Observer(Protocol):
+    """Hears what became of requests and attempts; called in the midst of serving, so it only counts."""
+
+    def answered(self, klass: int, status: int, took_us: int) -> None:
+        """A request had its final answer, `took_us` after its last byte came."""
+
+    def left(self, klass: int) -> None:
+        """A client left before its answer."""
+
+    def attempted(self, server: int, outcome: Outcome, latency_us: int) -> None:
+        """An attempt at a host has ended."""
+
+
 class Clock:
     """Microseconds since the Unix epoch that never step back, whatever is done to the wall clock."""
 
@@ -91,6 +108,7 @@
 class Request:
     id: str
     asked: Asked
+    came_us: int
     deadline_us: int
     reply: Reply | None  # None once it has had its final answer, or its client has gone
     last_resort: asyncio.TimerHandle | None = None
@@ -117,8 +135,11 @@
 
 
 class Proxy:
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, config: Config, loop: asyncio.AbstractEventLoop, observer: Observer | None = None
+    ) -> None:
         settings = config.settings
+        self.observer = observer
         self.config, self.settings, self.loop = config, settings, loop
         self.filed = config  # as read last: the start of the next reload
         self.clock = Clock()
@@ -130,9 +151,19 @@
             idle_us=settings.idle_connection_us,
             drain_grace_us=settings.drain_grace_us,
         )
-        self.discovery = Discovery(
-            loop, config.discovery, config.names, settings.list_is_pushed, self.on_news
-        )
+        self.roster = Roster()
+        self.sources: dict[str, HostSource] = {}
+        self.discovery: Discovery | None = None
+        if config.discovery is not None:
+            self.discovery = Discovery(
+                loop,
+                config.discovery,
+                config.names,
+                settings.list_is_pushed,
+                config.known,
+                partial(self.hear, Discovery.name),
+            )
+            self.add_source(self.discovery)
         self.peers: asyncio.DatagramTransport | None = None
         self.requests: dict[str, Request] = {}
         self.open = 0  # requests that are owed an answer
@@ -140,12 +171,18 @@
         self.events: deque[Event] = deque()
         self.busy = False
 
+    def add_source(self, source: HostSource) -> None:
+        """A further source of hosts, before the start. What it says it hands to `hear`, under its name."""
+        self.sources[source.name] = source
+        self.roster.add_source(source.name, source.rank, source.dynamic)
+
     async def start(self) -> None:
         if self.settings.may_message and self.config.peer_listen is not None:
             self.peers, _ = await self.loop.create_datagram_endpoint(
                 lambda: Peers(self.on_datagram), local_addr=self.config.peer_listen
             )
-        self.discovery.start(self.config.known)
+        for source in self.sources.values():
+            source.start()
         self.loop.call_later(SWEEP_S, self.sweep)
 
     def sweep(self) -> None:
@@ -154,7 +191,11 @@
 
     def take_over(self, config: Config) -> None:
         """A new configuration: hosts, connections and the balancer stay; what can be followed is."""
-        if config.discovery != self.discovery.address:
+        if (
+            self.discovery is not None
+            and config.discovery is not None
+            and config.discovery != self.discovery.address
+        ):
             log.info("discovery has moved to %s:%d", *config.discovery)
             self.discovery.move(config.discovery)
         for name in needs_restart(self.config, config):
@@ -162,7 +203,8 @@
         self.filed = config
 
     def close(self) -> None:
-        self.discovery.close()
+        for source in self.sources.values():
+            source.close()
         self.upstream.close()
         if self.peers is not None:
             self.peers.close()
@@ -224,9 +266,11 @@
                 if exchange is not None:
                     exchange.give_up(Outcome.CANCELLED)
             case WatchList():
-                self.discovery.watch(action.on)
+                for source in self.sources.values():
+                    source.watch(action.on)
             case FetchList():
-                self.discovery.fetch()
+                for source in self.sources.values():
+                    source.fetch()
             case Probe():
                 self.probe(action.server)
             case CloseIdle():
@@ -242,10 +286,13 @@
         """Take a request: `reply` is called exactly once, unless `leave` comes first."""
         if 0 < self.settings.max_open_requests <= self.open:
             reply(refused("too many requests"))
+            if self.observer is not None:
+                self.observer.answered(asked.klass, 503, 0)
             return None
         self.taken += 1
         patience_us = max(0, asked.timeout_us - asked.waited_us - TRANSIT_US)
-        request = Request(str(self.taken), asked, self.clock.now_us() + patience_us, reply)
+        now_us = self.clock.now_us()
+        request = Request(str(self.taken), asked, now_us, now_us + patience_us, reply)
         self.requests[request.id] = request
         self.open += 1
         delay_s = (patience_us + LAST_RESORT_US) / 1e6
@@ -268,6 +315,8 @@
         """The client has closed its connection."""
         if request.reply is not None:
             self.close_account(request)
+            if self.observer is not None:
+                self.observer.left(request.asked.klass)
             self.feed(RequestGone(request.id))
             self.forget_if_over(request)
 
@@ -291,6 +340,9 @@
         if reply is not None:
             self.close_account(request)
             reply(answer)
+            if self.observer is not None:
+                took_us = self.clock.now_us() - request.came_us + request.asked.waited_us
+                self.observer.answered(request.asked.klass, answer.status, took_us)
 
     def close_account(self, request: Request) -> None:
         request.reply = None
@@ -323,6 +375,8 @@
             latency_us = self.clock.now_us() - sent_us
             if outcome is Outcome.OK and answer is not None:
                 self.settle(request, answer)
+            if self.observer is not None:
+                self.observer.attempted(action.server, outcome, latency_us)
             self.feed(
                 AttemptEnded(
                     request.id,
@@ -361,6 +415,18 @@
 
     # The list, peers
 
+    def hear(self, source: str, news: News) -> None:
+        """A source of hosts says something."""
+        self.on_news(self.roster.hear(self.clock.now_us(), source, news))
+
+    def drain(self, name: str, by: str, action: str = "") -> None:
+        """Drain a host by hand: in effect when this returns. Raises RosterError for one that is unknown."""
+        self.on_news(self.roster.drain(self.clock.now_us(), name, by, action))
+
+    def undrain(self, name: str) -> None:
+        """Undo a drain by hand. Raises RosterError for a host that is unknown."""
+        self.on_news(self.roster.undrain(name))
+
     def on_news(self, news: News) -> None:
         if news.kind in (ListKind.FULL, ListKind.DISK):
             self.upstream.drain_others(entry.server.server for entry in news.entries)
--- /dev/null
+++ b/rosedeal/gateway/roster.py
@@ -0,0 +1,191 @@
+"""The hosts as all sources together name them, and the drains by hand. Pure: no I/O, no clock.
+
+The rules, stated once:
+
+1. A host is known by its name. Of the sources that have spoken of it, that of the lowest rank is believed.
+2. A dynamic source that said a host is gone, or sent a whole list without it, has spoken: weaker sources do
+   not bring the host back until that source names it again. A static source that no longer names a host is
+   silent.
+3. A drain by hand turns a host that serves into one that drains, whatever any source says of it, under
+   whatever start time or address, until it is undone by hand. It never brings a host back that is gone.
+4. What goes on to the balancer keeps the kind of the news that caused it: a whole list stays a whole list
+   (of all that is known), a change names what changed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from rosedeal.gateway.sources import Entry, News
+from rosedeal.interface import ListKind, ServerStatus
+
+# Names a dynamic source has said are gone. Beyond it the oldest are forgotten: a weaker source that still
+# names one of them is believed again.
+GONE_LIMIT = 4096
+# Drains by hand. Beyond it a further one is refused.
+DRAIN_LIMIT = 1024
+
+
+class RosterError(ValueError):
+    """What was asked by hand cannot be done; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """What one source said last of one host. `at_us`: microseconds of the gateway's clock."""
+
+    entry: Entry
+    at_us: int
+
+    @property
+    def gone(self) -> bool:
+        return self.entry.server.status is ServerStatus.GONE
+
+
+@dataclass(frozen=True, slots=True)
+class HandDrain:
+    """A drain by hand: whose wish, when (microseconds of the gateway's clock), under which action id."""
+
+    name: str
+    by: str
+    at_us: int
+    action: str = ""
+
+
+@dataclass(slots=True)
+class SourceState:
+    """How a source does: when it last said something useful, and since when it fails (0: it does not)."""
+
+    name: str
+    rank: int
+    dynamic: bool
+    heard_us: int = 0
+    failing_since_us: int = 0
+    words: dict[str, Word] = field(default_factory=dict)
+
+    @property
+    def hosts(self) -> int:
+        return sum(not word.gone for word in self.words.values())
+
+
+@dataclass(frozen=True, slots=True)
+class HostView:
+    """One host as merged. `said`: each source that has spoken of it, its status there, and when."""
+
+    entry: Entry
+    source: str
+    said: tuple[tuple[str, ServerStatus, int], ...]
+    drain: HandDrain | None
+
+
+class Roster:
+    def __init__(self) -> None:
+        self.sources: dict[str, SourceState] = {}
+        self.drains: dict[str, HandDrain] = {}
+
+    def add_source(self, name: str, rank: int, dynamic: bool) -> None:
+        self.sources[name] = SourceState(name, rank, dynamic)
+        self.sources = dict(sorted(self.sources.items(), key=lambda item: item[1].rank))
+
+    # What sources say
+
+    def hear(self, now_us: int, source: str, news: News) -> News:
+        """Take what a source says; returns what the balancer and the upstream are to be told."""
+        state = self.sources[source]
+        if news.kind is ListKind.ERROR:
+            state.failing_since_us = state.failing_since_us or now_us
+            return news
+        state.heard_us, state.failing_since_us = now_us, 0
+        named = {entry.name: Word(entry, now_us) for entry in news.entries}
+        if news.kind is not ListKind.DELTA:
+            self._miss(state, named, now_us)
+        state.words.update(named)
+        self._bound(state)
+        if len(self.sources) == 1 and not self.drains:
+            return news  # nothing to merge: as the source said it
+        if news.kind is ListKind.DELTA:
+            return News(news.kind, self._merged(named))
+        return News(news.kind, self._listed())
+
+    def _miss(self, state: SourceState, named: dict[str, Word], now_us: int) -> None:
+        """A whole list has come: what it lacks is gone, or for a static source no longer spoken of."""
+        for name, word in list(state.words.items()):
+            if name in named:
+                continue
+            if not state.dynamic:
+                del state.words[name]
+            elif not word.gone:
+                state.words[name] = Word(_with_status(word.entry, ServerStatus.GONE), now_us)
+
+    def _bound(self, state: SourceState) -> None:
+        gone = [name for name, word in state.words.items() if word.gone]
+        excess = len(gone) - GONE_LIMIT
+        for name in sorted(gone, key=lambda name: state.words[name].at_us)[: max(0, excess)]:
+            del state.words[name]
+
+    # By hand
+
+    def drain(self, now_us: int, name: str, by: str, action: str = "") -> News:
+        """Drain a host by hand. A host that is drained already keeps its first drain. Raises RosterError."""
+        entry = self.entry(name)
+        if entry is None or entry.server.status is ServerStatus.GONE:
+            raise RosterError(f"no box is called {name!r}")
+        if name not in self.drains:
+            if len(self.drains) >= DRAIN_LIMIT:
+                raise RosterError(f"more than {DRAIN_LIMIT} boxes are drained by hand")
+            self.drains[name] = HandDrain(name, by, now_us, action)
+        return News(ListKind.DELTA, self._merged((name,)))
+
+    def undrain(self, name: str) -> News:
+        """Undo a drain by hand, also of a host that no source names any more. Raises RosterError."""
+        if name not in self.drains:
+            entry = self.entry(name)
+            if entry is None or entry.server.status is ServerStatus.GONE:
+                raise RosterError(f"no box is called {name!r}")
+            return News(ListKind.DELTA)
+        del self.drains[name]
+        return News(ListKind.DELTA, self._merged((name,)))
+
+    def restore(self, drains: Iterable[HandDrain]) -> None:
+        """Drains kept from before, told before any source speaks. Those beyond the limit are left out."""
+        for drain in list(drains)[:DRAIN_LIMIT]:
+            self.drains[drain.name] = drain
+
+    # What is known
+
+    def entry(self, name: str) -> Entry | None:
+        """The host as the balancer knows it, or None for one that no source has ever named."""
+        words = [s.words[name] for s in self.sources.values() if name in s.words]
+        if not words:
+            return None
+        entry = words[0].entry
+        if name in self.drains and entry.server.status is ServerStatus.READY:
+            return _with_status(entry, ServerStatus.DRAINING)
+        return entry
+
+    def view(self) -> tuple[HostView, ...]:
+        """Every host that is not gone, and those gone that are drained by hand or were named of late."""
+        views = []
+        for name in dict.fromkeys(name for s in self.sources.values() for name in s.words):
+            entry = self.entry(name)
+            assert entry is not None
+            said = tuple(
+                (s.name, s.words[name].entry.server.status, s.words[name].at_us)
+                for s in self.sources.values()
+                if name in s.words
+            )
+            views.append(HostView(entry, said[0][0], said, self.drains.get(name)))
+        return tuple(views)
+
+    def _merged(self, names: Iterable[str]) -> tuple[Entry, ...]:
+        entries = (self.entry(name) for name in names)
+        return tuple(entry for entry in entries if entry is not None)
+
+    def _listed(self) -> tuple[Entry, ...]:
+        names = dict.fromkeys(name for s in self.sources.values() for name in s.words)
+        return tuple(e for e in self._merged(names) if e.server.status is not ServerStatus.GONE)
+
+
+def _with_status(entry: Entry, status: ServerStatus) -> Entry:
+    return replace(entry, server=replace(entry.server, status=status))
--- /dev/null
+++ b/rosedeal/gateway/run.py
@@ -0,0 +1,113 @@
+"""One gateway as a process: start, signals, the end. Rooms beside the core are let in by one protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import signal
+import sys
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import uvloop
+
+from rosedeal.gateway.config import Config, ConfigError
+from rosedeal.gateway.downstream import Downstream
+from rosedeal.gateway.proxy import Observer, Proxy
+
+log = logging.getLogger(__name__)
+
+ENDING = (signal.SIGTERM, signal.SIGINT)
+
+# At SIGHUP, off the loop: the configuration as it is now, given the one read last. Raises ConfigError.
+ReadAgain = Callable[[Config], Config]
+
+
+class Room(Protocol):
+    """Something that lives beside the core in its process: a console's socket, a further source of hosts."""
+
+    def join(self, proxy: Proxy) -> None:
+        """Before anything has started: add sources, restore what was kept."""
+
+    async def start(self) -> None:
+        """The gateway listens. An OSError ends the process with exit code 1."""
+
+    def reload(self, config: Config) -> None:
+        """The configuration was read again, and the core has taken it over."""
+
+    async def close(self) -> None:
+        """All requests are answered; the process is about to end."""
+
+
+async def serve(
+    config: Config, read_again: ReadAgain, rooms: Sequence[Room] = (), observer: Observer | None = None
+) -> None:
+    """Run until told to end, and then until everything taken is answered."""
+    loop = asyncio.get_running_loop()
+    told, hung_up = asyncio.Event(), asyncio.Event()
+    for number in ENDING:
+        loop.add_signal_handler(number, told.set)
+    loop.add_signal_handler(signal.SIGHUP, hung_up.set)
+    proxy = Proxy(config, loop, observer)
+    downstream = Downstream(config, proxy, loop)
+    for room in rooms:
+        room.join(proxy)
+    await proxy.start()
+    log.info("%s listens on %s:%d", config.name, *await downstream.start())
+    for room in rooms:
+        await room.start()
+    reloads = loop.create_task(reload(proxy, hung_up, read_again, rooms))
+    await told.wait()
+    ignore_signals(loop)
+    reloads.cancel()  # a process that ends follows no configuration
+    await downstream.drain()
+    for room in reversed(rooms):
+        await room.close()
+    proxy.close()
+
+
+def ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """From here on the process ends by itself.
+
+    Guards against a signal after the loop has closed and handed them back: it would end as a crash.
+    """
+    for number in (*ENDING, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
+async def reload(
+    proxy: Proxy, hung_up: asyncio.Event, read_again: ReadAgain, rooms: Sequence[Room] = ()
+) -> None:
+    """Read the file again at each SIGHUP, beside the serving loop; one that is bad changes nothing."""
+    while True:
+        await hung_up.wait()
+        hung_up.clear()
+        try:
+            config = await asyncio.to_thread(read_again, proxy.filed)
+        except ConfigError as error:
+            log.error("the old configuration stays: %s", error)
+        else:
+            proxy.take_over(config)
+            for room in rooms:
+                room.reload(config)
+            log.info("the configuration was read again")
+
+
+def run(
+    config: Config, read_again: ReadAgain, rooms: Sequence[Room] = (), observer: Observer | None = None
+) -> int:
+    """Serve until told to end; returns the exit code."""
+    gc.freeze()  # what the imports made is never garbage
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(config, read_again, rooms, observer))
+    except OSError as error:
+        print(f"rosedeal: cannot start: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def log_to_stderr() -> None:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
--- /dev/null
+++ b/rosedeal/gateway/sources.py
@@ -0,0 +1,69 @@
+"""What a source of hosts says, and the protocol by which the core knows one.
+
+A source (the platform's discovery, a file, a watched store) turns its own format into `News` and hands each
+to the proxy, which merges what all of them say (`roster.py`). The core never learns what kind it is.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from rosedeal.gateway.config import Address
+from rosedeal.interface import ListedServer, ListKind, ServerList
+
+PLATFORM = "platform"  # the name of the source that the platform's configuration sets
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    server: ListedServer
+    address: Address
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    kind: ListKind
+    entries: tuple[Entry, ...] = ()
+
+    def event(self) -> ServerList:
+        return ServerList(self.kind, tuple(entry.server for entry in self.entries))
+
+
+Tell = Callable[[News], None]
+
+
+class HostSource(Protocol):
+    """One source of hosts.
+
+    `rank` orders sources: where several speak of one host, the lowest rank that does is believed. A source
+    that is not `dynamic` (a file) has no say about what it no longer names; a dynamic one that stops naming a
+    host has said that it is gone.
+    """
+
+    @property
+    def name(self) -> str: ...
+    @property
+    def rank(self) -> int: ...
+    @property
+    def dynamic(self) -> bool: ...
+
+    def start(self) -> None:
+        """Begin to speak; the first news may come from within the call."""
+
+    def watch(self, on: bool) -> None:
+        """The balancer wants to be told of changes from now on, or no more. May do nothing."""
+
+    def fetch(self) -> None:
+        """The balancer wants the whole list once. May do nothing."""
+
+    def close(self) -> None:
+        """Say nothing more."""
+
+
+def host_id(name: str) -> int:
+    """A number for a name that is the same at every gateway and after every restart."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest())
--- a/rosedeal/interface.py
+++ b/rosedeal/interface.py
@@ -326,6 +326,22 @@
 )
 
 
+# What people are shown
+
+
+@dataclass(slots=True, frozen=True)
+class ServerView:
+    """What the balancer makes of one server at one moment. Shares and weights lie between 0 and 1."""
+
+    server: int
+    open_until_us: int  # its breaker lets nothing through until then; 0: it is not open
+    on_trial: bool  # its breaker is half-open: a few trials decide
+    silent: bool  # its oldest attempt out is overdue: nothing new until that ends
+    warm_share: float  # of its capacity that it surely has by now; 1: warm
+    weight: float  # of the feedback controller
+    out: int  # attempts that it has
+
+
 # Actions
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,7 +10,7 @@
 import pytest
 
 from rosedeal.gateway import downstream, upstream
-from rosedeal.gateway.discovery import host_id
+from rosedeal.gateway.sources import host_id
 from rosedeal.gateway.downstream import BODY_LIMIT, HEAD_LIMIT
 from rosedeal.interface import (
     Action,
