--- a/rosedeal/__init__.py
+++ b/rosedeal/__init__.py
@@ -75,4 +75,4 @@
     "TimerFired",
     "WatchList",
 ]
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- /dev/null
+++ b/rosedeal/admin/__init__.py
@@ -0,0 +1,26 @@
+"""The admin socket: what a gateway shows and takes from its operator, over a Unix domain socket."""
+
+from rosedeal.admin.client import AdminClient, AdminError, NoAnswer, NoGateway, call
+from rosedeal.admin.figures import Figures
+from rosedeal.admin.paths import default_socket
+from rosedeal.admin.protocol import BoxView, ClassView, Failure, LogLine, Snapshot, SourceView, Window
+from rosedeal.admin.room import AdminRoom, Keeper
+
+__all__ = [
+    "AdminClient",
+    "AdminError",
+    "AdminRoom",
+    "BoxView",
+    "ClassView",
+    "Failure",
+    "Figures",
+    "Keeper",
+    "LogLine",
+    "NoAnswer",
+    "NoGateway",
+    "Snapshot",
+    "SourceView",
+    "Window",
+    "call",
+    "default_socket",
+]
--- /dev/null
+++ b/rosedeal/admin/boxes.py
@@ -0,0 +1,123 @@
+"""Each box as it is shown, from what the roster, the balancer and the figures say of it. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from rosedeal.admin.figures import Figures
+from rosedeal.admin.protocol import BoxView
+from rosedeal.gateway.config import Names
+from rosedeal.gateway.roster import HostView
+from rosedeal.interface import ServerStatus, ServerView
+
+GONE_SHOWN_US = 300_000_000  # how long a box that is gone is still shown
+ABLE = ("serving", "untried", "warming")  # states of a box that takes its share of new requests
+
+
+class Boxes:
+    def __init__(self, names: Names) -> None:
+        self.names = names
+        self.since: dict[str, tuple[str, int]] = {}  # by name: the state, and since when
+
+    def views(
+        self,
+        now_us: int,
+        hosts: Iterable[HostView],
+        servers: Iterable[ServerView],
+        connecting: Mapping[int, int],
+        figures: Figures,
+    ) -> list[BoxView]:
+        """Sorted as people sort: box-2 before box-10."""
+        by_number = {server.server: server for server in servers}
+        views = []
+        for host in hosts:
+            number = host.entry.server.server
+            view = self._view(now_us, host, by_number.get(number), connecting.get(number, 0), figures)
+            if view.state != "gone" or now_us - view.since_us < GONE_SHOWN_US:
+                views.append(view)
+        self.since = {view.name: (view.state, view.since_us) for view in views}
+        figures.keep_only(by_number.keys())
+        return sorted(views, key=lambda view: natural(view.name))
+
+    def _view(
+        self, now_us: int, host: HostView, server: ServerView | None, connecting: int, figures: Figures
+    ) -> BoxView:
+        entry, out = host.entry, server.out if server is not None else 0
+        counted = figures.boxes.get(entry.server.server)
+        state, by = state_of(host, server, counted is not None and counted.answered_us > 0)
+        before = self.since.get(entry.name, ("", 0))
+        since_us = before[1] if before[0] == state else now_us
+        if state == "drained" and host.drain is not None:
+            since_us = host.drain.at_us
+        elif state in ("gone", "draining"):
+            since_us = host.said[0][2]
+        good, bad = counted.rates(now_us) if counted is not None else (0.0, 0.0)
+        address, port = entry.address
+        return BoxView(
+            name=entry.name,
+            address=f"{address}:{port}",
+            zone=_named(self.names.zones, entry.server.zone),
+            kind=_named(self.names.kinds, entry.server.kind),
+            state=state,
+            until_us=server.open_until_us if server is not None and state == "resting" else 0,
+            warm_share=round(server.warm_share, 3) if server is not None else 1.0,
+            weight=entry.server.weight,
+            by=by,
+            since_us=since_us,
+            waiting=connecting,
+            in_work=max(0, out - connecting),
+            rate=round(good, 1),
+            failures=round(bad, 1),
+            usual_us=round(counted.usual_us) if counted is not None else 0,
+            answered_us=counted.answered_us if counted is not None else 0,
+            sources=[name for name, _, _ in host.said],
+        )
+
+
+def state_of(host: HostView, server: ServerView | None, has_answered: bool) -> tuple[str, str]:
+    """The state's word, and who is behind it where somebody is."""
+    if host.said[0][1] is ServerStatus.GONE:
+        return "gone", host.source
+    if host.drain is not None:
+        return "drained", host.drain.by
+    if host.entry.server.status is ServerStatus.DRAINING:
+        return "draining", host.source
+    if server is None:
+        return "gone", host.source
+    if server.open_until_us:
+        return "resting", ""
+    if server.on_trial:
+        return "trial", ""
+    if server.silent:
+        return "silent", ""
+    if server.warm_share < 1.0:
+        return "warming", ""
+    return ("serving" if has_answered else "untried"), ""
+
+
+def is_last_able(boxes: Iterable[BoxView], name: str) -> bool:
+    """Whether this box takes new requests and no other one does."""
+    able = [box.name for box in boxes if box.state in ABLE]
+    return able == [name]
+
+
+def natural(name: str) -> list[tuple[int, int, str]]:
+    """A sort key: runs of digits count as numbers."""
+    parts: list[tuple[int, int, str]] = []
+    digits = text = ""
+    for char in name + "\0":
+        if char.isascii() and char.isdigit():
+            if text:
+                parts.append((1, 0, text))
+                text = ""
+            digits += char
+        else:
+            if digits:
+                parts.append((0, int(digits), digits))
+                digits = ""
+            text += char
+    return [*parts, (1, 0, text)]
+
+
+def _named(names: tuple[str, ...], number: int) -> str:
+    return names[number] if number < len(names) else ""
--- /dev/null
+++ b/rosedeal/admin/room.py
@@ -0,0 +1,460 @@
+"""The admin socket in the gateway's process. It only shows, and hands drains by hand to the roster.
+
+Bounds: CONNECTIONS at once, SUBSCRIBERS of them subscribed, LINE_LIMIT bytes a request. A caller that does
+not read is not read from either, and a subscriber that does not read misses snapshots: the newest one comes
+once it reads again. Nothing grows behind either.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import logging
+import os
+import socket
+import stat
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, Protocol, cast
+
+import msgspec
+
+import rosedeal
+from rosedeal.admin import protocol
+from rosedeal.admin.actions import Actions, Refused
+from rosedeal.admin.boxes import ABLE, Boxes, is_last_able
+from rosedeal.admin.figures import Figures
+from rosedeal.admin.paths import PATH_LIMIT, prepare_folder
+from rosedeal.admin.protocol import (
+    ActionResult,
+    BoxView,
+    Drain,
+    Failure,
+    ProtocolError,
+    Snapshot,
+    SourceView,
+    Undrain,
+)
+from rosedeal.admin.story import Story
+from rosedeal.gateway.config import Config
+from rosedeal.gateway.proxy import Proxy
+from rosedeal.gateway.roster import HandDrain, RosterError
+
+log = logging.getLogger(__name__)
+
+CONNECTIONS = 32
+SUBSCRIBERS = 8
+TICK_S = 0.5
+UNREAD_S = 60.0  # a connection whose other end reads nothing for so long is closed
+KEEP_S = 2.0  # the longest that an answer waits for the disk
+KEEP_AGAIN_S = 10.0  # until what could not be kept is tried again
+PENDING = 64  # wishes of one connection that wait for the disk
+
+
+class Keeper(Protocol):
+    """Keeps drains by hand over a restart."""
+
+    def save(self, drains: Iterable[HandDrain]) -> None:
+        """Blocks; called off the loop. Raises OSError, and then the last saved ones stand."""
+
+
+class AdminRoom:
+    def __init__(self, path: Path, config: Config, figures: Figures, keeper: Keeper | None) -> None:
+        self.path = path
+        self.config = config
+        self.figures = figures
+        self.keeper = keeper
+        self.boxes = Boxes(config.names)
+        self.story = Story()
+        self.actions = Actions()
+        self.connections: set[Connection] = set()
+        self.subscribers: set[Connection] = set()
+        self.newest = b""  # the last snapshot pushed, as it goes out
+        self.keeping = asyncio.Lock()
+        self.not_kept = "" if keeper is not None else "no state folder is set"
+        self.next_save: asyncio.Task[str] | None = None  # one that has not begun
+        self.tried_at = 0.0
+        self.proxy: Proxy | None = None
+        self.listener: asyncio.Server | None = None
+        self.lock: int | None = None
+        self.started_us = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    # The room
+
+    def join(self, proxy: Proxy) -> None:
+        self.proxy = proxy
+        self.started_us = proxy.clock.now_us()
+        for drain in proxy.roster.drains.values():  # kept from before: their wishes can be asked for
+            if drain.action:
+                self.actions.remember(self._result(drain.action, "drain", drain.name, drain.by, True, True))
+            self.story.tell(self.started_us, f"{drain.name} stays drained by hand, by {drain.by}")
+
+    async def start(self) -> None:
+        sock = self._claim()
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_unix_server(lambda: Connection(self), sock=sock)
+        self.story.tell(self._now_us(), "The gateway has started")
+        self._spawn(self._tick())
+        log.info("the admin socket is %s", self.path)
+
+    def reload(self, config: Config) -> None:
+        self.story.tell(self._now_us(), "The configuration was read again")
+        self.refresh()
+
+    async def close(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        if self.next_save is not None:
+            await asyncio.wait({self.next_save}, timeout=KEEP_S)
+        if self.listener is not None:
+            self.listener.close()
+        for connection in list(self.connections):
+            connection.close()
+        if self.lock is not None:
+            self.path.unlink(missing_ok=True)
+            os.close(self.lock)
+
+    def _claim(self) -> socket.socket:
+        """The listening socket, for its owner only. A dead process's file is replaced, a live one's never.
+
+        Raises OSError. The lock says who lives: it goes with its process, however that ends.
+        """
+        if len(os.fsencode(self.path)) > PATH_LIMIT:
+            raise OSError(None, f"the admin socket's path is over {PATH_LIMIT} bytes: {self.path}")
+        prepare_folder(self.path)
+        self.lock = os.open(f"{self.path}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self.lock)
+            self.lock = None
+            raise OSError(None, f"another gateway serves the admin socket {self.path}") from None
+        try:
+            if not stat.S_ISSOCK(self.path.lstat().st_mode):
+                raise OSError(None, f"{self.path} is there and is no socket")
+            self.path.unlink()
+        except FileNotFoundError:
+            pass
+        sock = socket.socket(socket.AF_UNIX)
+        mask = os.umask(0o177)
+        try:
+            sock.bind(str(self.path))
+        except OSError:
+            sock.close()
+            raise
+        finally:
+            os.umask(mask)
+        return sock
+
+    # What is shown
+
+    def _now_us(self) -> int:
+        assert self.proxy is not None
+        return self.proxy.clock.now_us()
+
+    def views(self) -> list[BoxView]:
+        proxy = self.proxy
+        assert proxy is not None
+        now_us = proxy.clock.now_us()
+        return self.boxes.views(
+            now_us,
+            proxy.roster.view(),
+            proxy.balancer.look(now_us),
+            proxy.upstream.connecting(),
+            self.figures,
+        )
+
+    def sources(self) -> list[SourceView]:
+        assert self.proxy is not None
+        return [
+            SourceView(
+                name=state.name,
+                boxes=state.hosts,
+                heard_us=state.heard_us,
+                failing_since_us=state.failing_since_us,
+            )
+            for state in self.proxy.roster.sources.values()
+        ]
+
+    def snapshot(self, boxes: list[BoxView]) -> Snapshot:
+        proxy = self.proxy
+        assert proxy is not None
+        now_us = proxy.clock.now_us()
+        host, port = proxy.listens or self.config.listen
+        return Snapshot(
+            site=self.config.name,
+            pid=os.getpid(),
+            version=rosedeal.__version__,
+            started_us=self.started_us,
+            at_us=now_us,
+            listen=f"{host}:{port}",
+            open=proxy.open,
+            waiting=proxy.waiting(),
+            boxes=boxes,
+            classes=self.figures.service(now_us),
+            sources=self.sources(),
+            log=list(self.story.lines),
+            problems=self.problems(boxes),
+        )
+
+    def problems(self, boxes: list[BoxView]) -> list[str]:
+        found = []
+        if self.keeper is not None and self.not_kept:
+            found.append(f"Drains by hand will not outlive a restart: {self.not_kept}.")
+        if not any(box.state in (*ABLE, "trial") for box in boxes):
+            found.append("No box serves: every request is refused.")
+        return found
+
+    async def _tick(self) -> None:
+        while True:
+            try:
+                self.refresh()
+                if self.not_kept and self._may_keep_again():
+                    self._spawn(self._keep_quietly())
+            except Exception:
+                log.exception("the admin socket's look at the gateway failed")
+            await asyncio.sleep(TICK_S if self.subscribers else 2 * TICK_S)
+
+    def refresh(self) -> None:
+        """Look, tell what has changed, and show subscribers the newest."""
+        boxes = self.views()
+        self.story.look(self._now_us(), boxes, self.sources())
+        for connection in list(self.connections):
+            connection.check_time()
+        if self.subscribers:
+            self.newest = protocol.push(self.snapshot(boxes))
+            for connection in list(self.subscribers):
+                connection.offer()
+
+    # What is asked
+
+    def answer(self, connection: Connection, line: bytes) -> None:
+        """One request; its reply goes out now, or once the disk has done its part."""
+        try:
+            request = protocol.decode_request(line)
+        except ProtocolError as error:
+            connection.write(protocol.failure(error.id, error.failure))
+            return
+        try:
+            match request:
+                case protocol.AskSnapshot():
+                    connection.write(protocol.reply(request.id, self.snapshot(self.views())))
+                case protocol.Subscribe():
+                    self.subscribe(connection, request.id)
+                case protocol.AskAction():
+                    connection.write(
+                        protocol.reply(request.id, self.actions.result(request.action, request.void))
+                    )
+                case Drain() | Undrain():
+                    self.wish(connection, request)
+        except Refused as refused:
+            connection.write(protocol.failure(request.id, refused.failure))
+        except Exception:
+            log.exception("failed on a request at the admin socket: %.300r", line)
+            text = "a fault in the gateway, which is in its log"
+            connection.write(protocol.failure(request.id, Failure(code="failed", text=text)))
+
+    def subscribe(self, connection: Connection, number: str) -> None:
+        if connection not in self.subscribers and len(self.subscribers) >= SUBSCRIBERS:
+            raise Refused("too-many", f"{SUBSCRIBERS} consoles are connected already")
+        self.subscribers.add(connection)
+        connection.write(protocol.reply(number, {"every_ms": int(TICK_S * 1000)}))
+        self.newest = protocol.push(self.snapshot(self.views()))
+        connection.offer()
+
+    def wish(self, connection: Connection, request: Drain | Undrain) -> None:
+        """In effect before this returns; only the reply waits for the disk."""
+        do = "drain" if isinstance(request, Drain) else "undrain"
+        if connection.pending >= PENDING:
+            raise Refused("busy", f"{PENDING} wishes of this connection wait for the disk")
+        result = self.actions.earlier(request.action, do, request.box)
+        if result is None:
+            result = self._carry_out(request, do)
+            self.refresh()
+        self._spawn(self._reply_when_kept(connection, request.id, result))
+
+    def _carry_out(self, request: Drain | Undrain, do: str) -> ActionResult:
+        proxy, box, by = self.proxy, request.box, request.by
+        assert proxy is not None
+        was_drained = box in proxy.roster.drains
+        if (
+            isinstance(request, Drain)
+            and not (was_drained or request.even_last)
+            and is_last_able(self.views(), box)
+        ):
+            raise Refused("last-box", f"{box} is the last box that serves; nothing would be served")
+        try:
+            if isinstance(request, Drain):
+                proxy.drain(box, by, request.action)
+            else:
+                proxy.undrain(box)
+        except RosterError as error:
+            raise Refused("unknown-box" if "no box" in str(error) else "too-many", str(error)) from None
+        changed = was_drained is not isinstance(request, Drain)
+        result = self._result(request.action, do, box, by, changed, False)
+        self.actions.remember(result)
+        if changed:
+            told = f"{by} drained {box} by hand" if do == "drain" else f"{by} let {box} serve again"
+            left = f"; {result.left} requests finish there" if do == "drain" and result.left else ""
+            self.story.tell(self._now_us(), told + left)
+            log.info("%s", told)
+        return result
+
+    def _result(self, action: str, do: str, box: str, by: str, changed: bool, kept: bool) -> ActionResult:
+        assert self.proxy is not None
+        entry = self.proxy.roster.entry(box)
+        number = entry.server.server if entry is not None else -1
+        left = sum(v.out for v in self.proxy.balancer.look(0) if v.server == number)
+        return ActionResult(
+            action=action,
+            do=do,
+            box=box,
+            by=by,
+            at_us=self._now_us(),
+            changed=changed,
+            left=left,
+            kept=kept,
+        )
+
+    # What is kept
+
+    async def _reply_when_kept(self, connection: Connection, number: str, result: ActionResult) -> None:
+        connection.pending += 1
+        try:
+            why = await self._keep()
+            result = msgspec.structs.replace(result, kept=not why, not_kept=why)
+            self.actions.remember(result)
+            connection.write(protocol.reply(number, result))
+        finally:
+            connection.pending -= 1
+
+    async def _keep_quietly(self) -> None:
+        await self._keep()
+
+    async def _keep(self) -> str:
+        """Save all drains; returns why that failed, or nothing. A slow disk is waited for up to KEEP_S."""
+        if self.keeper is None:
+            return self.not_kept
+        if self.next_save is None:
+            self.next_save = asyncio.get_running_loop().create_task(self._save(self.keeper))
+        try:
+            why = await asyncio.wait_for(asyncio.shield(self.next_save), KEEP_S)
+        except TimeoutError:
+            why = "the disk takes too long"
+        if why and why != self.not_kept:
+            log.warning("drains by hand are not kept: %s", why)
+            self.story.tell(self._now_us(), f"Drains by hand will not outlive a restart: {why}")
+        self.not_kept = why
+        return why
+
+    async def _save(self, keeper: Keeper) -> str:
+        """One save at a time, however long it takes; wishes that come meanwhile share the next one."""
+        async with self.keeping:
+            self.next_save = None
+            self.tried_at = asyncio.get_running_loop().time()
+            assert self.proxy is not None
+            try:
+                await asyncio.to_thread(keeper.save, list(self.proxy.roster.drains.values()))
+            except OSError as error:
+                return error.strerror or str(error) or "the disk refused"
+            return ""
+
+    def _may_keep_again(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self.keeper is not None and not self.keeping.locked() and now - self.tried_at > KEEP_AGAIN_S
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+class Connection(asyncio.Protocol):
+    """One caller."""
+
+    def __init__(self, room: AdminRoom) -> None:
+        self.room = room
+        self.transport: asyncio.Transport | None = None
+        self.buffer = bytearray()
+        self.paused_at: float | None = None  # loop time since which the other end has not read
+        self.missed = False  # a snapshot that did not fit
+        self.pending = 0
+        self.working = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's are none by inheritance
+        # With no room in the buffer, pause_writing tells as soon as the other end does not keep up.
+        self.transport.set_write_buffer_limits(high=0)
+        self.room.connections.add(self)
+        if len(self.room.connections) > CONNECTIONS:
+            text = f"{CONNECTIONS} connections are open already"
+            self.write(protocol.failure("", Failure(code="too-many", text=text)))
+            self.close()
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        self.work()
+
+    def work(self) -> None:
+        """Answer the lines that have come, as long as the answers are read."""
+        if self.working:
+            return  # an answer that is written at once comes back here by resume_writing
+        self.working = True
+        try:
+            while self.paused_at is None and not self.closing:
+                line, end, rest = self.buffer.partition(b"\n")
+                if len(line) > protocol.LINE_LIMIT:
+                    text = f"a line over {protocol.LINE_LIMIT} bytes"
+                    self.write(protocol.failure("", Failure(code="malformed", text=text)))
+                    self.close()
+                elif not end:
+                    break
+                else:
+                    self.buffer = rest
+                    if line.strip():
+                        self.room.answer(self, bytes(line))
+        finally:
+            self.working = False
+
+    @property
+    def closing(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
+    def pause_writing(self) -> None:
+        assert self.transport is not None
+        self.paused_at = asyncio.get_running_loop().time()
+        self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        assert self.transport is not None
+        self.paused_at = None
+        if self.closing:
+            return
+        self.transport.resume_reading()
+        if self.missed:
+            self.offer()
+        self.work()
+
+    def offer(self) -> None:
+        """The newest snapshot, now or once the other end reads again."""
+        self.missed = self.paused_at is not None
+        if not self.missed:
+            self.write(self.room.newest)
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def check_time(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if self.transport is not None and self.paused_at is not None and now - self.paused_at > UNREAD_S:
+            self.transport.abort()
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.room.connections.discard(self)
+        self.room.subscribers.discard(self)
--- /dev/null
+++ b/rosedeal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command `badgergap`: puts the rooms together."""
--- /dev/null
+++ b/rosedeal/cli/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m rosedeal.cli`, where the command is not on the path."""
+
+from rosedeal.cli.main import main
+
+raise SystemExit(main())
--- /dev/null
+++ b/rosedeal/cli/serve.py
@@ -0,0 +1,114 @@
+"""`badgergap serve` and `check`: an operator file, alone or beside the platform's configuration."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import secrets
+import signal
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+
+from rosedeal.admin import AdminRoom, Figures, default_socket
+from rosedeal.gateway.config import Config, load_config, reload_config
+from rosedeal.gateway.proxy import Proxy
+from rosedeal.gateway.run import Room, log_to_stderr, run
+from rosedeal.site import DrainStore, Site, SiteRoom, combine, read_site, to_config
+from rosedeal.site.convert import carry_names
+
+log = logging.getLogger(__name__)
+
+
+class Setup:
+    """Both files as read last. A read that fails changes nothing."""
+
+    def __init__(self, path: Path, environ: Mapping[str, str]) -> None:
+        self.path = path
+        self.environ = environ
+        self.site = read_site(path)
+        self.overruled: list[str] = []
+        self.config = self._config(self.site, None)
+
+    def _config(self, site: Site, old: Config | None) -> Config:
+        if not self.environ.get("ROUTER_CONFIG"):
+            config = to_config(site, secrets.randbits(64))
+            return config if old is None else carry_names(config, old)
+        platform = load_config(self.environ) if old is None else reload_config(self.environ, old)
+        config, self.overruled = combine(site, platform)
+        return config
+
+    def read_again(self, old: Config) -> Config:
+        """Raises ConfigError, and then the old ones stay. Called off the loop."""
+        site = read_site(self.path)
+        config = self._config(site, old)
+        self.site = site
+        return config
+
+    @property
+    def socket(self) -> Path:
+        admin = self.site.site.admin
+        return default_socket(self.environ) if admin is None else self.path.parent / admin
+
+    @property
+    def store(self) -> DrainStore | None:
+        state = self.site.site.state
+        return None if state is None else DrainStore(self.path.parent / state)
+
+
+def serve(path: Path, environ: Mapping[str, str], until_stdin_ends: bool = False) -> int:
+    """Run until told to end; returns the exit code. Raises ConfigError for files that cannot be used."""
+    log_to_stderr()
+    setup = Setup(path, environ)
+    if setup.overruled:
+        log.info("the platform's configuration overrules %s of %s", ", ".join(setup.overruled), path)
+    config, store = setup.config, setup.store
+    aims = (klass.aim_us for klass in config.settings.classes)
+    figures = Figures(tuple(zip(config.names.classes, aims, strict=True)))
+    rooms: list[Room] = [
+        SiteRoom(lambda: setup.site, store),
+        AdminRoom(setup.socket, config, figures, store),
+    ]
+    if until_stdin_ends:
+        rooms.append(Lifeline())
+    return run(config, setup.read_again, rooms, figures)
+
+
+def check(path: Path, environ: Mapping[str, str]) -> str:
+    """One line on a file that can be used. Raises ConfigError."""
+    setup = Setup(path, environ)
+    site, config = setup.site, setup.config
+    host, port = config.listen
+    words = [
+        f"{path}: good. {config.name} would listen on {host}:{port}",
+        f"{len(config.names.classes)} classes",
+        f"{len(site.boxes)} boxes",
+        f"admin socket {setup.socket}",
+        "drains by hand are kept" if setup.store is not None else "drains by hand end with the process",
+    ]
+    if setup.overruled:
+        words.append(f"the platform's configuration overrules {', '.join(setup.overruled)}")
+    return "; ".join(words)
+
+
+class Lifeline:
+    """Ends the process as SIGTERM would once its standard input ends: with whoever started it."""
+
+    def join(self, proxy: Proxy) -> None:
+        """Nothing to prepare."""
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_reader(sys.stdin.fileno(), self._heard)
+
+    def _heard(self) -> None:
+        if not os.read(sys.stdin.fileno(), 4096):
+            asyncio.get_running_loop().remove_reader(sys.stdin.fileno())
+            os.kill(os.getpid(), signal.SIGTERM)
+
+    def reload(self, config: Config) -> None:
+        """Nothing to read again."""
+
+    async def close(self) -> None:
+        asyncio.get_running_loop().remove_reader(sys.stdin.fileno())
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -66,13 +66,13 @@
 class Observer(Protocol):
     """Hears what became of requests and attempts; called in the midst of serving, so it only counts."""
 
-    def answered(self, klass: int, status: int, took_us: int) -> None:
+    def answered(self, now_us: int, klass: int, status: int, took_us: int) -> None:
         """A request had its final answer, `took_us` after its last byte came."""
 
-    def left(self, klass: int) -> None:
+    def left(self, now_us: int, klass: int) -> None:
         """A client left before its answer."""
 
-    def attempted(self, server: int, outcome: Outcome, latency_us: int) -> None:
+    def attempted(self, now_us: int, server: int, outcome: Outcome, latency_us: int) -> None:
         """An attempt at a host has ended."""
 
 
@@ -167,6 +167,7 @@
         self.peers: asyncio.DatagramTransport | None = None
         self.requests: dict[str, Request] = {}
         self.open = 0  # requests that are owed an answer
+        self.listens: Address | None = None  # where clients come in, once it is known
         self.taken = 0
         self.events: deque[Event] = deque()
         self.busy = False
@@ -209,6 +210,10 @@
         if self.peers is not None:
             self.peers.close()
 
+    def waiting(self) -> int:
+        """Requests that are owed an answer and are with no host at the moment."""
+        return sum(request.reply is not None and not request.out for request in self.requests.values())
+
     @property
     def ready(self) -> bool:
         return bool(self.upstream.hosts)
@@ -287,7 +292,7 @@
         if 0 < self.settings.max_open_requests <= self.open:
             reply(refused("too many requests"))
             if self.observer is not None:
-                self.observer.answered(asked.klass, 503, 0)
+                self.observer.answered(self.clock.now_us(), asked.klass, 503, 0)
             return None
         self.taken += 1
         patience_us = max(0, asked.timeout_us - asked.waited_us - TRANSIT_US)
@@ -316,7 +321,7 @@
         if request.reply is not None:
             self.close_account(request)
             if self.observer is not None:
-                self.observer.left(request.asked.klass)
+                self.observer.left(self.clock.now_us(), request.asked.klass)
             self.feed(RequestGone(request.id))
             self.forget_if_over(request)
 
@@ -341,8 +346,9 @@
             self.close_account(request)
             reply(answer)
             if self.observer is not None:
-                took_us = self.clock.now_us() - request.came_us + request.asked.waited_us
-                self.observer.answered(request.asked.klass, answer.status, took_us)
+                now_us = self.clock.now_us()
+                took_us = now_us - request.came_us + request.asked.waited_us
+                self.observer.answered(now_us, request.asked.klass, answer.status, took_us)
 
     def close_account(self, request: Request) -> None:
         request.reply = None
@@ -376,7 +382,7 @@
             if outcome is Outcome.OK and answer is not None:
                 self.settle(request, answer)
             if self.observer is not None:
-                self.observer.attempted(action.server, outcome, latency_us)
+                self.observer.attempted(sent_us + latency_us, action.server, outcome, latency_us)
             self.feed(
                 AttemptEnded(
                     request.id,
--- a/rosedeal/gateway/run.py
+++ b/rosedeal/gateway/run.py
@@ -54,7 +54,8 @@
     for room in rooms:
         room.join(proxy)
     await proxy.start()
-    log.info("%s listens on %s:%d", config.name, *await downstream.start())
+    proxy.listens = await downstream.start()
+    log.info("%s listens on %s:%d", config.name, *proxy.listens)
     for room in rooms:
         await room.start()
     reloads = loop.create_task(reload(proxy, hung_up, read_again, rooms))
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import select
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import cast
@@ -300,6 +301,11 @@
     def may_send(self, host: Host) -> bool:
         return host.stop_at is None or self.loop.time() < host.stop_at
 
+    def connecting(self) -> dict[HostId, int]:
+        """How many exchanges wait for a connection to each host."""
+        waiting = Counter(id(c.host) for c in self.connections if c.connecting is not None)
+        return {number: waiting[id(host)] for number, host in self.hosts.items() if id(host) in waiting}
+
     # Exchanges
 
     def send(self, number: HostId, payload: bytes, timeout_s: float, ended: Ended) -> Exchange:
--- /dev/null
+++ b/rosedeal/site/drains.py
@@ -0,0 +1,89 @@
+"""Drains by hand, kept in the state folder: written whole or not at all."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import zlib
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+from rosedeal.gateway.roster import DRAIN_LIMIT, HandDrain
+
+log = logging.getLogger(__name__)
+
+FILE = "drains.json"
+FORMAT, VERSION = "badgergap-drains", 1
+SIZE_LIMIT = 1024 * 1024
+
+
+class DrainStore:
+    """One file. `load` never fails; `save` raises OSError and leaves the file before it as it was."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.path = folder / FILE
+        self.untouchable = False  # the file is of a later version: not overwritten
+
+    def load(self) -> list[HandDrain]:
+        try:
+            with self.path.open("rb") as file:
+                data = file.read(SIZE_LIMIT + 1)
+        except FileNotFoundError:
+            return []
+        except OSError as error:
+            log.warning("drains by hand cannot be read from %s: %s", self.path, error.strerror)
+            return []
+        try:
+            raw = json.loads(data)
+            if raw["format"] != FORMAT:
+                raise ValueError("another format")
+            if raw["version"] > VERSION:
+                self.untouchable = True
+                log.warning("%s is of a later version: left as it is, and nothing is kept", self.path)
+                return []
+            if raw["sum"] != _sum(raw["drains"]):
+                raise ValueError("a wrong checksum")
+            return [_drain(item) for item in raw["drains"]][:DRAIN_LIMIT]
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+            self._set_aside(error)
+            return []
+
+    def _set_aside(self, error: Exception) -> None:
+        aside = self.path.with_suffix(".damaged")
+        log.warning("%s is damaged (%s): set aside as %s", self.path, error, aside.name)
+        try:
+            self.path.replace(aside)
+        except OSError as failed:
+            log.warning("%s cannot be set aside: %s", self.path, failed.strerror)
+
+    def save(self, drains: Iterable[HandDrain]) -> None:
+        """Blocks for as long as the disk takes: not for the event loop. Raises OSError."""
+        if self.untouchable:
+            raise OSError(None, "the file there is of a later version")
+        items = [{"box": d.name, "by": d.by, "at_us": d.at_us, "action": d.action} for d in drains]
+        raw = {"format": FORMAT, "version": VERSION, "drains": items, "sum": _sum(items)}
+        self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        new = self.path.with_suffix(".new")
+        with new.open("wb") as file:
+            file.write(json.dumps(raw, indent=1).encode())
+            file.flush()
+            os.fsync(file.fileno())
+        new.replace(self.path)
+        folder = os.open(self.folder, os.O_RDONLY)
+        try:
+            os.fsync(folder)  # else the name may still lead to the old file after a power loss
+        finally:
+            os.close(folder)
+
+
+def _sum(items: Any) -> int:
+    return zlib.crc32(json.dumps(items, sort_keys=True).encode())
+
+
+def _drain(item: dict[str, Any]) -> HandDrain:
+    if not isinstance(item["box"], str) or not isinstance(item["by"], str):
+        raise TypeError("no text")
+    return HandDrain(item["box"], item["by"], int(item["at_us"]), str(item["action"]))
--- /dev/null
+++ b/rosedeal/site/read.py
@@ -0,0 +1,172 @@
+"""An operator file to a checked `Site`, or to one error that names file, line and key.
+
+msgspec checks the shape; what its message says in the words of types is said again in the file's words: what
+was found, what is allowed, and the nearest known key where one is misspelt.
+"""
+
+from __future__ import annotations
+
+import difflib
+import json
+import re
+import tomllib
+from pathlib import Path
+from typing import Any, get_type_hints
+
+import msgspec
+
+from rosedeal.gateway.config import ConfigError
+from rosedeal.site.locate import line_of, lines_of
+from rosedeal.site.schema import BoxTable, ClassTable, Fleet, Limits, Site, SiteTable, decode
+
+SIZE_LIMIT = 1024 * 1024  # bytes of a file
+FOUND_LIMIT = 60  # characters of a wrong value that an error repeats
+
+TABLES: dict[str, type[msgspec.Struct]] = {
+    "": Site,
+    "site": SiteTable,
+    "limits": Limits,
+    "fleet": Fleet,
+    "class": ClassTable,
+    "box": BoxTable,
+}
+AT = re.compile(r"(?P<what>.*?)(?: - at `\$(?P<path>[^`]*)`)?", re.S)
+UNKNOWN = re.compile(r"Object contains unknown field `(?P<key>.*)`", re.S)
+MISSING = re.compile(r"Object missing required field `(?P<key>.*)`", re.S)
+EXPECTED = re.compile(r"Expected `(?P<kind>[^`]+)`(?P<rest>.*?)(?:, got `[^`]*`)?", re.S)
+KINDS = {
+    "str": "a text in quotes",
+    "int": "a whole number",
+    "float": "a number",
+    "bool": "true or false",
+    "array": "a list of tables, each under a header in double brackets",
+    "object": "a table",
+    "str | null": "a text in quotes",
+}
+
+
+class SiteError(ConfigError):
+    """An operator file that cannot be used. The text is one line: file, line, key, what is wrong."""
+
+    def __init__(self, file: str, line: int, key: str, why: str) -> None:
+        super().__init__(f"{_harmless(file)}:{line}: {_harmless(key) + ': ' if key else ''}{_harmless(why)}")
+        self.line, self.key, self.why = line, key, why
+
+
+def read_site(path: Path) -> Site:
+    """Read and check a file. Raises SiteError."""
+    try:
+        with path.open("rb") as file:
+            data = file.read(SIZE_LIMIT + 1)
+    except OSError as error:
+        raise SiteError(str(path), 1, "", f"cannot be read: {error.strerror}") from None
+    if len(data) > SIZE_LIMIT:
+        raise SiteError(str(path), 1, "", f"is over {SIZE_LIMIT} bytes")
+    try:
+        text = data.decode()
+    except UnicodeDecodeError as error:
+        line = data[: error.start].count(b"\n") + 1
+        raise SiteError(str(path), line, "", "is not UTF-8 text") from None
+    return parse_site(text, str(path))
+
+
+def parse_site(text: str, file: str) -> Site:
+    """Check the text of a file. Raises SiteError, which names `file`."""
+    text = text.replace("\r\n", "\n")
+    try:
+        raw = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
+        match = re.search(r"line (\d+)", str(error))
+        why = re.sub(r" \(at .*\)", "", str(error)) or "cannot be read"
+        raise SiteError(
+            file, int(match[1]) if match else text.count("\n") + 1, "", f"no TOML: {why}"
+        ) from None
+    lines = lines_of(text)
+    try:
+        site = msgspec.convert(raw, Site, dec_hook=decode)
+    except msgspec.ValidationError as error:
+        raise _explain(str(error), raw, lines, file) from None
+    for key, why in _contradictions(site):
+        raise SiteError(file, line_of(key, lines), key, why)
+    return site
+
+
+def _contradictions(site: Site) -> list[tuple[str, str]]:
+    """What no single key shows: (path, what is wrong)."""
+    found: list[tuple[str, str]] = []
+    named = {"class": [c.name for c in site.classes], "box": [b.name for b in site.boxes]}
+    for table, names in named.items():
+        first: dict[str, int] = {}
+        for number, name in enumerate(names):
+            if name in first:
+                where = f"{table}[{first[name]}]"
+                found.append((f"{table}[{number}].name", f'found "{name}" again: {where} has that name'))
+            first.setdefault(name, number)
+    for number, klass in enumerate(site.classes):
+        for key, value in (("wanted_within", klass.wanted_within), ("given_up_after", klass.given_up_after)):
+            if value < 1_000:
+                found.append((f"class[{number}].{key}", 'found less than "1ms"; allowed: "1ms" or more'))
+        if klass.given_up_after < klass.wanted_within:
+            found.append(
+                (f"class[{number}].given_up_after", "is before wanted_within; allowed: as late or later")
+            )
+    if site.fleet.start_capacity < 1.0 and site.fleet.warm_after == 0:
+        found.append(
+            ("fleet.start_capacity", "means nothing without warm_after, the time until a box is warm")
+        )
+    if site.fleet.overload_within < 1_000:
+        found.append(("fleet.overload_within", 'found less than "1ms"; allowed: "1ms" or more'))
+    return found
+
+
+def _explain(message: str, raw: dict[str, Any], lines: dict[str, int], file: str) -> SiteError:
+    match = AT.fullmatch(message)
+    assert match is not None
+    what, path = match["what"], (match["path"] or "").lstrip(".")
+    unknown, missing, expected = (rule.fullmatch(what) for rule in (UNKNOWN, MISSING, EXPECTED))
+    table = re.sub(r"\[\d+\]", "", path)
+    if unknown is not None:
+        key = f"{path}.{unknown['key']}" if path else unknown["key"]
+        known = _keys(table)
+        near = difflib.get_close_matches(unknown["key"], known, n=1, cutoff=0.5)
+        hint = f'; did you mean "{near[0]}"?' if near else ""
+        why = f"is no known key{hint} (allowed: {', '.join(known)})"
+        return SiteError(file, line_of(key, lines), key, why)
+    if missing is not None:
+        key = f"{path}.{missing['key']}" if path else missing["key"]
+        return SiteError(file, line_of(path, lines), key, "is missing")
+    allowed = what
+    if expected is not None:
+        kind = expected["kind"].removesuffix(" | null")
+        allowed = KINDS.get(kind, kind) + expected["rest"].replace("`", "")
+    elif what.startswith("Invalid enum value"):
+        allowed = _choices(table)
+    found = json.dumps(_at(raw, path), default=str, ensure_ascii=False)
+    if len(found) > FOUND_LIMIT:
+        found = found[:FOUND_LIMIT] + "…"
+    return SiteError(file, line_of(path, lines), path, f"found {found}; allowed: {allowed}")
+
+
+def _keys(table: str) -> list[str]:
+    struct = TABLES.get(table)
+    return [f.encode_name for f in msgspec.structs.fields(struct)] if struct is not None else []
+
+
+def _choices(path: str) -> str:
+    table, _, key = path.rpartition(".")
+    choices = getattr(get_type_hints(TABLES[table]).get(key), "__args__", ())
+    return " or ".join(f'"{choice}"' for choice in choices)
+
+
+def _at(raw: Any, path: str) -> Any:
+    for name, number in re.findall(r"([^.\[\]]+)|\[(\d+)\]", path):
+        try:
+            raw = raw[int(number)] if number else raw[name]
+        except (KeyError, IndexError, TypeError):
+            return None
+    return raw
+
+
+def _harmless(text: str) -> str:
+    """One line that no terminal takes for a command."""
+    return "".join(c if c.isprintable() else c.encode("unicode_escape").decode() for c in text)
--- /dev/null
+++ b/rosedeal/site/schema.py
@@ -0,0 +1,139 @@
+"""What an operator file may hold. Every key with its unit, range and default stands here and nowhere else."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?) ?(us|ms|s|min|h)")
+UNITS_US = {"us": 1, "ms": 1_000, "s": 1_000_000, "min": 60_000_000, "h": 3_600_000_000}
+LONGEST_US = 24 * UNITS_US["h"]
+
+NAME_ALLOWED = 'a name of up to 64 letters, digits, ".", "_" or "-"'
+DURATION_ALLOWED = 'a duration in quotes, such as "500ms", "1.2s" or "2min", up to "24h"'
+ADDRESS_ALLOWED = 'an address in quotes, such as "127.0.0.1:8080" or "[::1]:8080"'
+
+
+class Duration(int):
+    """Microseconds; written with its unit."""
+
+
+class Name(str):
+    """What boxes, classes, zones and kinds are called."""
+
+
+class Address(str):
+    """`host:port` with an IP address or localhost as host: nothing is looked up."""
+
+    @property
+    def pair(self) -> tuple[str, int]:
+        host, _, port = self.rpartition(":")
+        return host.strip("[]"), int(port)
+
+
+def parse_duration(text: object) -> Duration:
+    """Microseconds of a text such as "1.5s". Raises ValueError."""
+    match = DURATION.fullmatch(text) if isinstance(text, str) else None
+    if match is None:
+        raise ValueError(DURATION_ALLOWED)
+    value = round(float(match[1]) * UNITS_US[match[2]])
+    if value > LONGEST_US:
+        raise ValueError(DURATION_ALLOWED)
+    return Duration(value)
+
+
+def parse_name(text: object) -> Name:
+    if not isinstance(text, str) or NAME.fullmatch(text) is None:
+        raise ValueError(NAME_ALLOWED)
+    return Name(text)
+
+
+def parse_address(text: object) -> Address:
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not colon or not port.isascii() or not port.isdigit() or not int(port) < 65_536:
+        raise ValueError(ADDRESS_ALLOWED)
+    if host != "localhost":
+        bare = host[1:-1] if host.startswith("[") and host.endswith("]") else host
+        try:
+            version = ipaddress.ip_address(bare).version
+        except ValueError:
+            raise ValueError(ADDRESS_ALLOWED) from None
+        if (version == 6) is (bare == host):  # brackets round what has colons of its own, and nothing else
+            raise ValueError(ADDRESS_ALLOWED)
+    return Address(text)
+
+
+def decode(kind: type, value: Any) -> Any:
+    """msgspec's hook for the types above."""
+    parsers = {Duration: parse_duration, Name: parse_name, Address: parse_address}
+    return parsers[kind](value)
+
+
+Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Path = Annotated[str, msgspec.Meta(min_length=1, max_length=4096)]
+
+
+class SiteTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    name: Name
+    listen: Address = Address("127.0.0.1:8080")
+    admin: Path | None = None  # Unix socket of console and commands; None: the user's own default
+    state: Path | None = None  # folder for what outlives a restart; None: nothing does
+    zone: Name | None = None  # where this gateway stands
+    discovery: Address | None = None  # a registry to follow, beside the boxes of this file
+
+
+class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    sockets: Annotated[int, msgspec.Meta(ge=128, le=1_000_000)] = 1024
+    open_requests: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 2000  # 0: no limit of its own
+    attempts: Annotated[int, msgspec.Meta(ge=1, le=10)] = 3
+    second_copies: bool = False
+    retry_after_longest: Duration = Duration(1_000_000)
+
+
+class Fleet(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """What is true of all boxes."""
+
+    connect_within: Duration = Duration(1_000_000)
+    idle_connections: Duration = Duration(5_000_000)
+    cancels: bool = True  # a box drops work whose connection closes
+    full_means_untouched: bool = True  # 503 with Not-Started: never ran
+    start_capacity: Annotated[float, msgspec.Meta(gt=0.0, le=1.0)] = 1.0
+    warm_after: Duration = Duration(0)
+    overload_multiple: Annotated[float, msgspec.Meta(ge=1.0, le=100.0)] = 4.0
+    overload_within: Duration = Duration(3_000_000)
+    prefer_own_zone: bool = False
+
+
+class ClassTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    name: Name
+    wanted_within: Duration
+    given_up_after: Duration
+    worth: Annotated[float, msgspec.Meta(ge=0.0, le=1_000_000.0)] = 1.0
+    late_worth: Share = 0.0
+    repeats: Literal["safe", "keyed", "unsafe"] = "unsafe"
+    repeats_dropped_for: Duration = Duration(60_000_000)  # of "keyed"
+    repeats_dropped_by: Literal["all", "zone"] = "all"  # of "keyed": boxes that share what they remember
+
+
+class BoxTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    name: Name
+    address: Address
+    zone: Name | None = None
+    kind: Name | None = None
+    weight: Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)] = 1.0
+
+
+class Site(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    site: SiteTable
+    limits: Limits = Limits()
+    fleet: Fleet = Fleet()
+    classes: Annotated[list[ClassTable], msgspec.Meta(max_length=64)] = msgspec.field(
+        name="class", default_factory=list
+    )
+    boxes: Annotated[list[BoxTable], msgspec.Meta(max_length=1000)] = msgspec.field(
+        name="box", default_factory=list
+    )
--- /dev/null
+++ b/rosedeal/site/source.py
@@ -0,0 +1,84 @@
+"""The boxes of the operator file as a source of hosts, and the room that reads them again."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from functools import partial
+
+from rosedeal.gateway.config import Config, Names
+from rosedeal.gateway.proxy import Proxy
+from rosedeal.gateway.sources import Entry, News, Tell, host_id
+from rosedeal.interface import ListedServer, ListKind
+from rosedeal.site.drains import DrainStore
+from rosedeal.site.schema import BoxTable, Site
+
+log = logging.getLogger(__name__)
+
+
+class FileSource:
+    """A static source: it tells its whole list at the start and at each reload."""
+
+    name, rank, dynamic = "file", 90, False
+
+    def __init__(self, boxes: Iterable[BoxTable], names: Names, own_zone: int, news: Tell) -> None:
+        self.boxes = tuple(boxes)
+        self.zones = {name: number for number, name in enumerate(names.zones)}
+        self.kinds = {name: number for number, name in enumerate(names.kinds)}
+        self.own_zone = own_zone
+        self.news = news
+
+    def start(self) -> None:
+        self.tell(self.boxes)
+
+    def tell(self, boxes: Iterable[BoxTable]) -> None:
+        self.boxes = tuple(boxes)
+        self.news(News(ListKind.FULL, tuple(map(self.entry, self.boxes))))
+
+    def entry(self, box: BoxTable) -> Entry:
+        """A zone or kind that a reload brings gets the next number: the balancer only compares them."""
+        zone = self.own_zone if box.zone is None else self.zones.setdefault(box.zone, len(self.zones))
+        kind = 0 if box.kind is None else self.kinds.setdefault(box.kind, len(self.kinds))
+        server = ListedServer(host_id(box.name), weight=box.weight, zone=zone, kind=kind)
+        return Entry(server, box.address.pair, str(box.name))
+
+    def watch(self, on: bool) -> None:
+        """Nothing to do: what the file says is told without being asked for."""
+
+    def fetch(self) -> None:
+        """The list as it stands; the file is read again at SIGHUP only."""
+
+    def close(self) -> None:
+        self.news = lambda _: None
+
+
+class SiteRoom:
+    """Lets the file's boxes and the drains that were kept into the gateway."""
+
+    def __init__(self, site: Callable[[], Site], store: DrainStore | None) -> None:
+        self.site = site
+        self.store = store
+        self.source: FileSource | None = None
+
+    def join(self, proxy: Proxy) -> None:
+        if self.store is not None:
+            proxy.roster.restore(self.store.load())
+        config = proxy.config
+        self.source = FileSource(
+            self.site().boxes, config.names, config.settings.zone, partial(proxy.hear, FileSource.name)
+        )
+        proxy.add_source(self.source)
+
+    async def start(self) -> None:
+        """Its boxes are told with those of the other sources."""
+
+    def reload(self, config: Config) -> None:
+        assert self.source is not None
+        before, after = {b.name for b in self.source.boxes}, {b.name for b in self.site().boxes}
+        for word, names in (("added", after - before), ("removed", before - after)):
+            if names:
+                log.info("%s by the operator file: %s", word, ", ".join(sorted(names)))
+        self.source.tell(self.site().boxes)
+
+    async def close(self) -> None:
+        """Drains are kept as they are made."""
--- /dev/null
+++ b/rosedeal/standins/__main__.py
@@ -0,0 +1,40 @@
+"""A fleet as a process: says where its registry is, takes commands on standard input, ends with it."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+
+import uvloop
+
+from rosedeal.standins.fleet import Fleet
+
+
+async def run(count: int) -> None:
+    fleet = Fleet(count)
+    await fleet.start()
+    print(json.dumps({"registry": fleet.registry.address}), flush=True)
+    reader = asyncio.StreamReader()
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while line := await reader.readline():
+        try:
+            print(await fleet.command(line.decode()), file=sys.stderr, flush=True)
+        except (ValueError, OSError) as error:
+            print(f"not done: {error}", file=sys.stderr, flush=True)
+    fleet.stop()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="python -m rosedeal.standins", description=__doc__)
+    parser.add_argument("--boxes", type=int, default=6)
+    args = parser.parse_args()
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run(args.boxes))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/rosedeal/standins/box.py
@@ -0,0 +1,209 @@
+"""A box that works by itself: cores, a queue, a cold start, and faults on command.
+
+Faults: `die` and `revive` (same address), `silent` (takes requests, answers none), `slow` (a factor on all
+work), `spoil` (how answers are spoilt). Each may change at any moment.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import cast
+
+import httptools
+
+SEEN_LIMIT = 200_000  # requests that a box remembers; the oldest go first
+SPOILS = ("error", "cut", "garbage", "unframed")
+
+
+@dataclass(slots=True, frozen=True)
+class Seen:
+    """A request as it came: by time.monotonic(), which all processes of a machine share."""
+
+    at: float
+    id: str
+    klass: str
+    method: str
+
+
+class Box:
+    def __init__(
+        self,
+        name: str,
+        *,
+        work_s: Mapping[str, float] | None = None,
+        default_work_s: float = 0.0,
+        cores: int = 1,
+        queue: int = 64,
+        warm_after_s: float = 0.0,
+        start_capacity: float = 1.0,
+    ) -> None:
+        self.name = name
+        self.work_s = dict(work_s or {})
+        self.default_work_s = default_work_s
+        self.cores, self.queue_limit = cores, queue
+        self.warm_after_s, self.start_capacity = warm_after_s, start_capacity
+        self.host, self.port = "127.0.0.1", 0
+        self.started_at = 0.0  # time.monotonic()
+        self.started_ms = 0  # Unix time, as a registry tells it
+        self.silent = False
+        self.slow = 1.0
+        self.spoil = ""
+        self.seen: deque[Seen] = deque(maxlen=SEEN_LIMIT)
+        self.answered = 0
+        self.running = 0
+        self.jobs: deque[Job] = deque()
+        self.connections: set[BoxConnection] = set()
+        self.listener: asyncio.Server | None = None
+
+    @property
+    def address(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @property
+    def alive(self) -> bool:
+        return self.listener is not None
+
+    async def start(self, cold: bool = False) -> None:
+        """Listen; on the address of before, if there was one. `cold`: its warm-up begins now."""
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            lambda: BoxConnection(self), self.host, self.port, reuse_address=True, backlog=512
+        )
+        self.port = self.listener.sockets[0].getsockname()[1]
+        self.started_at = time.monotonic() if cold else -1e9
+        self.started_ms = int(time.time() * 1000) if cold else 0
+
+    def die(self) -> None:
+        """In one instant: connections are reset, new ones refused, what was in work is lost."""
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+        self.jobs.clear()
+        self.running = 0
+        for connection in list(self.connections):
+            connection.abort()
+
+    async def revive(self) -> None:
+        """Back at its address, and cold."""
+        if not self.alive:
+            await self.start(cold=True)
+
+    @property
+    def capacity(self) -> float:
+        age = time.monotonic() - self.started_at
+        if self.warm_after_s <= 0.0 or age >= self.warm_after_s:
+            return 1.0
+        return self.start_capacity + (1.0 - self.start_capacity) * age / self.warm_after_s
+
+    # Work
+
+    def take(self, connection: BoxConnection, seen: Seen) -> None:
+        self.seen.append(seen)
+        if self.silent:
+            return
+        if len(self.jobs) >= self.queue_limit:
+            connection.reply(503, b"full", not_started=True)
+            return
+        self.jobs.append(Job(connection, seen, connection.turn))
+        self.run_next()
+
+    def run_next(self) -> None:
+        while self.jobs and self.running < self.cores:
+            job = self.jobs.popleft()
+            if job.connection.turn != job.turn:
+                continue  # called off while it waited
+            work_s = self.work_s.get(job.seen.klass, self.default_work_s) * self.slow / self.capacity
+            if work_s <= 0.0:
+                self.finish(job)
+                continue
+            self.running += 1
+            listener = self.listener
+            asyncio.get_running_loop().call_later(work_s, self.done, job, listener)
+
+    def done(self, job: Job, listener: object) -> None:
+        if listener is not self.listener:
+            return  # it died meanwhile
+        self.running -= 1
+        if not self.silent:
+            self.finish(job)
+        self.run_next()
+
+    def finish(self, job: Job) -> None:
+        if job.connection.turn == job.turn:
+            self.answered += 1
+            job.connection.reply(200, f"{self.name} served {job.seen.id}".encode())
+
+
+@dataclass(slots=True, frozen=True)
+class Job:
+    connection: BoxConnection
+    seen: Seen
+    turn: int  # of its connection: another one means that nobody waits any more
+
+
+class BoxConnection(asyncio.Protocol):
+    def __init__(self, box: Box) -> None:
+        self.box = box
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.began_at = 0.0
+        self.turn = 0
+        self.url = b""
+        self.id = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.box.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.turn += 1
+        self.box.connections.discard(self)
+
+    def abort(self) -> None:
+        self.turn += 1
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        if not self.began_at:
+            self.began_at = time.monotonic()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.abort()
+
+    def on_message_begin(self) -> None:
+        self.url, self.id = b"", ""
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"request-id":
+            self.id = value.decode("latin-1")
+
+    def on_message_complete(self) -> None:
+        klass = self.url.split(b"?")[0].strip(b"/").decode("latin-1")
+        seen = Seen(self.began_at, self.id, klass, self.parser.get_method().decode())
+        self.began_at = 0.0
+        self.box.take(self, seen)
+
+    def reply(self, status: int, body: bytes, not_started: bool = False) -> None:
+        self.turn += 1
+        if self.transport is None or self.transport.is_closing():
+            return
+        spoil = self.box.spoil if status == 200 else ""
+        if spoil == "error":
+            status = 500
+        extra = b"Not-Started: 1\r\n" if not_started else b""
+        length = (
+            b"Content-Length: %d\r\n" % (len(body) + 10 * (spoil == "cut")) if spoil != "unframed" else b""
+        )
+        data = b"HTTP/1.1 %d Any\r\n%b%b\r\n%b" % (status, length, extra, body)
+        self.transport.write(b"\x00\xff no HTTP\r\n\r\n" if spoil == "garbage" else data)
+        if spoil in ("cut", "unframed", "garbage"):
+            self.transport.close()
--- /dev/null
+++ b/rosedeal/standins/fleet.py
@@ -0,0 +1,97 @@
+"""A fleet of boxes behind one registry, with clients in front: what the demo and long tests run."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from rosedeal.standins.box import Box
+from rosedeal.standins.load import Kind, Load
+from rosedeal.standins.registry import LiveRegistry
+
+# The classes of a tournament: what they take on a box of full speed, and how clients ask for them.
+WORK_S = {"result-entry": 0.012, "standings": 0.018, "deck-check": 0.040}
+KINDS = (
+    Kind("result-entry", "safe", 0.5, 1.0, 0.16),
+    Kind("standings", "safe", 0.5, 1.0, 0.53),
+    Kind("deck-check", "safe", 2.0, 3.0, 0.32),
+)
+WARM_AFTER_S = 12.0
+START_CAPACITY = 0.15
+SLOW = 2.0  # of the box that is slow from the start
+TOLD_LATE_S = 1.0  # until the registry has noticed that a box has ended
+
+
+class Fleet:
+    """`count` boxes called box-1 and so on. The last one is slow, and the one before it starts cold."""
+
+    def __init__(self, count: int) -> None:
+        self.boxes: dict[str, Box] = {}
+        self.registry = LiveRegistry()
+        self.loads: list[Load] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        for number in range(1, count + 1):
+            box = Box(
+                f"box-{number}", work_s=WORK_S, warm_after_s=WARM_AFTER_S, start_capacity=START_CAPACITY
+            )
+            box.slow = SLOW if number == count else 1.0
+            self.boxes[box.name] = box
+
+    async def start(self) -> None:
+        await self.registry.start()
+        cold = list(self.boxes)[-2] if len(self.boxes) > 2 else ""
+        for name, box in self.boxes.items():
+            await box.start(cold=name == cold)
+            self.registry.set(name, box.address, since_ms=box.started_ms)
+
+    async def command(self, line: str) -> str:
+        """One command in words; returns what was done. Raises ValueError."""
+        match line.split():
+            case ["toggle" | "kill" | "revive" as what, name] if name in self.boxes:
+                box = self.boxes[name]
+                if box.alive and what != "revive":
+                    box.die()
+                    self._later(TOLD_LATE_S, name, "left")
+                    return f"{name} has ended"
+                if not box.alive and what != "kill":
+                    await box.revive()
+                    self._later(TOLD_LATE_S, name, "active")
+                    return f"{name} is back, cold"
+                return f"{name} was so already"
+            case ["silent", name, "on" | "off" as word] if name in self.boxes:
+                self.boxes[name].silent = word == "on"
+                return f"{name} is silent: {word}"
+            case ["slow", name, factor] if name in self.boxes:
+                self.boxes[name].slow = max(0.0, float(factor))
+                return f"{name} is slow by {factor}"
+            case ["load", address, rate]:
+                host, _, port = address.rpartition(":")
+                load = Load(host, int(port), KINDS)
+                self.loads.append(load)
+                self._spawn(load.run(float(rate), 86_400.0))
+                return f"asking {rate} a second"
+        raise ValueError(f"no such command: {line!r}")
+
+    def _later(self, delay_s: float, name: str, status: str) -> None:
+        asyncio.get_running_loop().call_later(delay_s, self._tell, name, status)
+
+    def _tell(self, name: str, status: str) -> None:
+        """Unless it has changed again meanwhile."""
+        box = self.boxes[name]
+        if box.alive is (status == "active"):
+            self.registry.set(name, box.address, status, since_ms=box.started_ms)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def stop(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        for load in self.loads:
+            load.close()
+        for box in self.boxes.values():
+            box.die()
+        self.registry.stop()
--- /dev/null
+++ b/rosedeal/standins/net.py
@@ -0,0 +1,62 @@
+"""What the stand-ins' servers have in common: a port of their own, plain reads of HTTP messages."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+Head = dict[str, str]
+
+
+def small_socket() -> socket.socket:
+    """Takes in little unread, so that a test can make the other side's writes wait."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    return sock
+
+
+async def read_head(reader: asyncio.StreamReader) -> tuple[str, Head]:
+    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").rstrip().split("\r\n")
+    return first, {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, Head, bytes]:
+    first, head = await read_head(reader)
+    return first, head, await reader.readexactly(int(head.get("content-length", "0")))
+
+
+class Server:
+    """Accepts connections on a port of its own."""
+
+    def __init__(self) -> None:
+        self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
+        self.listener: asyncio.Server | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        sock = small_socket()
+        sock.bind(("127.0.0.1", 0))
+        self.listener = await asyncio.start_server(self.accept, sock=sock)
+        host, port = self.listener.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            await self.serve(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            await self.ended(writer)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+    async def ended(self, writer: asyncio.StreamWriter) -> None:
+        writer.close()
+
+    def stop(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+        for writer in self.writers:
+            writer.transport.abort()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import json
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
@@ -17,10 +16,27 @@
 from rosedeal.gateway.downstream import ClientConnection, Downstream
 from rosedeal.gateway.proxy import Proxy
 from rosedeal.interface import Action, Event
+from rosedeal.standins.net import Head, Server, read_head, read_message, small_socket
+from rosedeal.standins.scripted import Client, Host, Registry, Taken, chunk, entry, news
+
+__all__ = [
+    "Client",
+    "Gateway",
+    "Head",
+    "Host",
+    "Registry",
+    "Server",
+    "Taken",
+    "chunk",
+    "entry",
+    "gateway",
+    "news",
+    "read_head",
+    "read_message",
+]
 
 PATIENCE_S = 30.0  # no test waits for this long unless it fails
 
-Head = dict[str, str]
 ids = itertools.count()  # of requests: new with every one
 E = TypeVar("E")
 
@@ -34,126 +50,6 @@
         runner.run(bounded())
 
 
-def small_socket() -> socket.socket:
-    """Takes in little unread, so that a test can make the other side's writes wait."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    return sock
-
-
-async def read_head(reader: asyncio.StreamReader) -> tuple[str, Head]:
-    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").rstrip().split("\r\n")
-    return first, {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
-
-
-async def read_message(reader: asyncio.StreamReader) -> tuple[str, Head, bytes]:
-    first, head = await read_head(reader)
-    return first, head, await reader.readexactly(int(head.get("content-length", "0")))
-
-
-class Server:
-    """Accepts connections on a port of its own."""
-
-    def __init__(self) -> None:
-        self.connections = 0
-        self.writers: list[asyncio.StreamWriter] = []
-        self.listener: asyncio.Server | None = None
-        self.address = ""
-
-    async def start(self) -> None:
-        sock = small_socket()
-        sock.bind(("127.0.0.1", 0))
-        self.listener = await asyncio.start_server(self.accept, sock=sock)
-        host, port = self.listener.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        self.writers.append(writer)
-        try:
-            await self.serve(reader, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            await self.ended(writer)
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        raise NotImplementedError
-
-    async def ended(self, writer: asyncio.StreamWriter) -> None:
-        writer.close()
-
-    def stop(self) -> None:
-        if self.listener is not None:
-            self.listener.close()
-        for writer in self.writers:
-            writer.transport.abort()
-
-
-@dataclass
-class Taken:
-    """A request that a host has read whole."""
-
-    first: str
-    head: Head
-    body: bytes
-    writer: asyncio.StreamWriter
-
-    def answer(self, status: int = 200, body: bytes = b"served", **headers: str) -> None:
-        lines = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in headers.items())
-        self.raw(f"HTTP/1.1 {status} Any\r\nContent-Length: {len(body)}\r\n{lines}\r\n".encode() + body)
-
-    def raw(self, data: bytes, close: bool = False) -> None:
-        self.writer.write(data)
-        if close:
-            self.writer.close()
-
-
-class Host(Server):
-    def __init__(self) -> None:
-        super().__init__()
-        self.taken: asyncio.Queue[Taken] = asyncio.Queue()
-        self.left: asyncio.Queue[None] = asyncio.Queue()  # one for each connection that the gateway has ended
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while True:
-            self.taken.put_nowait(Taken(*await read_message(reader), writer))
-
-    async def ended(self, writer: asyncio.StreamWriter) -> None:
-        self.left.put_nowait(None)
-        writer.close()
-
-
-class Registry(Server):
-    """Discovery: watches that the test writes to, and one list for single reads."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.watches: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
-        self.whole = b"{}"
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        first, _ = await read_head(reader)
-        if "stream=1" not in first:
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(self.whole), self.whole))
-            return
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        self.watches.put_nowait((first, writer))
-        await reader.read()
-
-
-def chunk(line: str) -> bytes:
-    """One line of a watch, as it is framed."""
-    data = line.encode()
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
-def entry(name: str, address: str, status: str = "active", **extra: object) -> dict[str, object]:
-    return {"name": name, "address": address, "zone": "a", "type": "m1", "status": status, **extra}
-
-
-def news(*entries: object, index: int = 1, snapshot: bool = False) -> str:
-    return json.dumps({"index": index, "snapshot": snapshot, "endpoints": entries}) + "\n"
-
-
 def lane(name: str, effect: str) -> dict[str, object]:
     return {
         "name": name,
@@ -211,26 +107,6 @@
     return f"{method} /{klass}?user=00ff HTTP/1.1\r\n{head}\r\n".encode() + body
 
 
-@dataclass
-class Client:
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
-
-    def send(self, data: bytes) -> None:
-        self.writer.write(data)
-
-    async def answer(self) -> tuple[int, Head, bytes]:
-        first, head, body = await read_message(self.reader)
-        return int(first.split()[1]), head, body
-
-    async def ask(self, data: bytes) -> tuple[int, Head, bytes]:
-        self.send(data)
-        return await self.answer()
-
-    async def closed(self) -> bool:
-        return await self.reader.read() == b""
-
-
 @dataclass
 class Gateway:
     proxy: Proxy
