--- a/rosedeal/admin/paths.py
+++ b/rosedeal/admin/paths.py
@@ -4,7 +4,6 @@
 
 import os
 import stat
-import tempfile
 from collections.abc import Mapping
 from pathlib import Path
 
@@ -20,7 +19,8 @@
     runtime = environ.get("XDG_RUNTIME_DIR")
     if runtime and Path(runtime).is_dir():
         return Path(runtime) / "badgergap.sock"
-    return Path(tempfile.gettempdir()) / f"badgergap-{os.getuid()}" / "admin.sock"
+    temporary = environ.get("TMPDIR") or "/tmp"
+    return Path(temporary) / f"badgergap-{os.getuid()}" / "admin.sock"
 
 
 def prepare_folder(path: Path) -> None:
--- a/rosedeal/cli/main.py
+++ b/rosedeal/cli/main.py
@@ -3,17 +3,11 @@
 from __future__ import annotations
 
 import argparse
-import getpass
-import importlib.util
-import json
 import os
 import sys
-import uuid
 from pathlib import Path
 from typing import TypeVar
 
-import msgspec
-
 import rosedeal
 from rosedeal.admin import AdminError, NoAnswer, NoGateway, Snapshot, call, default_socket
 from rosedeal.admin.protocol import VERSION, ActionResult, AskSnapshot, Drain, ProtocolError, Request, Undrain
@@ -114,13 +108,19 @@
     if isinstance(snapshot, int):
         return snapshot
     if as_json:
-        print(json.dumps(msgspec.to_builtins(snapshot), indent=1, ensure_ascii=True))
+        import json
+
+        from msgspec import to_builtins
+
+        print(json.dumps(to_builtins(snapshot), indent=1, ensure_ascii=True))
     else:
         print(status_text(snapshot))
     return 0
 
 
 def steer(args: argparse.Namespace) -> int:
+    import uuid
+
     from rosedeal.console.words import clean, requests
 
     action, by = args.action or uuid.uuid4().hex, args.by or user()
@@ -148,13 +148,15 @@
 
 
 def console(path: Path, by: str, ascii_only: bool) -> int:
-    if importlib.util.find_spec("textual") is None:
-        print("badgergap: the console needs the extra: pip install 'badgergap[console]'", file=sys.stderr)
-        return UNUSABLE
     if not (sys.stdin.isatty() and sys.stdout.isatty()):
         print("badgergap: the console needs a terminal; `badgergap status` does not", file=sys.stderr)
         return UNUSABLE
-    from rosedeal.console.app import Console
+    try:
+        from rosedeal.console.app import Console
+    except ModuleNotFoundError as error:
+        why = f"{error.name} is missing: pip install 'badgergap[console]'"
+        print(f"badgergap: the console needs its extra, {why}", file=sys.stderr)
+        return UNUSABLE
 
     encoding = (sys.stdout.encoding or "").lower().replace("-", "")
     Console(path, by, ascii_only=ascii_only or encoding != "utf8").run(mouse=False)
@@ -162,6 +164,8 @@
 
 
 def user() -> str:
+    import getpass
+
     try:
         return getpass.getuser()
     except (KeyError, OSError):
--- a/rosedeal/site/read.py
+++ b/rosedeal/site/read.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import difflib
 import json
 import re
 import tomllib
@@ -128,6 +127,8 @@
     if unknown is not None:
         key = f"{path}.{unknown['key']}" if path else unknown["key"]
         known = _keys(table)
+        import difflib  # only for a mistake: a gateway that serves has no use for it
+
         near = difflib.get_close_matches(unknown["key"], known, n=1, cutoff=0.5)
         hint = f'; did you mean "{near[0]}"?' if near else ""
         why = f"is no known key{hint} (allowed: {', '.join(known)})"
--- a/rosedeal/standins/__main__.py
+++ b/rosedeal/standins/__main__.py
@@ -12,10 +12,11 @@
 from rosedeal.standins.fleet import Fleet
 
 
-async def run(count: int) -> None:
-    fleet = Fleet(count)
+async def run(count: int, plain: bool) -> None:
+    fleet = Fleet(count, plain)
     await fleet.start()
-    print(json.dumps({"registry": fleet.registry.address}), flush=True)
+    boxes = {name: box.address for name, box in fleet.boxes.items()}
+    print(json.dumps({"registry": fleet.registry.address, "boxes": boxes}), flush=True)
     reader = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(
         lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
@@ -31,9 +32,10 @@
 def main() -> None:
     parser = argparse.ArgumentParser(prog="python -m rosedeal.standins", description=__doc__)
     parser.add_argument("--boxes", type=int, default=6)
+    parser.add_argument("--plain", action="store_true", help="all boxes warm, and answering at once")
     args = parser.parse_args()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(run(args.boxes))
+        runner.run(run(args.boxes, args.plain))
 
 
 if __name__ == "__main__":
--- a/rosedeal/standins/fleet.py
+++ b/rosedeal/standins/fleet.py
@@ -24,23 +24,30 @@
 
 
 class Fleet:
-    """`count` boxes called box-1 and so on. The last one is slow, and the one before it starts cold."""
+    """`count` boxes called box-1 and so on. The last one is slow, and the one before it starts cold.
 
-    def __init__(self, count: int) -> None:
+    `plain`: none is, and all answer at once: for benchmarks.
+    """
+
+    def __init__(self, count: int, plain: bool = False) -> None:
+        self.plain = plain
         self.boxes: dict[str, Box] = {}
         self.registry = LiveRegistry()
         self.loads: list[Load] = []
         self.tasks: set[asyncio.Task[None]] = set()
         for number in range(1, count + 1):
             box = Box(
-                f"box-{number}", work_s=WORK_S, warm_after_s=WARM_AFTER_S, start_capacity=START_CAPACITY
+                f"box-{number}",
+                work_s={} if plain else WORK_S,
+                warm_after_s=WARM_AFTER_S,
+                start_capacity=START_CAPACITY,
             )
-            box.slow = SLOW if number == count else 1.0
+            box.slow = SLOW if number == count and not plain else 1.0
             self.boxes[box.name] = box
 
     async def start(self) -> None:
         await self.registry.start()
-        cold = list(self.boxes)[-2] if len(self.boxes) > 2 else ""
+        cold = list(self.boxes)[-2] if len(self.boxes) > 2 and not self.plain else ""
         for name, box in self.boxes.items():
             await box.start(cold=name == cold)
             self.registry.set(name, box.address, since_ms=box.started_ms)
