--- a/rosedeal/etcd/follow.py
+++ b/rosedeal/etcd/follow.py
@@ -1,21 +1,21 @@
 """Following a prefix of an etcd store: what to call next, and what has changed. Pure: no sockets, no clock.
 
-`Follower` takes what came of the calls and the time, and returns the calls to make and the changes to tell. The
-rules, stated once:
+`Follower` takes what came of the calls and the time, and returns the calls to make and the changes to tell.
+The rules, stated once:
 
 1. All changes up to `revision` are told. A list is taken at one revision; the watch starts at the next one; a
    watch that ends is resumed after the last revision that is known to be complete.
 2. Per key only what is newer than what was told is told again: a part that comes twice, or a change replayed
    by a resumed watch, brings nothing back.
-3. A watch whose history has been compacted is followed by a whole list, and the difference is told: a key that
-   is missing from it is gone.
-4. An answer of an endpoint that lags behind `revision` is not believed. A store that has gone back (a restored
-   one) or has another cluster id is believed once a majority of the endpoints say so, and if its id is the same
-   only when they have said so for RESTORED_US. Then its list replaces everything.
+3. A watch whose history has been compacted is followed by a whole list, and the difference is told: a key
+   that is missing from it is gone.
+4. An answer of an endpoint that lags behind `revision` is not believed. A store that has gone back (a
+   restored one) or has another cluster id is believed once a majority of the endpoints say so, and if its id
+   is the same only when they have said so for RESTORED_US. Then its list replaces everything.
 5. A watch that says nothing for SILENCE_US, though it was asked to say how far it is, is dead.
 
-Times are microseconds of the caller's clock. Revisions are etcd's (the v3 API's data model: one counter for the
-whole store, raised by each change).
+Times are microseconds of the caller's clock. Revisions are etcd's (the v3 API's data model: one counter for
+the whole store, raised by each change).
 """
 
 from __future__ import annotations
@@ -90,7 +90,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Watched:
-    """A message of a watch. `compacted`: the oldest revision that it could start from, if it was cancelled."""
+    """A message of a watch. `compacted`: the oldest revision it could start from, if it was cancelled."""
 
     call: int
     header: Header
@@ -431,10 +431,9 @@
             return
         if event.changes or event.fragment:
             self._on_changes(event)
-        elif (event.progress or event.created) and event.header.revision > self.revision:
-            if event.progress:  # all up to there has been sent on this stream
-                self.revision = event.header.revision
-                self.removed.clear()
+        elif event.progress and event.header.revision > self.revision:
+            self.revision = event.header.revision  # all up to there has been sent on this stream
+            self.removed.clear()
 
     def _on_created(self, now_us: int, event: Watched) -> None:
         if event.header.revision < self.revision:
