--- a/rosedeal/admin/room.py
+++ b/rosedeal/admin/room.py
@@ -173,6 +173,7 @@
                 boxes=state.hosts,
                 heard_us=state.heard_us,
                 failing_since_us=state.failing_since_us,
+                detail=self.proxy.sources[state.name].describe(),
             )
             for state in self.proxy.roster.sources.values()
         ]
--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -855,9 +855,15 @@
         if event.kind is not ListKind.DELTA:
             named = {entry.server for entry in event.servers}
             self.servers = {number: s for number, s in self.servers.items() if number in named}
+        # Once for the list and not for each that comes: of ten thousand, each would look at all the others.
+        weights = [server.weight for server in self.servers.values()]
+        mean = sum(weights) / len(weights) if weights else CEILING
         for entry in event.servers:
-            self.list_server(entry)
-        self.ranked = sorted(self.servers.values(), key=attrgetter("rank"))
+            self.list_server(entry, mean)
+        self.ranked = [s for s in self.ranked if self.servers.get(s.entry.server) is s]
+        ranked = set(self.ranked)
+        self.ranked += [s for s in self.servers.values() if s not in ranked]
+        self.ranked.sort(key=attrgetter("rank"))  # fast where most stand in order already
         if self.settings.live_weights and self.servers:
             self.heed_live_weights()
 
@@ -875,13 +881,12 @@
         if not self.settings.list_is_pushed:
             self.actions.append(WatchList())
 
-    def list_server(self, entry: ListedServer) -> None:
+    def list_server(self, entry: ListedServer, mean: float) -> None:
+        """`mean`: the weight of those known so far, which a new one begins with."""
         known = self.servers.get(entry.server)
         if entry.status is ServerStatus.GONE:
             self.servers.pop(entry.server, None)
         elif known is None or known.entry.started_us != entry.started_us:
-            weights = [s.weight for s in self.servers.values() if s is not known]
-            mean = sum(weights) / len(weights) if weights else CEILING
             rank = rendezvous(self.settings.proxy, entry.server, self.nearness(entry))
             breakers = [Breaker() for _ in range(len(self.settings.classes) + 1)]
             server = Server(entry, mean, rank, breakers, spent_at_us=self.now_us)
--- a/rosedeal/cli/serve.py
+++ b/rosedeal/cli/serve.py
@@ -9,14 +9,16 @@
 import signal
 import sys
 from collections.abc import Mapping
+from functools import partial
 from pathlib import Path
 
 from rosedeal.admin import AdminRoom, Figures, default_socket
-from rosedeal.gateway.config import Config, load_config, reload_config
+from rosedeal.gateway.config import Config, ConfigError, load_config, reload_config
 from rosedeal.gateway.proxy import Proxy
 from rosedeal.gateway.run import Room, log_to_stderr, run
 from rosedeal.site import DrainStore, Site, SiteRoom, combine, read_site, to_config
 from rosedeal.site.convert import carry_names
+from rosedeal.site.schema import EtcdTable
 
 log = logging.getLogger(__name__)
 
@@ -70,6 +72,8 @@
         SiteRoom(lambda: setup.site, store),
         AdminRoom(setup.socket, config, figures, store),
     ]
+    if setup.site.etcd is not None:
+        rooms.insert(1, etcd_room(setup.site.etcd, path.parent, environ))
     if until_stdin_ends:
         rooms.append(Lifeline())
     return run(config, setup.read_again, rooms, figures)
@@ -79,12 +83,17 @@
     """One line on a file that can be used. Raises ConfigError."""
     setup = Setup(path, environ)
     site, config = setup.site, setup.config
+    if site.etcd is not None:
+        etcd_room(site.etcd, path.parent, environ)
     host, port = config.listen
     words = [
         f"{path}: good. {config.name} would listen on {host}:{port}",
         f"{len(config.names.classes)} classes",
         f"{len(site.boxes)} boxes",
         f"admin socket {setup.socket}",
+        f"etcd {', '.join(site.etcd.endpoints)} under {site.etcd.prefix}"
+        if site.etcd is not None
+        else "no etcd",
         "drains by hand are kept" if setup.store is not None else "drains by hand end with the process",
     ]
     if setup.overruled:
@@ -92,6 +101,58 @@
     return "; ".join(words)
 
 
+def etcd_room(table: EtcdTable, folder: Path, environ: Mapping[str, str]) -> Room:
+    """Raises ConfigError for certificates or a password that cannot be read. Imports the libraries."""
+    try:
+        from rosedeal.etcd import EtcdRoom, Login, Options, Times
+    except ModuleNotFoundError as error:
+        why = f"{error.name} is missing: pip install 'badgergap[etcd]'"
+        raise ConfigError(f"[etcd] needs its extra, {why}") from None
+    import ssl
+
+    tls: ssl.SSLContext | None = None
+    if table.ca is not None:
+        try:
+            tls = ssl.create_default_context(cafile=str(folder / table.ca))
+            if table.certificate is not None and table.key is not None:
+                tls.load_cert_chain(folder / table.certificate, folder / table.key)
+        except (OSError, ssl.SSLError) as error:
+            raise ConfigError(f"[etcd] its certificates or key cannot be used: {error}") from None
+        tls.set_alpn_protocols(["h2"])
+    login: Login | None = None
+    if table.user is not None:
+        read = partial(_password, table, folder, environ)
+        read()  # so that a mistake shows at the start
+        login = Login(table.user, read)
+    return EtcdRoom(
+        Options(
+            endpoints=tuple(endpoint.pair for endpoint in table.endpoints),
+            prefix=table.prefix.encode(),
+            seed=secrets.randbits(64),
+            times=Times(
+                call_us=int(table.call_within),
+                ask_us=int(table.silent_after) // 3,
+                silence_us=int(table.silent_after),
+            ),
+            tls=tls,
+            login=login,
+        )
+    )
+
+
+def _password(table: EtcdTable, folder: Path, environ: Mapping[str, str]) -> str:
+    """Read anew at each login, and shown nowhere. Raises ConfigError."""
+    if table.password_env is not None:
+        if table.password_env not in environ:
+            raise ConfigError(f"[etcd] password_env: the environment has no {table.password_env}")
+        return environ[table.password_env]
+    assert table.password_file is not None
+    try:
+        return (folder / table.password_file).read_text(encoding="utf-8").rstrip("\r\n")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError(f"[etcd] password_file: {table.password_file} cannot be read: {error}") from None
+
+
 class Lifeline:
     """Ends the process as SIGTERM would once its standard input ends: with whoever started it."""
 
--- a/rosedeal/etcd/follow.py
+++ b/rosedeal/etcd/follow.py
@@ -9,10 +9,10 @@
    by a resumed watch, brings nothing back.
 3. A watch whose history has been compacted is followed by a whole list, and the difference is told: a key
    that is missing from it is gone.
-4. An answer of an endpoint that lags behind `revision` is not believed. A store that has gone back (a
-   restored one) or has another cluster id is believed once a majority of the endpoints say so, and if its id
-   is the same only when they have said so for RESTORED_US. Then its list replaces everything.
-5. A watch that says nothing for SILENCE_US, though it was asked to say how far it is, is dead.
+4. An answer of an endpoint that lags behind `revision` is not believed. A store of another cluster id is
+   believed once a majority of the endpoints has that id; one of the same id that has gone back (it was
+   restored) once all endpoints have, for `restored_us`. Then its list replaces everything.
+5. A watch that says nothing for `silence_us`, though it was asked to say how far it is, is dead.
 
 Times are microseconds of the caller's clock. Revisions are etcd's (the v3 API's data model: one counter for
 the whole store, raised by each change).
@@ -26,15 +26,22 @@
 from enum import Enum
 
 PAGE = 250  # keys a call: what is taken in at once stalls the loop
-CALL_US = 2_000_000  # the longest that a call may take
-ASK_US = 500_000  # of quiet, until the watch is asked how far it is
-SILENCE_US = 1_500_000  # of quiet, until it is dead
 AGAIN_US = 100_000  # after a round of all endpoints that failed; doubles
 AGAIN_MOST_US = 2_000_000
 RESTORED_US = 10_000_000
 KEYS_LIMIT = 50_000  # keys followed; a list that holds more is refused as a whole
 
 
+@dataclass(frozen=True, slots=True)
+class Times:
+    """Microseconds. After `ask_us` of quiet a watch is asked how far it is, after `silence_us` it is dead."""
+
+    call_us: int = 2_000_000  # the longest that a call may take
+    ask_us: int = 500_000
+    silence_us: int = 1_500_000
+    restored_us: int = RESTORED_US
+
+
 class Trouble(Enum):
     """Why a call failed, as far as it matters here."""
 
@@ -209,9 +216,16 @@
 
 
 class Follower:
-    def __init__(self, endpoints: int, seed: int, login: bool = False) -> None:
+    def __init__(
+        self,
+        endpoints: int,
+        seed: int,
+        login: bool = False,
+        times: Times = Times(),  # noqa: B008
+    ) -> None:
         """`endpoints`: how many there are, from 0. `login`: a user is set, so a token is needed."""
         self.endpoints = endpoints
+        self.times = times
         self.random = random.Random(seed)
         self.login = login
         self.has_token = False
@@ -268,7 +282,7 @@
             return False
         self.state = State.LOGGING_IN
         self.actions.append(LogIn(self._next_call(), self.endpoint))
-        self._alarm(now_us + CALL_US)
+        self._alarm(now_us + self.times.call_us)
         return True
 
     def _list(self, now_us: int) -> None:
@@ -276,27 +290,27 @@
             return
         self.state, self.page = State.LISTING, []
         self.actions.append(List(self._next_call(), self.endpoint, 0, b""))
-        self._alarm(now_us + CALL_US)
+        self._alarm(now_us + self.times.call_us)
 
     def _watch(self, now_us: int) -> None:
         if self._needs_login(now_us):
             return
         self.state = State.OPENING
         self.actions.append(Watch(self._next_call(), self.endpoint, self.revision + 1))
-        self._alarm(now_us + CALL_US)
+        self._alarm(now_us + self.times.call_us)
 
     def _on_woken(self, now_us: int) -> None:
         if self.state is State.RESTING:
             self._resume(now_us)
         elif self.state is State.WATCHING:
             quiet_us = now_us - self.heard_us
-            if quiet_us >= SILENCE_US:
+            if quiet_us >= self.times.silence_us:
                 self._fail(now_us, "the watch is open and says nothing")
-            elif quiet_us >= ASK_US:
+            elif quiet_us >= self.times.ask_us:
                 self.actions.append(AskProgress(self.call))
-                self._alarm(self.heard_us + SILENCE_US)
+                self._alarm(self.heard_us + self.times.silence_us)
             else:
-                self._alarm(self.heard_us + ASK_US)
+                self._alarm(self.heard_us + self.times.ask_us)
         else:
             self._fail(now_us, f"out of time while {self.state.value}")
 
@@ -358,7 +372,7 @@
         if event.more and event.pairs:
             revision = self.page_header.revision
             self.actions.append(List(self._next_call(), self.endpoint, revision, self.page[-1].key))
-            self._alarm(now_us + CALL_US)
+            self._alarm(now_us + self.times.call_us)
             return
         self._take_list(now_us)
 
@@ -403,9 +417,10 @@
             self.doubt.since_us = now_us
         self.doubt.said[self.endpoint] = header
         alike = [said for said in self.doubt.said.values() if said.cluster == header.cluster]
-        if len(alike) <= self.endpoints // 2:
-            return False
-        return header.cluster != self.cluster or now_us - self.doubt.since_us >= RESTORED_US
+        if header.cluster != self.cluster:
+            return len(alike) > self.endpoints // 2
+        is_old = now_us - self.doubt.since_us >= self.times.restored_us
+        return len(alike) == self.endpoints and is_old
 
     def _why_not(self, header: Header) -> str:
         if header.cluster != self.cluster:
@@ -443,7 +458,7 @@
         self.state = State.WATCHING
         self.failures = 0
         self.doubt = Doubt()
-        self._alarm(now_us + ASK_US)
+        self._alarm(now_us + self.times.ask_us)
         if not self.current:
             self.current = True
             self.actions.append(Trust(True, ""))
--- /dev/null
+++ b/rosedeal/etcd/source.py
@@ -0,0 +1,180 @@
+"""etcd as a source of hosts: the follower, its calls and the gateway's loop put together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from rosedeal.etcd.client import Calls, Login
+from rosedeal.etcd.follow import (
+    Alarm,
+    AskProgress,
+    Begin,
+    End,
+    Event,
+    Failed,
+    Follower,
+    List,
+    LogIn,
+    Shout,
+    Tell,
+    Times,
+    Trust,
+    Watch,
+    Watched,
+    Woken,
+)
+from rosedeal.etcd.hosts import Hosts
+from rosedeal.etcd.values import Places
+from rosedeal.gateway.config import Address, Config
+from rosedeal.gateway.proxy import Proxy
+from rosedeal.gateway.sources import News, Tell as TellNews
+from rosedeal.interface import ListKind
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    endpoints: tuple[Address, ...]
+    prefix: bytes
+    seed: int
+    times: Times
+    tls: ssl.SSLContext | None = None
+    login: Login | None = None
+
+
+class EtcdSource:
+    """A dynamic source. It follows the prefix from its start to its close, whatever etcd does."""
+
+    name, rank, dynamic, fallback = "etcd", 10, True, False
+
+    def __init__(
+        self,
+        options: Options,
+        loop: asyncio.AbstractEventLoop,
+        now_us: Callable[[], int],
+        places: Places,
+        news: TellNews,
+    ) -> None:
+        self.options = options
+        self.loop = loop
+        self.now_us = now_us
+        self.news = news
+        self.hosts = Hosts(options.prefix, places)
+        self.follower = Follower(
+            len(options.endpoints), options.seed, login=options.login is not None, times=options.times
+        )
+        self.calls = Calls(
+            loop,
+            options.endpoints,
+            options.prefix,
+            options.tls,
+            options.login,
+            self.feed,
+            options.times.call_us / 1e6,
+        )
+        self.slicing: asyncio.Handle | None = None
+        self.alarm: asyncio.TimerHandle | None = None
+        self.trouble = "not reached yet"
+        self.closed = False
+
+    def start(self) -> None:
+        self.feed(Begin())
+
+    def watch(self, on: bool) -> None:
+        """Nothing to do: it always watches."""
+
+    def fetch(self) -> None:
+        """Nothing to do: the watch is up to date, or a list is on its way."""
+
+    def describe(self) -> str:
+        follower = self.follower
+        host, port = self.options.endpoints[follower.endpoint]
+        where = f"{host}:{port}, revision {follower.revision}, {follower.state.value}"
+        return f"{where}; {self.trouble}" if self.trouble else where
+
+    def feed(self, event: Event) -> None:
+        if self.closed:
+            return
+        for action in self.follower.handle(self.now_us(), event):
+            match action:
+                case List() | Watch() | LogIn() | AskProgress() | End():
+                    self.calls.carry_out(action)
+                case Alarm():
+                    if self.alarm is not None:
+                        self.alarm.cancel()
+                    delay_s = max(0, action.at_us - self.now_us()) / 1e6
+                    self.alarm = self.loop.call_later(delay_s, self.feed, Woken(action.token))
+                case Tell():
+                    for note in self.hosts.take(action.changes):
+                        log.warning("etcd: %s", note)
+                    if self.slicing is None:
+                        self.tell_slice()
+                case Trust():
+                    self._trust(action)
+                case Shout():
+                    log.error("etcd: %s", action.text)
+        if isinstance(event, Watched) and not event.changes:
+            self.news(News(ListKind.DELTA))  # a word, though nothing has changed
+
+    def _trust(self, action: Trust) -> None:
+        self.trouble = action.why
+        if action.current:
+            log.info("etcd: followed at revision %d", self.follower.revision)
+            self.news(News(ListKind.DELTA))
+        else:
+            log.warning("etcd: %s; the last list stands", action.why)
+            self.news(News(ListKind.ERROR))
+
+    def tell_slice(self) -> None:
+        """A slice now, and the rest in further turns of the loop: requests go on in between."""
+        self.slicing = None
+        news = self.hosts.next_slice()
+        if news is None or self.closed:
+            return
+        self.news(news)
+        if self.hosts.urgent or self.hosts.waiting:
+            self.slicing = self.loop.call_soon(self.tell_slice)
+
+    def close(self) -> None:
+        self.closed = True
+        if self.alarm is not None:
+            self.alarm.cancel()
+        self.calls.close()
+
+
+class EtcdRoom:
+    """Lets the source into the gateway."""
+
+    def __init__(self, options: Options) -> None:
+        self.options = options
+        self.source: EtcdSource | None = None
+
+    def join(self, proxy: Proxy) -> None:
+        names = proxy.config.names
+        places = Places(
+            {name: number for number, name in enumerate(names.zones)},
+            {name: number for number, name in enumerate(names.kinds)},
+            proxy.settings.zone,
+        )
+        self.source = EtcdSource(
+            self.options, proxy.loop, proxy.clock.now_us, places, partial(proxy.hear, EtcdSource.name)
+        )
+        proxy.add_source(self.source)
+
+    async def start(self) -> None:
+        """It begins with the other sources."""
+
+    def reload(self, config: Config) -> None:
+        """Endpoints and credentials need a restart; a password file is read anew at each login."""
+
+    async def close(self) -> None:
+        """It is closed with the other sources."""
+
+
+__all__ = ["EtcdRoom", "EtcdSource", "Failed", "Options"]
--- a/rosedeal/gateway/discovery.py
+++ b/rosedeal/gateway/discovery.py
@@ -168,7 +168,7 @@
 class Discovery:
     """A source of hosts. Carries out the balancer's calls; `news` gets each answer, in order."""
 
-    name, rank, dynamic = PLATFORM, 0, True
+    name, rank, dynamic, fallback = PLATFORM, 0, True, False
 
     def __init__(
         self,
@@ -270,6 +270,9 @@
                 return
         self.news(News(ListKind.ERROR))
 
+    def describe(self) -> str:
+        return "{}:{}, version {}".format(*self.address, self.index)
+
     def close(self) -> None:
         self.stop_watch()
         for call in self.fetches:
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -19,7 +19,7 @@
 from rosedeal.gateway.config import Address, Config, needs_restart
 from rosedeal.gateway.discovery import Discovery
 from rosedeal.gateway.roster import Roster
-from rosedeal.gateway.sources import HostSource, News
+from rosedeal.gateway.sources import PLATFORM, HostSource, News
 from rosedeal.gateway.upstream import Answer, Exchange, Upstream
 from rosedeal.interface import (
     Action,
@@ -175,7 +175,7 @@
     def add_source(self, source: HostSource) -> None:
         """A further source of hosts, before the start. What it says it hands to `hear`, under its name."""
         self.sources[source.name] = source
-        self.roster.add_source(source.name, source.rank, source.dynamic)
+        self.roster.add_source(source.name, source.rank, source.dynamic, source.fallback)
 
     async def start(self) -> None:
         if self.settings.may_message and self.config.peer_listen is not None:
@@ -422,8 +422,14 @@
     # The list, peers
 
     def hear(self, source: str, news: News) -> None:
-        """A source of hosts says something."""
-        self.on_news(self.roster.hear(self.clock.now_us(), source, news))
+        """A source of hosts says something.
+
+        That another source than the platform fails, or has nothing new, is between it and the roster: the
+        balancer's answer to a failure is to ask the platform again.
+        """
+        news = self.roster.hear(self.clock.now_us(), source, news)
+        if source == PLATFORM or news.entries or news.kind is ListKind.FULL:
+            self.on_news(news)
 
     def drain(self, name: str, by: str, action: str = "") -> None:
         """Drain a host by hand: in effect when this returns. Raises RosterError for one that is unknown."""
--- a/rosedeal/gateway/roster.py
+++ b/rosedeal/gateway/roster.py
@@ -8,7 +8,9 @@
    silent.
 3. A drain by hand turns a host that serves into one that drains, whatever any source says of it, under
    whatever start time or address, until it is undone by hand. It never brings a host back that is gone.
-4. What goes on to the balancer keeps the kind of the news that caused it: a whole list stays a whole list
+4. What a fallback source names counts only until a dynamic source has said something useful. Then its hosts
+   are gone, but for those that another source names.
+5. What goes on to the balancer keeps the kind of the news that caused it: a whole list stays a whole list
    (of all that is known), a change names what changed.
 """
 
@@ -60,6 +62,7 @@
     name: str
     rank: int
     dynamic: bool
+    fallback: bool = False
     heard_us: int = 0
     failing_since_us: int = 0
     words: dict[str, Word] = field(default_factory=dict)
@@ -84,8 +87,8 @@
         self.sources: dict[str, SourceState] = {}
         self.drains: dict[str, HandDrain] = {}
 
-    def add_source(self, name: str, rank: int, dynamic: bool) -> None:
-        self.sources[name] = SourceState(name, rank, dynamic)
+    def add_source(self, name: str, rank: int, dynamic: bool, fallback: bool = False) -> None:
+        self.sources[name] = SourceState(name, rank, dynamic, fallback)
         self.sources = dict(sorted(self.sources.items(), key=lambda item: item[1].rank))
 
     # What sources say
@@ -96,6 +99,7 @@
         if news.kind is ListKind.ERROR:
             state.failing_since_us = state.failing_since_us or now_us
             return news
+        ends_fallback = state.dynamic and not self._taken_over()
         state.heard_us, state.failing_since_us = now_us, 0
         named = {entry.name: Word(entry, now_us) for entry in news.entries}
         if news.kind is not ListKind.DELTA:
@@ -105,9 +109,28 @@
         if len(self.sources) == 1 and not self.drains:
             return news  # nothing to merge: as the source said it
         if news.kind is ListKind.DELTA:
-            return News(news.kind, self._merged(named))
+            replaced = [n for s in self.sources.values() if s.fallback and ends_fallback for n in s.words]
+            return News(
+                news.kind, (*self._merged(named), *self._merged(n for n in replaced if n not in named))
+            )
         return News(news.kind, self._listed())
 
+    def _taken_over(self) -> bool:
+        """Whether a dynamic source has spoken, so that fallback sources no longer count."""
+        return any(state.dynamic and state.heard_us for state in self.sources.values())
+
+    def _words(self, name: str) -> list[tuple[SourceState, Word]]:
+        """Who speaks of a host, the strongest first; a fallback that no longer counts calls it gone."""
+        taken_over = self._taken_over()
+        words = []
+        for state in self.sources.values():
+            word = state.words.get(name)
+            if word is not None and state.fallback and taken_over:
+                word = Word(_with_status(word.entry, ServerStatus.GONE), word.at_us)
+            if word is not None:
+                words.append((state, word))
+        return words
+
     def _miss(self, state: SourceState, named: dict[str, Word], now_us: int) -> None:
         """A whole list has come: what it lacks is gone, or for a static source no longer spoken of."""
         for name, word in list(state.words.items()):
@@ -156,10 +179,10 @@
 
     def entry(self, name: str) -> Entry | None:
         """The host as the balancer knows it, or None for one that no source has ever named."""
-        words = [s.words[name] for s in self.sources.values() if name in s.words]
+        words = self._words(name)
         if not words:
             return None
-        entry = words[0].entry
+        entry = words[0][1].entry
         if name in self.drains and entry.server.status is ServerStatus.READY:
             return _with_status(entry, ServerStatus.DRAINING)
         return entry
@@ -170,11 +193,7 @@
         for name in dict.fromkeys(name for s in self.sources.values() for name in s.words):
             entry = self.entry(name)
             assert entry is not None
-            said = tuple(
-                (s.name, s.words[name].entry.server.status, s.words[name].at_us)
-                for s in self.sources.values()
-                if name in s.words
-            )
+            said = tuple((s.name, w.entry.server.status, w.at_us) for s, w in self._words(name))
             views.append(HostView(entry, said[0][0], said, self.drains.get(name)))
         return tuple(views)
 
--- a/rosedeal/gateway/sources.py
+++ b/rosedeal/gateway/sources.py
@@ -41,7 +41,7 @@
 
     `rank` orders sources: where several speak of one host, the lowest rank that does is believed. A source
     that is not `dynamic` (a file) has no say about what it no longer names; a dynamic one that stops naming a
-    host has said that it is gone.
+    host has said that it is gone. What a `fallback` source names counts only until a dynamic one has spoken.
     """
 
     @property
@@ -50,6 +50,8 @@
     def rank(self) -> int: ...
     @property
     def dynamic(self) -> bool: ...
+    @property
+    def fallback(self) -> bool: ...
 
     def start(self) -> None:
         """Begin to speak; the first news may come from within the call."""
@@ -60,6 +62,9 @@
     def fetch(self) -> None:
         """The balancer wants the whole list once. May do nothing."""
 
+    def describe(self) -> str:
+        """Where it listens and how that goes, for people."""
+
     def close(self) -> None:
         """Say nothing more."""
 
--- a/rosedeal/site/convert.py
+++ b/rosedeal/site/convert.py
@@ -17,8 +17,8 @@
     """The configuration of a gateway that has no platform. Raises ConfigError."""
     if not site.classes:
         raise ConfigError("the operator file names no class: add a [[class]] table")
-    if not site.boxes and site.site.discovery is None:
-        raise ConfigError("the operator file names no box: add a [[box]] table, or site.discovery")
+    if not site.boxes and site.site.discovery is None and site.etcd is None:
+        raise ConfigError("the operator file names no box: add a [[box]] table, site.discovery or [etcd]")
     zones, kinds = _zones(site), _kinds(site)
     try:
         settings = Settings(
--- a/rosedeal/site/read.py
+++ b/rosedeal/site/read.py
@@ -16,7 +16,7 @@
 
 from rosedeal.gateway.config import ConfigError
 from rosedeal.site.locate import line_of, lines_of
-from rosedeal.site.schema import BoxTable, ClassTable, Fleet, Limits, Site, SiteTable, decode
+from rosedeal.site.schema import BoxTable, ClassTable, EtcdTable, Fleet, Limits, Site, SiteTable, decode
 
 SIZE_LIMIT = 1024 * 1024  # bytes of a file
 FOUND_LIMIT = 60  # characters of a wrong value that an error repeats
@@ -26,6 +26,7 @@
     "site": SiteTable,
     "limits": Limits,
     "fleet": Fleet,
+    "etcd": EtcdTable,
     "class": ClassTable,
     "box": BoxTable,
 }
@@ -113,11 +114,32 @@
         found.append(
             ("fleet.start_capacity", "means nothing without warm_after, the time until a box is warm")
         )
+    if site.etcd is not None:
+        found += _of_etcd(site.etcd)
     if site.fleet.overload_within < 1_000:
         found.append(("fleet.overload_within", 'found less than "1ms"; allowed: "1ms" or more'))
     return found
 
 
+def _of_etcd(etcd: EtcdTable) -> list[tuple[str, str]]:
+    found: list[tuple[str, str]] = []
+    if (etcd.certificate is None) is not (etcd.key is None):
+        found.append(("etcd.certificate", "needs a key, and the key a certificate"))
+    if etcd.certificate is not None and etcd.ca is None:
+        found.append(("etcd.ca", "is missing: a certificate is shown only over TLS"))
+    passwords = [name for name in (etcd.password_file, etcd.password_env) if name is not None]
+    if etcd.user is not None and len(passwords) != 1:
+        found.append(("etcd.user", "needs password_file or password_env, one of them"))
+    if etcd.user is None and passwords:
+        found.append(("etcd", "holds a password and no user"))
+    for key, value in (("call_within", etcd.call_within), ("silent_after", etcd.silent_after)):
+        if not 50_000 <= value <= 60_000_000:
+            found.append((f"etcd.{key}", 'allowed: from "50ms" to "1min"'))
+    if len(set(etcd.endpoints)) < len(etcd.endpoints):
+        found.append(("etcd.endpoints", "names an endpoint twice"))
+    return found
+
+
 def _explain(message: str, raw: dict[str, Any], lines: dict[str, int], file: str) -> SiteError:
     match = AT.fullmatch(message)
     assert match is not None
--- a/rosedeal/site/schema.py
+++ b/rosedeal/site/schema.py
@@ -127,10 +127,27 @@
     weight: Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)] = 1.0
 
 
+class EtcdTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Boxes that an etcd names under a prefix. A relative path is taken from the operator file's folder."""
+
+    endpoints: Annotated[list[Address], msgspec.Meta(min_length=1, max_length=16)]
+    prefix: Annotated[str, msgspec.Meta(min_length=1, max_length=256)] = "/boxes/"
+    boxes_of_this_file: Literal["until-heard", "beside"] = "until-heard"
+    ca: Path | None = None  # certificates that its members are verified by; None: no TLS
+    certificate: Path | None = None  # of this gateway, with `key`
+    key: Path | None = None
+    user: Annotated[str, msgspec.Meta(min_length=1, max_length=256)] | None = None
+    password_file: Path | None = None
+    password_env: Annotated[str, msgspec.Meta(min_length=1, max_length=256)] | None = None
+    call_within: Duration = Duration(2_000_000)
+    silent_after: Duration = Duration(1_500_000)
+
+
 class Site(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     site: SiteTable
     limits: Limits = Limits()
     fleet: Fleet = Fleet()
+    etcd: EtcdTable | None = None
     classes: Annotated[list[ClassTable], msgspec.Meta(max_length=64)] = msgspec.field(
         name="class", default_factory=list
     )
--- a/rosedeal/site/source.py
+++ b/rosedeal/site/source.py
@@ -21,7 +21,11 @@
 
     name, rank, dynamic = "file", 90, False
 
-    def __init__(self, boxes: Iterable[BoxTable], names: Names, own_zone: int, news: Tell) -> None:
+    def __init__(
+        self, boxes: Iterable[BoxTable], names: Names, own_zone: int, fallback: bool, news: Tell
+    ) -> None:
+        """`fallback`: its boxes count only until another source has spoken."""
+        self.fallback = fallback
         self.boxes = tuple(boxes)
         self.zones = {name: number for number, name in enumerate(names.zones)}
         self.kinds = {name: number for number, name in enumerate(names.kinds)}
@@ -48,6 +52,9 @@
     def fetch(self) -> None:
         """The list as it stands; the file is read again at SIGHUP only."""
 
+    def describe(self) -> str:
+        return "until another source has spoken" if self.fallback else ""
+
     def close(self) -> None:
         self.news = lambda _: None
 
@@ -63,9 +70,10 @@
     def join(self, proxy: Proxy) -> None:
         if self.store is not None:
             proxy.roster.restore(self.store.load())
-        config = proxy.config
+        config, site = proxy.config, self.site()
+        fallback = site.etcd is not None and site.etcd.boxes_of_this_file == "until-heard"
         self.source = FileSource(
-            self.site().boxes, config.names, config.settings.zone, partial(proxy.hear, FileSource.name)
+            site.boxes, config.names, config.settings.zone, fallback, partial(proxy.hear, FileSource.name)
         )
         proxy.add_source(self.source)
 
