--- a/rosedeal/cli/demo.py
+++ b/rosedeal/cli/demo.py
@@ -30,8 +30,9 @@
 listen = "127.0.0.1:0"
 admin = "admin.sock"
 state = "state"
-discovery = "{registry}"
+{discovery}
 
+{etcd}
 [fleet]
 start_capacity = 0.15
 warm_after = "12s"
@@ -62,9 +63,9 @@
 
 
 class Demo:
-    def __init__(self, folder: Path, boxes: int, rate: float) -> None:
+    def __init__(self, folder: Path, boxes: int, rate: float, etcd: bool) -> None:
         self.folder = folder
-        self.boxes, self.rate = boxes, rate
+        self.boxes, self.rate, self.etcd = boxes, rate, etcd
         self.children: list[subprocess.Popen[str]] = []
         self.stage: subprocess.Popen[str] | None = None
 
@@ -74,13 +75,19 @@
 
     def start(self) -> None:
         """Raises DemoError."""
-        self.stage = self._child("rosedeal.standins", "--boxes", str(self.boxes), log="stand-ins.log")
+        arguments = ["--boxes", str(self.boxes), *["--etcd"] * self.etcd]
+        self.stage = self._child("rosedeal.standins", *arguments, log="stand-ins.log")
         assert self.stage.stdout is not None
         line = self.stage.stdout.readline()
         if not line:
             raise DemoError("the stand-ins did not start")
         site = self.folder / "demo.toml"
-        site.write_text(SITE.format(registry=json.loads(line)["registry"]))
+        told = json.loads(line)
+        if self.etcd:
+            table = f"[etcd]\nendpoints = {json.dumps(told['etcd'])}\n"
+            site.write_text(SITE.format(discovery="", etcd=table))
+        else:
+            site.write_text(SITE.format(discovery=f'discovery = "{told["registry"]}"', etcd=""))
         self._child("rosedeal.cli", "serve", str(site), "--until-stdin-ends", log="gateway.log")
         listen = self._await_gateway()
         self.tell(f"load {listen} {self.rate}")
@@ -141,12 +148,12 @@
                 child.wait()
 
 
-def demo(boxes: int, rate: float, seconds: float, console: bool) -> int:
+def demo(boxes: int, rate: float, seconds: float, console: bool, etcd: bool) -> int:
     """Run the demo; returns the exit code."""
     console = console and sys.stdin.isatty() and sys.stdout.isatty()
     signal.signal(signal.SIGTERM, _interrupt)
     with tempfile.TemporaryDirectory(prefix="badgergap-demo-") as name:
-        show = Demo(Path(name), boxes, rate)
+        show = Demo(Path(name), boxes, rate, etcd)
         try:
             show.start()
             if console:
--- a/rosedeal/cli/main.py
+++ b/rosedeal/cli/main.py
@@ -50,6 +50,8 @@
     demo.add_argument("--rate", type=_rate, default=60.0, help="requests a second of the clients (1 to 2000)")
     demo.add_argument("--boxes", type=_boxes, default=6, help="how many boxes (2 to 200)")
 
+    demo.add_argument("--etcd", action="store_true", help="name the boxes in a stand-in etcd, and follow it")
+
     for name, text in (("serve", "run a gateway from an operator file"), ("check", "check an operator file")):
         command = commands.add_parser(name, help=text)
         command.add_argument("file", type=Path, metavar="FILE", help="the operator file, TOML")
@@ -87,7 +89,7 @@
             case "demo":
                 from rosedeal.cli.demo import demo  # the stand-ins, which a gateway never imports
 
-                return demo(args.boxes, args.rate, args.seconds, console=not args.no_console)
+                return demo(args.boxes, args.rate, args.seconds, console=not args.no_console, etcd=args.etcd)
             case "console":
                 return console(_socket(args), args.by or user(), args.ascii)
             case "status":
--- a/rosedeal/standins/__main__.py
+++ b/rosedeal/standins/__main__.py
@@ -12,11 +12,12 @@
 from rosedeal.standins.fleet import Fleet
 
 
-async def run(count: int, plain: bool) -> None:
-    fleet = Fleet(count, plain)
+async def run(count: int, plain: bool, etcd: bool) -> None:
+    fleet = Fleet(count, plain, etcd)
     await fleet.start()
     boxes = {name: box.address for name, box in fleet.boxes.items()}
-    print(json.dumps({"registry": fleet.registry.address, "boxes": boxes}), flush=True)
+    endpoints = [f"{host}:{port}" for host, port in fleet.etcd.endpoints] if fleet.etcd is not None else []
+    print(json.dumps({"registry": fleet.registry.address, "etcd": endpoints, "boxes": boxes}), flush=True)
     reader = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(
         lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
@@ -27,15 +28,18 @@
         except (ValueError, OSError) as error:
             print(f"not done: {error}", file=sys.stderr, flush=True)
     fleet.stop()
+    if fleet.etcd is not None:
+        await fleet.etcd.stop()
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(prog="python -m rosedeal.standins", description=__doc__)
     parser.add_argument("--boxes", type=int, default=6)
     parser.add_argument("--plain", action="store_true", help="all boxes warm, and answering at once")
+    parser.add_argument("--etcd", action="store_true", help="name the boxes in a stand-in etcd")
     args = parser.parse_args()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(run(args.boxes, args.plain))
+        runner.run(run(args.boxes, args.plain, args.etcd))
 
 
 if __name__ == "__main__":
--- a/rosedeal/standins/fleet.py
+++ b/rosedeal/standins/fleet.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Coroutine
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from rosedeal.standins.box import Box
 from rosedeal.standins.load import Kind, Load
 from rosedeal.standins.registry import LiveRegistry
 
+if TYPE_CHECKING:
+    from rosedeal.standins.etcd import Etcd
+
+PREFIX = "/boxes/"
+
 # The classes of a tournament: what they take on a box of full speed, and how clients ask for them.
 WORK_S = {"result-entry": 0.012, "standings": 0.018, "deck-check": 0.040}
 KINDS = (
@@ -26,11 +32,17 @@
 class Fleet:
     """`count` boxes called box-1 and so on. The last one is slow, and the one before it starts cold.
 
-    `plain`: none is, and all answer at once: for benchmarks.
+    `plain`: none is, and all answer at once: for benchmarks. `etcd`: a stand-in etcd of three members names
+    them, under /boxes/, and not the registry.
     """
 
-    def __init__(self, count: int, plain: bool = False) -> None:
+    def __init__(self, count: int, plain: bool = False, etcd: bool = False) -> None:
         self.plain = plain
+        self.etcd: Etcd | None = None
+        if etcd:
+            from rosedeal.standins.etcd import Etcd  # its libraries are an extra of their own
+
+            self.etcd = Etcd()
         self.boxes: dict[str, Box] = {}
         self.registry = LiveRegistry()
         self.loads: list[Load] = []
@@ -50,7 +62,20 @@
         cold = list(self.boxes)[-2] if len(self.boxes) > 2 and not self.plain else ""
         for name, box in self.boxes.items():
             await box.start(cold=name == cold)
-            self.registry.set(name, box.address, since_ms=box.started_ms)
+            self.say(name, "active")
+        if self.etcd is not None:
+            await self.etcd.start(3)
+
+    def say(self, name: str, status: str) -> None:
+        """Name a box, or a change of it, where the gateway looks."""
+        box = self.boxes[name]
+        if self.etcd is None:
+            self.registry.set(name, box.address, status, since_ms=box.started_ms)
+        elif status == "left":
+            self.etcd.delete(PREFIX + name)
+        else:
+            entry = {"address": box.address, "status": status, "since_ms": box.started_ms}
+            self.etcd.put(PREFIX + name, json.dumps(entry))
 
     async def command(self, line: str) -> str:
         """One command in words; returns what was done. Raises ValueError."""
@@ -72,6 +97,15 @@
             case ["slow", name, factor] if name in self.boxes:
                 self.boxes[name].slow = max(0.0, float(factor))
                 return f"{name} is slow by {factor}"
+            case ["etcd", "cut" | "refuse" | "serve" as what, number] if self.etcd is not None:
+                member = self.etcd.members[int(number) % len(self.etcd.members)]
+                if what == "cut":
+                    member.relay.cut()
+                elif what == "refuse":
+                    member.relay.refuse()
+                elif member.relay.listener is None:
+                    await member.relay.start()
+                return f"etcd member {number}: {what}"
             case ["load", address, rate]:
                 host, _, port = address.rpartition(":")
                 load = Load(host, int(port), KINDS)
@@ -87,7 +121,7 @@
         """Unless it has changed again meanwhile."""
         box = self.boxes[name]
         if box.alive is (status == "active"):
-            self.registry.set(name, box.address, status, since_ms=box.started_ms)
+            self.say(name, status)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/rosedeal/standins/relay.py
+++ b/rosedeal/standins/relay.py
@@ -48,6 +48,9 @@
             task.cancel()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.listener is None:  # it was in the backlog
+            writer.transport.abort()
+            return
         self.connections += 1
         self.writers.add(writer)
         try:
--- /dev/null
+++ b/tests/etcd/harness.py
@@ -0,0 +1,152 @@
+"""A gateway in this process that follows a stand-in etcd, with stand-in boxes behind it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from rosedeal.etcd import EtcdRoom, EtcdSource, Options, Times
+from rosedeal.gateway.config import Config, parse_config
+from rosedeal.gateway.downstream import Downstream
+from rosedeal.gateway.proxy import Proxy
+from rosedeal.interface import ServerStatus
+from rosedeal.standins.box import Box
+from rosedeal.standins.etcd import Etcd
+from rosedeal.standins.load import Kind, Load
+from tests.sockets import configuration, settings
+
+PREFIX = "/boxes/"
+# Short, so that tests wait for little. A busy machine makes a watch look dead now and then: that costs a
+# resume and changes no verdict.
+TIMES = Times(call_us=2_000_000, ask_us=100_000, silence_us=600_000, restored_us=500_000)
+KINDS = (Kind("look", "safe", 5.0, 10.0), Kind("pay", "keyed", 5.0, 10.0), Kind("buy", "unsafe", 5.0, 10.0))
+
+
+def value(box: Box, status: str = "active", **extra: object) -> str:
+    return json.dumps({"address": box.address, "status": status, **extra})
+
+
+@dataclass
+class Told:
+    """When the gateway's sockets had brought the word that a box is out, by time.monotonic()."""
+
+    box: str
+    at: float
+
+
+@dataclass
+class Site:
+    etcd: Etcd
+    proxy: Proxy
+    downstream: Downstream
+    source: EtcdSource
+    boxes: dict[str, Box]
+    port: int
+    out: list[Told] = field(default_factory=list)
+    back: list[Told] = field(default_factory=list)
+
+    def load(self, seed: int = 1) -> Load:
+        return Load("127.0.0.1", self.port, KINDS, seed)
+
+    def put(self, name: str, status: str = "active", **extra: object) -> int:
+        return self.etcd.put(PREFIX + name, value(self.boxes[name], status, **extra))
+
+    def delete(self, name: str) -> int:
+        return self.etcd.delete(PREFIX + name)
+
+    def known(self) -> dict[str, str]:
+        """What the gateway would send to, or drain: by name."""
+        views = (view.entry for view in self.proxy.roster.view())
+        return {e.name: e.server.status.value for e in views if e.server.status is not ServerStatus.GONE}
+
+    def truth(self) -> dict[str, str]:
+        """What the store says, as the gateway should see it."""
+        found = {}
+        for key, version in self.etcd.store.at(PREFIX.encode(), b"/boxes0"):
+            status = json.loads(version.value or b"")["status"]
+            found[key.decode().removeprefix(PREFIX)] = {"active": "ready", "leaving": "draining"}[status]
+        return found
+
+    async def until_true(self) -> None:
+        """Wait until the gateway knows what the store says, and trusts it."""
+        while self.known() != self.truth() or not self.source.follower.current:
+            await asyncio.sleep(0.005)
+
+    def late(self, grace_s: float = 0.5) -> list[str]:
+        """Requests that reached a box after it was told to be out, and the grace was over."""
+        found = []
+        for told in self.out:
+            ended = min((b.at for b in self.back if b.box == told.box and b.at >= told.at), default=1e18)
+            for seen in self.boxes[told.box].seen:
+                if told.at + grace_s < seen.at < ended:
+                    found.append(f"{told.box}: {seen.id} {seen.at - told.at:.3f} s late")
+        return found
+
+
+@asynccontextmanager
+async def site(
+    count: int = 4, members: int = 3, static: Sequence[str] = (), etcd: Etcd | None = None, **options: Any
+) -> AsyncIterator[Site]:
+    """`static`: boxes that stand in the platform's known list as well. All boxes are put into the store."""
+    boxes = {f"box-{n + 1}": Box(f"box-{n + 1}", cores=16, queue=10_000) for n in range(count)}
+    for box in boxes.values():
+        await box.start()
+    if etcd is None:
+        etcd = Etcd()
+        await etcd.start(members)
+        for box in boxes.values():
+            etcd.store.put((PREFIX + box.name).encode(), value(box).encode())
+    known = {name: boxes[name].address for name in static}
+    raw = configuration(known, "127.0.0.1:9", settings={**settings(), "membershipMode": "pushed"})
+    config = parse_config(raw)
+    if not static:
+        config = without_discovery(config)
+    loop = asyncio.get_running_loop()
+    proxy = Proxy(config, loop)
+    downstream = Downstream(config, proxy, loop)
+    room = EtcdRoom(
+        Options(tuple(etcd.endpoints), PREFIX.encode(), seed=1, **({"times": TIMES, "tls": None} | options))
+    )
+    room.join(proxy)
+    assert room.source is not None
+    await proxy.start()
+    _, port = await downstream.start()
+    it = Site(etcd, proxy, downstream, room.source, boxes, port)
+    _note_words(it)
+    try:
+        yield it
+    finally:
+        downstream.stop_listening()
+        for connection in list(downstream.connections):
+            connection.close()
+        proxy.close()
+        await etcd.stop()
+        for box in boxes.values():
+            box.die()
+        await asyncio.sleep(0)
+
+
+def _note_words(it: Site) -> None:
+    """Note when the source hears of each box that it is out, before anything is done about it."""
+    take = it.source.hosts.take
+
+    def noting(changes: Any) -> list[str]:
+        changes, now = list(changes), time.monotonic()
+        for change in changes:
+            name = change.key.decode().removeprefix(PREFIX)
+            serves = change.value is not None and b'"active"' in change.value
+            (it.back if serves else it.out).append(Told(name, now))
+        return take(changes)
+
+    it.source.hosts.take = noting  # type: ignore[method-assign]
+
+
+def without_discovery(config: Config) -> Config:
+    from dataclasses import replace
+
+    return replace(config, discovery=None)
--- a/tests/site/test_file.py
+++ b/tests/site/test_file.py
@@ -78,9 +78,10 @@
     text = SHIPPED.read_text()
     plain = to_config(read_site(SHIPPED), 1)
     no_default = ("admin", "zone", "discovery", "kind")
-    lines = []
+    lines, in_etcd = [], False
     for line in text.splitlines():
-        match = re.match(r"# (\w+) = ", line)
+        in_etcd = (line.startswith("# [etcd]") or in_etcd) and bool(line)
+        match = None if in_etcd else re.match(r"# (\w+) = ", line)
         lines.append(line[2:] if match and match[1] not in no_default else line)
     assert sum(a != b for a, b in zip(lines, text.splitlines(), strict=True)) >= 15
     assert to_config(parse_site("\n".join(lines), "f"), 1) == plain
@@ -268,3 +269,46 @@
         assert 1 <= error.line <= text.count("\n") + 1
     except ConfigError as error:
         assert str(error).isprintable()
+
+
+ETCD = """
+[etcd]
+endpoints = ["127.0.0.1:2379", "[::1]:2379"]
+ca = "ca.pem"
+certificate = "me.pem"
+key = "key.pem"
+user = "gateway"
+password_env = "SECRET"
+"""
+
+BAD_ETCD = [
+    ('"127.0.0.1:2379"', '"etcd.example:2379"', "etcd.endpoints[0]", "such as"),
+    ('"[::1]:2379"', '"127.0.0.1:2379"', "etcd.endpoints", "twice"),
+    ('["127.0.0.1:2379", "[::1]:2379"]', "[]", "etcd.endpoints", "length >= 1"),
+    ('key = "key.pem"\n', "", "etcd.certificate", "needs a key"),
+    ('ca = "ca.pem"\n', "", "etcd.ca", "over TLS"),
+    ('password_env = "SECRET"\n', "", "etcd.user", "one of them"),
+    ('password_env = "SECRET"', 'password = "hunter2"', "etcd.password", '"password_env"?'),
+    ('user = "gateway"\n', "", "etcd", "no user"),
+    ('ca = "ca.pem"', 'ca = "ca.pem"\nsilent_after = "1ms"', "etcd.silent_after", "50ms"),
+    (
+        'ca = "ca.pem"',
+        'ca = "ca.pem"\nboxes_of_this_file = "never"',
+        "etcd.boxes_of_this_file",
+        "until-heard",
+    ),
+]
+
+
+def test_the_etcd_table() -> None:
+    site = parse_site(GOOD + ETCD, "f")
+    assert site.etcd is not None and [e.pair for e in site.etcd.endpoints][1] == ("::1", 2379)
+    to_config(parse_site(GOOD.partition("[[box]]")[0] + ETCD, "f"), 1)  # boxes need not be in the file
+
+
+@pytest.mark.parametrize(("there", "instead", "key", "says"), BAD_ETCD)
+def test_mistakes_in_the_etcd_table(there: str, instead: str, key: str, says: str) -> None:
+    assert there in ETCD
+    with pytest.raises(SiteError) as caught:
+        parse_site(GOOD + ETCD.replace(there, instead, 1), "site.toml")
+    assert caught.value.key == key and says in caught.value.why and "hunter2" not in str(caught.value)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -41,9 +41,9 @@
 E = TypeVar("E")
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
+def run(test: Coroutine[Any, Any, None], patience_s: float = PATIENCE_S) -> None:
     async def bounded() -> None:
-        async with asyncio.timeout(PATIENCE_S):
+        async with asyncio.timeout(patience_s):
             await test
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:  # the loop that the gateway runs on
