Take what makes a request valid out of the HTTP/1.1 connection into gateway/intake.py

Need: HTTP/3 is to bring requests in through the same checks, bounds and open ids as HTTP/1.1.

Change: the head's rules, class, tenant, deadline, key and open ids move to a module that knows no transport; HTTP/1.1 keeps its framing and its times. Nothing is decided in another way; the tests are the same.

--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -3,40 +3,32 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import logging
-import re
 from collections import deque
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
 from typing import cast
-from urllib.parse import parse_qs
 
 import httptools
 
 from rosedeal.gateway.config import Address, Config
+from rosedeal.gateway.intake import BODY_LIMIT, HEAD_LIMIT, BadRequest, Head, Intake
 from rosedeal.gateway.proxy import (
     RESERVED_SOCKETS,
     RETRY_AFTER,
     UPSTREAM_SHARE,
-    Asked,
     Proxy,
     Request,
     plain,
     refused,
 )
 from rosedeal.gateway.upstream import Answer
-from rosedeal.interface import Effect
 
 log = logging.getLogger(__name__)
 
-BODY_LIMIT = 64 * 1024
-HEAD_LIMIT = 16 * 1024
 # A body with its framing. Guards against chunk extensions and trailers that go on without end.
 RAW_LIMIT = 2 * HEAD_LIMIT + 2 * BODY_LIMIT
-TARGET_LIMIT = 4 * 1024
-ID_LIMIT = 128
 BACKLOG = 1024
 PIPELINED = 8  # requests read ahead of their turn on one connection
 IDLE_S = 5.0  # a connection between requests
@@ -69,53 +61,15 @@
         b"server-load",
     )
 )
-# What goes on to a host, each once and in this spelling; the deadline and the length are written anew. Guards
-# against heads that a host reads in another way than the gateway does: its 400 would count against the host.
-FORWARDED = {
-    name.lower(): name
-    for name in (
-        b"Host",
-        b"Request-Id",
-        b"Request-Class",
-        b"Tenant",
-        b"Idempotency-Key",
-        b"Client-Retry",
-        b"Work-Hint",
-        b"Request-Info",
-        b"Content-Type",
-        b"Content-Encoding",
-        b"Accept",
-        b"Accept-Encoding",
-        b"Accept-Language",
-        b"Authorization",
-        b"User-Agent",
-        b"Traceparent",
-        b"Tracestate",
-    )
-}
-# Said twice these are one list; anything else that is said twice is ambiguous.
-LISTS = frozenset((b"accept", b"accept-encoding", b"accept-language", b"content-encoding", b"tracestate"))
-READ_HERE = frozenset((b"request-timeout-ms", b"content-length", b"transfer-encoding", b"expect"))
-VALUE = re.compile(rb"[\t\x20-\x7e]*")
-TARGET = re.compile(rb"/[\x21\x23-\x7e]*")  # no space, no quote, nothing beyond ASCII
 VERSIONS = ("1.0", "1.1")
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
-class BadRequest(Exception):
-    def __init__(self, status: int, why: str, *headers: tuple[bytes, bytes]) -> None:
-        super().__init__(why)
-        self.answer = plain(status, why, *headers)
-
-
 @dataclass(slots=True)
-class Incoming:
+class Incoming(Head):
     """A request as it is read."""
 
     came_at: float = 0.0  # loop time of its last byte
-    target: bytes = b""
-    method: bytes = b""
-    headers: dict[bytes, bytes] = field(default_factory=dict)  # of those that count, by lower name
     body: list[bytes] = field(default_factory=list)
     size: int = 0
     raw: int = 0  # bytes since the first, however they are framed
@@ -124,33 +78,16 @@
     refusal: BadRequest | None = None  # what it is answered in its turn, without a look at the rest
     request_id: bytes = b""  # once it is among the open ones
 
-    def add_header(self, name: bytes, value: bytes) -> None:
-        name = name.lower()
-        if name not in FORWARDED and name not in READ_HERE:
-            return
-        if VALUE.fullmatch(value) is None:
-            raise BadRequest(400, "odd bytes in a header")
-        if name not in self.headers:
-            self.headers[name] = value
-        elif name in LISTS:
-            self.headers[name] += b", " + value
-        else:
-            raise BadRequest(400, "a header is repeated")
-
     def check_head(self, version: str) -> None:
         """What the head alone shows to be wrong, before any of the body has come."""
         if version not in VERSIONS:
             raise BadRequest(505, "neither HTTP/1.0 nor HTTP/1.1")
-        if len(self.target) > TARGET_LIMIT:
-            raise BadRequest(414, f"target over {TARGET_LIMIT} bytes")
-        if TARGET.fullmatch(self.target) is None:
-            raise BadRequest(400, "odd bytes in the target")
-        coding, length = self.headers.get(b"transfer-encoding"), self.headers.get(b"content-length")
-        if coding is not None and (length is not None or coding.lower() != b"chunked"):
+        self.check_target()
+        coding = self.headers.get(b"transfer-encoding")
+        if coding is not None and (b"content-length" in self.headers or coding.lower() != b"chunked"):
             raise BadRequest(400, "ambiguous length")
-        if length is not None and (_whole(length) is None or int(length) > BODY_LIMIT):
-            raise BadRequest(413, f"body over {BODY_LIMIT} bytes")
-        if self.method == b"GET" and (coding is not None or int(length or 0) > 0):
+        self.check_length()
+        if self.method == b"GET" and coding is not None:
             raise BadRequest(400, "GET with a body")
 
 
@@ -224,7 +161,7 @@
         """Nothing of the current request is wanted any more."""
         current, request, self.current, self.request = self.current, self.request, None, None
         if current is not None:
-            self.server.open_ids.discard(current.request_id)
+            self.server.intake.close_id(current.request_id)
         if request is not None:
             self.server.proxy.leave(request)
 
@@ -342,9 +279,9 @@
             return
         if self.refusing:
             raise BadRequest(503, "too many connections", (b"retry-after", RETRY_AFTER))
-        asked = self.server.read_request(incoming, self.server.loop.time())
+        asked = self.server.intake.read(incoming, incoming.body, self.server.loop.time() - incoming.came_at)
         self.asked = True
-        incoming.request_id = self.server.open_id(incoming)
+        incoming.request_id = self.server.intake.open_id(incoming)
         request = self.server.proxy.arrive(asked, partial(self.answer, incoming))
         if request is not None and request.reply is not None:
             self.request = request
@@ -354,7 +291,7 @@
             return
         # A connection is never closed on a request that has been read and not answered.
         last = not incoming.keep_alive or ((self.refusing or self.server.draining) and not self.waiting)
-        self.server.open_ids.discard(incoming.request_id)
+        self.server.intake.close_id(incoming.request_id)
         self.current = self.request = None
         self.write(answer_bytes(answer, last, incoming.method == b"HEAD"))
         self.since = self.server.loop.time()
@@ -423,13 +360,11 @@
 
     def __init__(self, config: Config, proxy: Proxy, loop: asyncio.AbstractEventLoop) -> None:
         self.config, self.proxy, self.loop = config, proxy, loop
-        self.classes = {name.encode(): number for number, name in enumerate(config.names.classes)}
-        self.tenants = {name.encode(): number for number, name in enumerate(config.names.tenants)}
+        self.intake = Intake(config)
         self.limit = int((config.sockets - RESERVED_SOCKETS) * (1 - UPSTREAM_SHARE))
         self.connections: set[ClientConnection] = set()
         self.resting: dict[ClientConnection, None] = {}  # between requests, the one used last comes last
         self.most_resting = int(self.limit * RESTING_SHARE)
-        self.open_ids: set[bytes] = set()  # of the requests in hand, as their clients call them
         self.draining = False
         self.listener: asyncio.Server | None = None
 
@@ -473,14 +408,6 @@
             del self.resting[oldest]
             oldest.close()
 
-    def open_id(self, incoming: Incoming) -> bytes:
-        """Guards against one client that names another's request: to a host the two would be one."""
-        request_id = incoming.headers[b"request-id"]
-        if request_id in self.open_ids:
-            raise BadRequest(409, "a request with this id is open")
-        self.open_ids.add(request_id)
-        return request_id
-
     def sweep(self) -> None:
         """Close connections that have been idle for long, and answer those whose request does not end."""
         now = self.loop.time()
@@ -512,50 +439,6 @@
                     connection.abort()
             await asyncio.sleep(FINISH_POLL_S)
 
-    def read_request(self, incoming: Incoming, now: float) -> Asked:
-        headers = incoming.headers
-        number = self._class(incoming.target, headers)
-        klass = self.config.settings.classes[number]
-        method = b"GET" if klass.effect is Effect.SAFE else b"POST"
-        if incoming.method != method:
-            raise BadRequest(405, "the class wants another method", (b"allow", method))
-        if klass.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
-            raise BadRequest(400, "Idempotency-Key is missing")
-        request_id = headers.get(b"request-id", b"")
-        if not 0 < len(request_id) <= ID_LIMIT or b" " in request_id or b"\t" in request_id:
-            raise BadRequest(400, "Request-Id is missing or malformed")
-        timeout_ms = _whole(headers.get(b"request-timeout-ms", b""))
-        if timeout_ms is None or timeout_ms <= 0:
-            raise BadRequest(400, "Request-Timeout-Ms is missing or malformed")
-        tenant = self.tenants.get(headers.get(b"tenant", b""), None if self.tenants else 0)
-        if tenant is None:
-            raise BadRequest(400, "Tenant is missing or unknown")
-        work_us = _whole(headers.get(b"work-hint", b""))
-        # Bounded by the class: one client's figures must not become the usual ones, nor last for hours.
-        return Asked(
-            klass=number,
-            timeout_us=min(timeout_ms * 1000, klass.give_up_us),
-            waited_us=int((now - incoming.came_at) * 1e6),
-            method=incoming.method,
-            target=incoming.target,
-            headers=_rebuilt(headers),
-            body=b"".join(incoming.body),
-            key=_key(incoming.target),
-            work_us=min(work_us, klass.give_up_us) if work_us else None,
-            is_retry=headers.get(b"client-retry") == b"1",
-            tenant=tenant,
-            is_write=b"isWrite=1" in headers.get(b"request-info", b"").split(b","),
-        )
-
-    def _class(self, target: bytes, headers: dict[bytes, bytes]) -> int:
-        first = target.partition(b"?")[0].split(b"/")[1:2]
-        name = headers.get(b"request-class", b"")
-        if not first or first[0] not in self.classes or name not in self.classes:
-            raise BadRequest(404, "unknown path or class")
-        if first[0] != name:
-            raise BadRequest(400, "path and Request-Class name different classes")
-        return self.classes[name]
-
 
 def answer_bytes(answer: Answer, last: bool, head_only: bool) -> bytes:
     lines = [b"HTTP/1.1 %d %b" % (answer.status, REASONS.get(answer.status, b""))]
@@ -564,28 +447,3 @@
     if last:
         lines.append(b"connection: close")
     return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if head_only else answer.body)
-
-
-def _rebuilt(headers: dict[bytes, bytes]) -> bytes:
-    """The head that goes on, as lines."""
-    return b"".join(
-        b"%b: %b\r\n" % (spelt, headers[name]) for name, spelt in FORWARDED.items() if name in headers
-    )
-
-
-def _whole(text: bytes) -> int | None:
-    return int(text) if text.isdigit() and len(text) < 19 else None
-
-
-def _key(target: bytes) -> int | None:
-    """What the request is about; the same number at every gateway."""
-    query = target.partition(b"?")[2]
-    if not query:
-        return None
-    values = parse_qs(query.decode("latin-1")).get("user")
-    if not values:
-        return None
-    try:
-        return int(values[0], 16) & (2**64 - 1)
-    except ValueError:
-        return int.from_bytes(hashlib.blake2b(values[0].encode(), digest_size=8).digest())
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,7 +11,7 @@
 
 from rosedeal.gateway import downstream, upstream
 from rosedeal.gateway.sources import host_id
-from rosedeal.gateway.downstream import BODY_LIMIT, HEAD_LIMIT
+from rosedeal.gateway.intake import BODY_LIMIT, HEAD_LIMIT
 from rosedeal.interface import (
     Action,
     AttemptEnded,
@@ -523,7 +523,7 @@
             await it.host.taken.get()
             first.writer.close()
             await it.event(RequestGone)
-            assert not it.downstream.open_ids
+            assert not it.downstream.intake.open_ids
 
     run(test())
 
@@ -566,7 +566,7 @@
             client.send(b"".join(ask() for _ in range(100)))
             assert (await client.answer())[0] == 400
             assert await client.closed()
-            assert not it.downstream.open_ids and it.proxy.open == 0
+            assert not it.downstream.intake.open_ids and it.proxy.open == 0
 
     run(test())
 
@@ -654,7 +654,7 @@
             assert await clients[0].closed()
             assert len(it.downstream.connections) <= most < it.downstream.limit / 2
             await it.served(clients[1])
-            assert not it.downstream.open_ids
+            assert not it.downstream.intake.open_ids
 
     run(test())
 
