Show who said what of a box and when; test a state folder that nobody can write to

Need: the roster knows what each source said of a box and when, and the console's page of a box named the sources only.

Measured: the tests of console, admin socket and process pass.

--- a/rosedeal/admin/__init__.py
+++ b/rosedeal/admin/__init__.py
@@ -3,7 +3,7 @@
 from rosedeal.admin.client import AdminClient, AdminError, NoAnswer, NoGateway, call
 from rosedeal.admin.figures import Figures
 from rosedeal.admin.paths import default_socket
-from rosedeal.admin.protocol import BoxView, ClassView, Failure, LogLine, Snapshot, SourceView, Window
+from rosedeal.admin.protocol import BoxView, ClassView, Failure, LogLine, Said, Snapshot, SourceView, Window
 from rosedeal.admin.room import AdminRoom, Keeper
 
 __all__ = [
@@ -18,6 +18,7 @@
     "LogLine",
     "NoAnswer",
     "NoGateway",
+    "Said",
     "Snapshot",
     "SourceView",
     "Window",
--- a/rosedeal/admin/boxes.py
+++ b/rosedeal/admin/boxes.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from rosedeal.admin.figures import Figures
-from rosedeal.admin.protocol import BoxView
+from rosedeal.admin.protocol import BoxView, Said
 from rosedeal.gateway.config import Names
 from rosedeal.gateway.roster import HostView
 from rosedeal.interface import ServerStatus, ServerView
@@ -71,6 +71,7 @@
             usual_us=round(counted.usual_us) if counted is not None else 0,
             answered_us=counted.answered_us if counted is not None else 0,
             sources=[name for name, _, _ in host.said],
+            said=[Said(source=name, status=status.value, at_us=at_us) for name, status, at_us in host.said],
         )
 
 
--- a/rosedeal/admin/protocol.py
+++ b/rosedeal/admin/protocol.py
@@ -106,6 +106,14 @@
     plot: list[int]  # per cent answered in time, for each 5 s of the last 5 min, oldest first; -1: none asked
 
 
+class Said(msgspec.Struct, kw_only=True, frozen=True):
+    """What one source said last of a box: ready, draining or gone, and when."""
+
+    source: str
+    status: str
+    at_us: int
+
+
 class BoxView(msgspec.Struct, kw_only=True, frozen=True):
     """`state`: serving, untried, warming, resting, trial, silent, drained (by hand), draining, gone."""
 
@@ -125,7 +133,8 @@
     failures: float = 0.0  # failed attempts a second over the last 10 s
     usual_us: int = 0  # of its good answers, smoothed; 0: none yet
     answered_us: int = 0  # when it last gave a good answer; 0: not yet
-    sources: list[str] = []
+    sources: list[str] = []  # that have spoken of it, the one that is believed first
+    said: list[Said] = []
 
 
 class SourceView(msgspec.Struct, kw_only=True, frozen=True):
--- a/rosedeal/console/view.py
+++ b/rosedeal/console/view.py
@@ -4,7 +4,7 @@
 
 import textwrap
 
-from rosedeal.admin import BoxView, Snapshot
+from rosedeal.admin import BoxView, Said, Snapshot
 from rosedeal.console import words
 from rosedeal.console.model import HARD_WORD, Dialog, Model
 from rosedeal.console.words import clean, cut, fit
@@ -230,10 +230,18 @@
         f"answers a second: {box.rate:g} good, {box.failures:g} failed",
         f"usual time: {words.span(box.usual_us) if box.usual_us else '-'}",
         f"last good answer: {answered}",
-        f"named by: {', '.join(map(clean, box.sources))}",
+        *(_said(snapshot, word) for word in box.said),
     ]
 
 
+def _said(snapshot: Snapshot, word: Said) -> str:
+    ago = words.span(max(0, snapshot.at_us - word.at_us))
+    status = {"ready": "it serves", "draining": "it drains", "gone": "it is gone"}.get(
+        word.status, word.status
+    )
+    return f"{clean(word.source)} said {ago} ago: {clean(status)}"
+
+
 def _log_line(snapshot: Snapshot, number: int, width: int) -> Line:
     line = snapshot.log[number]
     return _plain(f"{words.clock(line.at_us)} {clean(line.text)}", width)
--- a/tests/appliance/test_process.py
+++ b/tests/appliance/test_process.py
@@ -185,6 +185,34 @@
     run(test())
 
 
+def test_a_state_folder_that_nobody_can_write_to(tmp_path: Path) -> None:
+    """As on a read-only disk: /proc takes no folder, whoever asks."""
+
+    async def test() -> None:
+        boxes = await start_boxes(2)
+        path = tmp_path / "site.toml"
+        text = site_text([(box.name, box.address) for box in boxes])
+        path.write_text(text.replace('state = "state"', 'state = "/proc/badgergap"'))
+        process, admin = Process(path), Admin(tmp_path / "admin.sock")
+        try:
+            await process.start()
+            await admin.connect()
+            result = await admin.steer("drain", "box-1")
+            assert result.changed and not result.kept and result.not_kept
+            assert (await admin.states())["box-1"] == "drained"
+            assert "will not outlive a restart" in (await admin.snapshot()).problems[0]
+            load = Load("127.0.0.1", process.port, KINDS)
+            await load.run(100.0, 0.2)
+            assert load.ledger.faults() == [] and not boxes[0].seen
+        finally:
+            await admin.close()
+            await process.stop(signal.SIGKILL)
+            for box in boxes:
+                box.die()
+
+    run(test())
+
+
 def test_two_hundred_boxes(tmp_path: Path) -> None:
     async def test() -> None:
         async with appliance(tmp_path, count=200) as (process, _, admin):
--- a/tests/console/test_model.py
+++ b/tests/console/test_model.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rosedeal.admin import BoxView, ClassView, Failure, LogLine, Snapshot, SourceView, Window
+from rosedeal.admin import BoxView, ClassView, Failure, LogLine, Said, Snapshot, SourceView, Window
 from rosedeal.admin.protocol import ActionResult
 from rosedeal.console import words
 from rosedeal.console.model import AskAgain, Break, Model, Quit, Wish
@@ -297,6 +297,9 @@
     assert "line 29" in screen(it, 40, 12)
     keys(it, "l", "enter")
     assert "address: 127.0.0.1:1" in screen(it, 40, 12)
+    said = [Said(source="platform", status="draining", at_us=NOW_US - 3_000_000)]
+    it.on_snapshot(snapshot(box("box-1", said=said)), NOW)
+    assert "platform said 3.0 s ago: it drains" in screen(it, 40, 12)
     keys(it, "escape", "?", "end")
     assert "waiting" in screen(it, 40, 12)
     keys(it, "home", "pagedown")
