--- a/rosedeal/standins/udp.py
+++ b/rosedeal/standins/udp.py
@@ -1,8 +1,8 @@
 """A UDP relay with faults on command: loss, delay, reordering, duplication, corruption, a changed source
 address, a black hole in either direction, a small MTU. It reads nothing of what it passes on.
 
-Each client address gets a socket of its own towards the server, as at a NAT. `rebind` gives every client a new
-one: to the server the clients' addresses have changed, in the midst of whatever they do.
+Each client address gets a socket of its own towards the server, as at a NAT. `rebind` gives every client a
+new one: to the server the addresses of the clients have changed, in the midst of whatever they do.
 """
 
 from __future__ import annotations
