Show at most 500 boxes of a large fleet, so that a look does not hold up requests

Cause: twice a second the admin socket looked at every host; with ten thousand from etcd each look would have stalled the loop for a tenth of a second and more.

Boxes long gone are not gone over. An error of our own at the start shows no empty number.

--- a/rosedeal/admin/boxes.py
+++ b/rosedeal/admin/boxes.py
@@ -11,6 +11,8 @@
 from rosedeal.interface import ServerStatus, ServerView
 
 GONE_SHOWN_US = 300_000_000  # how long a box that is gone is still shown
+# Boxes that a snapshot names; of a larger fleet those drained by hand first. What a look costs grows with it.
+SHOWN = 500
 ABLE = ("serving", "untried", "warming")  # states of a box that takes its share of new requests
 
 
--- a/rosedeal/admin/protocol.py
+++ b/rosedeal/admin/protocol.py
@@ -163,6 +163,7 @@
     open: int  # requests that are owed an answer
     waiting: int  # of those, the ones that no box has at the moment
     boxes: list[BoxView]
+    not_shown: int = 0  # boxes beyond those named: a snapshot names at most 500
     classes: list[ClassView]
     sources: list[SourceView]
     log: list[LogLine]
--- a/rosedeal/admin/room.py
+++ b/rosedeal/admin/room.py
@@ -22,7 +22,7 @@
 import rosedeal
 from rosedeal.admin import protocol
 from rosedeal.admin.actions import Actions, Refused
-from rosedeal.admin.boxes import ABLE, Boxes, is_last_able
+from rosedeal.admin.boxes import ABLE, GONE_SHOWN_US, SHOWN, Boxes, is_last_able
 from rosedeal.admin.figures import Figures
 from rosedeal.admin.paths import PATH_LIMIT, prepare_folder
 from rosedeal.admin.protocol import (
@@ -157,10 +157,11 @@
         proxy = self.proxy
         assert proxy is not None
         now_us = proxy.clock.now_us()
+        hosts = proxy.roster.view(SHOWN, now_us - GONE_SHOWN_US)
         return self.boxes.views(
             now_us,
-            proxy.roster.view(),
-            proxy.balancer.look(now_us),
+            hosts,
+            proxy.balancer.look(now_us, [host.entry.server.server for host in hosts]),
             proxy.upstream.connecting(),
             self.figures,
         )
@@ -193,6 +194,7 @@
             open=proxy.open,
             waiting=proxy.waiting(),
             boxes=boxes,
+            not_shown=max(0, proxy.roster.hosts - sum(box.state != "gone" for box in boxes)),
             classes=self.figures.service(now_us),
             sources=self.sources(),
             log=list(self.story.lines),
@@ -282,6 +284,7 @@
         if (
             isinstance(request, Drain)
             and not (was_drained or request.even_last)
+            and proxy.roster.hosts <= SHOWN
             and is_last_able(self.views(), box)
         ):
             raise Refused("last-box", f"{box} is the last box that serves; nothing would be served")
@@ -306,7 +309,7 @@
         assert self.proxy is not None
         entry = self.proxy.roster.entry(box)
         number = entry.server.server if entry is not None else -1
-        left = sum(v.out for v in self.proxy.balancer.look(0) if v.server == number)
+        left = sum(view.out for view in self.proxy.balancer.look(0, [number]))
         return ActionResult(
             action=action,
             do=do,
--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -11,7 +11,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import partial
@@ -286,10 +286,11 @@
             self.pass_turn(self.freed.pop())
         return self.actions
 
-    def look(self, now_us: int) -> tuple[ServerView, ...]:
-        """What is made of each server, for people to see. Decides and changes nothing."""
+    def look(self, now_us: int, numbers: Iterable[int] | None = None) -> tuple[ServerView, ...]:
+        """What is made of each server, or of these, for people to see. Decides and changes nothing."""
         before_us, self.now_us = self.now_us, max(now_us, self.now_us)
-        views = tuple(self.view(server) for server in self.servers.values())
+        servers = map(self.servers.get, self.servers if numbers is None else numbers)
+        views = tuple(self.view(server) for server in servers if server is not None)
         self.now_us = before_us  # the time between two events is reckoned in `handle`
         return views
 
--- a/rosedeal/console/view.py
+++ b/rosedeal/console/view.py
@@ -146,7 +146,7 @@
 
 def _box_table(model: Model, snapshot: Snapshot, width: int, height: int, dim: bool) -> list[Line]:
     boxes = snapshot.boxes
-    title = _plain(f"Boxes ({len(boxes)}): {words.summary(boxes)}", width, "title")
+    title = _plain(words.boxes_title(snapshot), width, "title")
     if height <= 1:
         return [title][:height]
     wide = width >= WIDE
--- a/rosedeal/console/words.py
+++ b/rosedeal/console/words.py
@@ -155,6 +155,11 @@
     return ", ".join(f"{count} {word}" for word, count in order) or "none"
 
 
+def boxes_title(snapshot: Snapshot) -> str:
+    more = f"; {snapshot.not_shown} more are not shown" if snapshot.not_shown else ""
+    return f"Boxes ({len(snapshot.boxes) + snapshot.not_shown}): {summary(snapshot.boxes)}{more}"
+
+
 def capacity(box: BoxView) -> float:
     return box.weight * box.warm_share if box.state in ABLE else 0.0
 
@@ -238,7 +243,7 @@
         f"{snapshot.open} in work, {snapshot.waiting} waiting",
         *(f"! {clean(problem)}" for problem in snapshot.problems),
         "",
-        f"Boxes ({len(snapshot.boxes)}): {summary(snapshot.boxes)}",
+        boxes_title(snapshot),
     ]
     name_width = max([3, *(len(clean(b.name)) for b in snapshot.boxes)])
     for box in snapshot.boxes:
--- a/rosedeal/gateway/roster.py
+++ b/rosedeal/gateway/roster.py
@@ -24,7 +24,7 @@
 
 # Names a dynamic source has said are gone. Beyond it the oldest are forgotten: a weaker source that still
 # names one of them is believed again.
-GONE_LIMIT = 4096
+GONE_LIMIT = 1024
 # Drains by hand. Beyond it a further one is refused.
 DRAIN_LIMIT = 1024
 
@@ -188,16 +188,32 @@
             return _with_status(entry, ServerStatus.DRAINING)
         return entry
 
-    def view(self) -> tuple[HostView, ...]:
-        """Every host that is not gone, and those gone that are drained by hand or were named of late."""
-        views = []
-        for name in dict.fromkeys(name for s in self.sources.values() for name in s.words):
+    def view(self, limit: int | None = None, gone_since_us: int = 0) -> tuple[HostView, ...]:
+        """Hosts as merged: at most `limit`, those drained by hand first.
+
+        Of the hosts that are gone, those that the believed source has called so since `gone_since_us`.
+        """
+        views: list[HostView] = []
+        named = (name for s in self.sources.values() for name in s.words)
+        for name in dict.fromkeys((*(n for n in self.drains if self._words(n)), *named)):
+            if limit is not None and len(views) >= limit:
+                break
+            first = next(iter(self._words(name)))[1]
+            if first.gone and first.at_us < gone_since_us:
+                continue
             entry = self.entry(name)
             assert entry is not None
             said = tuple((s.name, w.entry.server.status, w.at_us) for s, w in self._words(name))
             views.append(HostView(entry, said[0][0], said, self.drains.get(name)))
         return tuple(views)
 
+    @property
+    def hosts(self) -> int:
+        """How many hosts there are that are not gone."""
+        if len(self.sources) == 1:
+            return next(iter(self.sources.values())).hosts
+        return len(self._listed())
+
     def _merged(self, names: Iterable[str]) -> tuple[Entry, ...]:
         entries = (self.entry(name) for name in names)
         return tuple(entry for entry in entries if entry is not None)
--- a/rosedeal/gateway/run.py
+++ b/rosedeal/gateway/run.py
@@ -105,7 +105,8 @@
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(config, read_again, rooms, observer))
     except OSError as error:
-        print(f"rosedeal: cannot start: {error}", file=sys.stderr)
+        why = error if error.errno is not None else error.strerror  # of our own there is no number
+        print(f"rosedeal: cannot start: {why}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/admin/test_room.py
+++ b/tests/admin/test_room.py
@@ -542,3 +542,20 @@
             assert (await it.event(AttemptEnded)).server == it.proxy.roster.entry("h1").server.server  # type: ignore[union-attr]
 
     run(test())
+
+
+def test_a_large_fleet_is_shown_in_part_and_steered_as_a_whole(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A look at ten thousand boxes, twice a second, would hold up the requests."""
+    monkeypatch.setattr(module, "SHOWN", 3)
+
+    async def test() -> None:
+        async with site(tmp_path, hosts=8) as (_, room):
+            admin = await caller(room)
+            assert (await admin.ask(do="drain", box="h7", by="a", action="x"))["ok"]
+            shown = (await admin.ask(do="snapshot"))["result"]
+            assert [box["name"] for box in shown["boxes"]] == ["h0", "h1", "h7"]
+            assert shown["not_shown"] == 5 and shown["boxes"][2]["state"] == "drained"
+
+    run(test())
--- a/tests/console/test_model.py
+++ b/tests/console/test_model.py
@@ -317,6 +317,12 @@
     assert keys(it, "y") == [Wish("drain", "box-1", "id1")]
 
 
+def test_boxes_that_are_not_shown_are_counted() -> None:
+    it = model(box("box-1"))
+    it.on_snapshot(snapshot(box("box-1"), not_shown=9500), NOW)
+    assert "Boxes (9501): 1 serving; 9500 more are not shown" in screen(it)
+
+
 def test_two_hundred_boxes_and_the_chosen_one_in_sight() -> None:
     it = model(*(box(f"box-{n}") for n in range(200)))
     for pressed in (["end"], ["up"], ["pageup"] * 5, ["home"], ["down"] * 30):
--- a/tests/test_look.py
+++ b/tests/test_look.py
@@ -22,6 +22,11 @@
     assert not now[send.server].silent
 
 
+def test_a_look_at_some_of_them() -> None:
+    driver = Driver(servers=5)
+    assert [view.server for view in driver.balancer.look(START_US, [3, 99, 1])] == [3, 1]
+
+
 def test_a_look_at_a_cold_server_follows_the_clock() -> None:
     settings = Settings(classes=(RequestClass(1, 1),), start_capacity=0.2, warm_after_us=1_000_000)
     balancer = Balancer(settings, 1)
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -180,3 +180,21 @@
         assert {name for name, status in held.items() if status is not GONE} == serving
         assert all(held[name] is known[name] for name in serving)
         assert all(held.get(name) is not READY for name in roster.drains)
+
+
+def test_a_view_of_a_large_fleet_is_bounded_and_names_drained_boxes_first() -> None:
+    roster = two_sources()
+    roster.hear(5, "platform", full(*(box(f"h{n}") for n in range(1000))))
+    roster.drain(6, "h900", "anna")
+    roster.hear(7, "platform", change(box("h0", GONE)))
+    names = [view.entry.name for view in roster.view(3)]
+    assert names == ["h900", "h0", "h1"]
+    assert [view.entry.name for view in roster.view(3, gone_since_us=8)] == ["h900", "h1", "h2"]
+    assert len(roster.view()) == 1000 and roster.hosts == 999
+
+
+def test_a_drain_of_a_box_that_nobody_names_is_no_part_of_the_view() -> None:
+    roster = two_sources()
+    roster.restore([HandDrain("old", "anna", 1)])
+    roster.hear(5, "platform", full(box("a")))
+    assert [view.entry.name for view in roster.view()] == ["a"]
