--- a/rosedeal/admin/boxes.py
+++ b/rosedeal/admin/boxes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import re
 from collections.abc import Iterable, Mapping
 
 from rosedeal.admin.figures import Figures
@@ -104,22 +106,14 @@
     return able == [name]
 
 
-def natural(name: str) -> list[tuple[int, int, str]]:
+DIGITS = re.compile(r"(\d+)", re.ASCII)
+
+
+@functools.lru_cache(maxsize=2 * SHOWN)
+def natural(name: str) -> tuple[tuple[int, int, str], ...]:
     """A sort key: runs of digits count as numbers."""
-    parts: list[tuple[int, int, str]] = []
-    digits = text = ""
-    for char in name + "\0":
-        if char.isascii() and char.isdigit():
-            if text:
-                parts.append((1, 0, text))
-                text = ""
-            digits += char
-        else:
-            if digits:
-                parts.append((0, int(digits), digits))
-                digits = ""
-            text += char
-    return [*parts, (1, 0, text)]
+    parts = DIGITS.split(name)
+    return tuple((0, int(part), part) if part.isdigit() else (1, 0, part) for part in parts if part)
 
 
 def _named(names: tuple[str, ...], number: int) -> str:
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -180,6 +180,9 @@
         assert {name for name, status in held.items() if status is not GONE} == serving
         assert all(held[name] is known[name] for name in serving)
         assert all(held.get(name) is not READY for name in roster.drains)
+        assert roster.hosts == len(serving)
+        for state in roster.sources.values():
+            assert state.gone == {name for name, word in state.words.items() if word.gone}
 
 
 def test_a_view_of_a_large_fleet_is_bounded_and_names_drained_boxes_first() -> None:
