Let each direction of the UDP relay draw its own chance

Cause: datagrams both ways drew from one generator, so when an echo came back changed what was lost on the way there: the test of the seed was red once in a whole run on a busy machine.

Change: a generator for each direction, both from the seed.

--- a/rosedeal/standins/udp.py
+++ b/rosedeal/standins/udp.py
@@ -10,7 +10,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import cast
 
 Address = tuple[str, int]
@@ -30,6 +30,7 @@
     delay_s: float = 0.0
     mtu: int = 65_535  # longer ones are lost, as where fragments are not passed on
     black_hole: bool = False
+    random: random.Random = field(default_factory=random.Random)
 
 
 @dataclass(slots=True)
@@ -45,8 +46,8 @@
 class UdpRelay:
     def __init__(self, to: Address, seed: int) -> None:
         self.to = to
-        self.random = random.Random(seed)
-        self.out, self.back = Faults(), Faults()  # towards the server, and back
+        # Each direction draws its own chance: what comes back, and when, changes nothing on the way there.
+        self.out, self.back = Faults(random=random.Random(seed)), Faults(random=random.Random(~seed))
         self.counts = Counts()
         self.address: Address = ("127.0.0.1", 0)
         self.front: asyncio.DatagramTransport | None = None
@@ -109,7 +110,7 @@
             self.front.sendto(data, client)
 
     def _pass(self, faults: Faults, data: bytes, send: Callable[[bytes], None]) -> None:
-        chance = self.random.random
+        chance = faults.random.random
         if faults.black_hole or len(data) > faults.mtu or chance() < faults.loss:
             self.counts.lost += 1
             return
@@ -119,8 +120,8 @@
             delay_s += faults.reorder_s
         if data and chance() < faults.corrupt:
             self.counts.corrupted += 1
-            place = self.random.randrange(len(data))
-            data = data[:place] + bytes([data[place] ^ (1 << self.random.randrange(8))]) + data[place + 1 :]
+            place = faults.random.randrange(len(data))
+            data = data[:place] + bytes([data[place] ^ (1 << faults.random.randrange(8))]) + data[place + 1 :]
         copies = 1
         if chance() < faults.duplicate:
             self.counts.duplicated += 1
