Say once what became of a wish, which box is the last, and what a status means

Cause: read again, the change had the same wording in console and command, the same rule for the last box on both sides of the admin socket, and the discovery's table of statuses again for etcd's values.

Change: words.result_words, admin's ABLE and is_last_able, and discovery's STATUSES serve both. Gone: a count of listed keys that was only asked whether it had begun, a wrapper round _keep, names that nobody used. Nothing behaves in another way.

No test was touched.

--- a/rosedeal/admin/__init__.py
+++ b/rosedeal/admin/__init__.py
@@ -1,5 +1,6 @@
 """The admin socket: what a gateway shows and takes from its operator, over a Unix domain socket."""
 
+from rosedeal.admin.boxes import ABLE, is_last_able
 from rosedeal.admin.client import AdminClient, AdminError, NoAnswer, NoGateway, call
 from rosedeal.admin.figures import Figures
 from rosedeal.admin.paths import default_socket
@@ -7,6 +8,7 @@
 from rosedeal.admin.room import AdminRoom, Keeper
 
 __all__ = [
+    "ABLE",
     "AdminClient",
     "AdminError",
     "AdminRoom",
@@ -24,4 +26,5 @@
     "Window",
     "call",
     "default_socket",
+    "is_last_able",
 ]
--- a/rosedeal/admin/room.py
+++ b/rosedeal/admin/room.py
@@ -214,7 +214,7 @@
             try:
                 self.refresh()
                 if self.not_kept and self._may_keep_again():
-                    self._spawn(self._keep_quietly())
+                    self._spawn(self._keep())
             except Exception:
                 log.exception("the admin socket's look at the gateway failed")
             await asyncio.sleep(TICK_S if self.subscribers else 2 * TICK_S)
@@ -333,9 +333,6 @@
         finally:
             connection.pending -= 1
 
-    async def _keep_quietly(self) -> None:
-        await self._keep()
-
     async def _keep(self) -> str:
         """Save all drains; returns why that failed, or nothing. A slow disk is waited for up to KEEP_S."""
         if self.keeper is None:
--- a/rosedeal/cli/main.py
+++ b/rosedeal/cli/main.py
@@ -13,7 +13,7 @@
 from rosedeal.admin.protocol import VERSION, ActionResult, AskSnapshot, Drain, ProtocolError, Request, Undrain
 from rosedeal.cli.serve import check, serve
 from rosedeal.gateway.config import ConfigError
-from rosedeal.site import SiteError, read_site
+from rosedeal.site import read_site
 
 EPILOG = """\
 exit codes:
@@ -123,7 +123,7 @@
 def steer(args: argparse.Namespace) -> int:
     import uuid
 
-    from rosedeal.console.words import clean, requests
+    from rosedeal.console.words import result_words
 
     action, by = args.action or uuid.uuid4().hex, args.by or user()
     request: Request
@@ -138,14 +138,7 @@
         return UNUSABLE
     if isinstance(result, int):
         return result
-    name = clean(result.box)
-    if args.command == "drain":
-        left = f"; {requests(result.left)} still there" if result.left else ""
-        print(f"{name} is drained{left}." if result.changed else f"{name} was drained already.")
-        if not result.kept:
-            print(f"It will not outlive a restart: {clean(result.not_kept)}.")
-    else:
-        print(f"{name} may serve again." if result.changed else f"{name} was not drained by hand.")
+    print("\n".join(result_words(result)))
     return 0
 
 
@@ -227,6 +220,3 @@
 
 def _boxes(text: str) -> int:
     return int(_number(text, 2, 200))
-
-
-__all__ = ["SiteError", "main"]
--- a/rosedeal/console/app.py
+++ b/rosedeal/console/app.py
@@ -35,7 +35,7 @@
     "chosen": "reverse",
     "alert": "bold reverse",
 }
-KEYS = {"question_mark": "?", "ctrl+c": "ctrl+c"}
+KEYS = {"question_mark": "?"}
 
 
 class Picture(Widget):
--- a/rosedeal/console/model.py
+++ b/rosedeal/console/model.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from rosedeal.admin import Failure, Snapshot
+from rosedeal.admin import Failure, Snapshot, is_last_able
 from rosedeal.admin.protocol import ActionResult
 from rosedeal.console import words
 
@@ -105,20 +105,12 @@
                 self.dialog = None
                 self.message = f"{words.clean(dialog.box)} is no longer on the list: nothing was drained."
             else:  # it may have become the last one, or no longer be it
-                dialog.hard = words.is_last(snapshot, dialog.box)
+                dialog.hard = is_last_able(snapshot.boxes, dialog.box)
         return []
 
     def on_result(self, result: ActionResult) -> list[Effect]:
         self.pending.pop(result.action, None)
-        name = words.clean(result.box)
-        if result.do == "drain":
-            left = f"; {words.requests(result.left)} still there" if result.left else ""
-            text = f"{name} is drained{left}." if result.changed else f"{name} was drained already."
-        else:
-            text = f"{name} may serve again." if result.changed else f"{name} was not drained by hand."
-        if result.not_kept and result.do == "drain":
-            text += f" It will not outlive a restart: {words.clean(result.not_kept)}."
-        self.message = text
+        self.message = " ".join(words.result_words(result))
         return []
 
     def on_refused(self, action: str, failure: Failure) -> list[Effect]:
@@ -200,7 +192,7 @@
         elif not self.connected:
             self.message = "There is no gateway to tell: nothing can be drained now."
         else:
-            self.dialog = Dialog(box.name, hard=words.is_last(self.snapshot, box.name))
+            self.dialog = Dialog(box.name, hard=is_last_able(self.snapshot.boxes, box.name))
 
     def _answer(self, dialog: Dialog, key: str) -> list[Effect]:
         if key in ("escape", "n") and not (dialog.hard and key == "n"):
--- a/rosedeal/console/words.py
+++ b/rosedeal/console/words.py
@@ -8,9 +8,9 @@
 import time
 import unicodedata
 
-from rosedeal.admin import BoxView, ClassView, Snapshot, Window
+from rosedeal.admin import ABLE, BoxView, ClassView, Snapshot, Window
+from rosedeal.admin.protocol import ActionResult
 
-ABLE = ("serving", "untried", "warming")  # states in which a box takes its share of new requests
 BARS = "▁▂▃▄▅▆▇█"
 DIGITS = "0123456789"  # the same where a terminal has no blocks: tenths
 
@@ -184,8 +184,16 @@
     return lines
 
 
-def is_last(snapshot: Snapshot, name: str) -> bool:
-    return [box.name for box in snapshot.boxes if box.state in ABLE] == [name]
+def result_words(result: ActionResult) -> list[str]:
+    """What became of a wish: a sentence, and another where a drain will not outlive a restart."""
+    name = clean(result.box)
+    if result.do != "drain":
+        return [f"{name} may serve again." if result.changed else f"{name} was not drained by hand."]
+    left = f"; {requests(result.left)} still there" if result.left else ""
+    lines = [f"{name} is drained{left}." if result.changed else f"{name} was drained already."]
+    if result.not_kept:
+        lines.append(f"It will not outlive a restart: {clean(result.not_kept)}.")
+    return lines
 
 
 def percent(part: int, whole: int) -> str:
--- a/rosedeal/etcd/follow.py
+++ b/rosedeal/etcd/follow.py
@@ -241,7 +241,7 @@
         self.removed: dict[
             bytes, int
         ] = {}  # of keys deleted after `revision`: guards against parts that repeat
-        self.listed: int | None = None  # keys of the list that is being taken; None before its first page
+        self.list_begun = False  # the first page of the list that is being taken has come
         self.list_header = Header(0, 0)
         self.before: list[bytes] = []  # keys told before this list, in order
         self.place = 0  # in `before`: how far the list has come
@@ -291,7 +291,7 @@
     def _list(self, now_us: int) -> None:
         if self._needs_login(now_us):
             return
-        self.state, self.listed = State.LISTING, None
+        self.state, self.list_begun = State.LISTING, False
         self.actions.append(List(self._next_call(), self.endpoint, 0, b""))
         self._alarm(now_us + self.times.call_us)
 
@@ -357,7 +357,7 @@
 
     def _on_listed(self, now_us: int, event: Listed) -> None:
         """A page. Its part of the difference is told at once: all pages are of one revision."""
-        if self.listed is None:
+        if not self.list_begun:
             if not self._begins_list(now_us, event):
                 return
         elif event.header.cluster != self.list_header.cluster:
@@ -365,7 +365,6 @@
             return
         more = event.more and bool(event.pairs)
         changes = self._difference(event.pairs, more)
-        self.listed = (self.listed or 0) + len(event.pairs)
         if more:
             if changes:
                 self.actions.append(Tell(changes))
@@ -384,7 +383,7 @@
             self._fail(now_us, "too many keys")
             return False
         header = self.list_header = event.header
-        self.listed, self.before, self.place = 0, sorted(self.told), 0
+        self.list_begun, self.before, self.place = True, sorted(self.told), 0
         if self._is_other_store(header):
             self.actions.append(
                 Shout(
--- a/rosedeal/etcd/source.py
+++ b/rosedeal/etcd/source.py
@@ -17,7 +17,6 @@
     Begin,
     End,
     Event,
-    Failed,
     Follower,
     List,
     LogIn,
@@ -201,6 +200,3 @@
 
     async def close(self) -> None:
         """It is closed with the other sources."""
-
-
-__all__ = ["EtcdRoom", "EtcdSource", "Failed", "Options"]
--- a/rosedeal/etcd/values.py
+++ b/rosedeal/etcd/values.py
@@ -20,13 +20,13 @@
 from typing import Any
 
 from rosedeal.gateway.config import Address
+from rosedeal.gateway.discovery import STATUSES
 from rosedeal.gateway.sources import Entry, host_id
-from rosedeal.interface import ListedServer, ServerStatus
+from rosedeal.interface import ListedServer
 
 VALUE_LIMIT = 64 * 1024  # bytes of a value
 NAME_LIMIT = 256  # characters of a host's name
 WEIGHT_MOST = 1000.0
-STATUSES = {"active": ServerStatus.READY, "leaving": ServerStatus.DRAINING, "left": ServerStatus.GONE}
 
 
 class ValueProblem(ValueError):
