--- /dev/null
+++ b/rosedeal/routes/__init__.py
@@ -0,0 +1,16 @@
+"""Which route a request takes: pure, with no I/O and no clock."""
+
+from rosedeal.routes.path import BadPath, Target, normalise, read_host, read_target
+from rosedeal.routes.table import Match, Near, Route, Table
+
+__all__ = [
+    "BadPath",
+    "Match",
+    "Near",
+    "Route",
+    "Table",
+    "Target",
+    "normalise",
+    "read_host",
+    "read_target",
+]
--- /dev/null
+++ b/rosedeal/routes/table.py
@@ -0,0 +1,277 @@
+"""The routes of a site, compiled: what one request takes, what came close, what can never match. Pure.
+
+The order of precedence, stated once. Of the routes whose conditions all hold, the request takes the one
+
+1. with the more exact host: a full name before `*.suffix`, a longer suffix before a shorter, any host last;
+2. then with the more exact path: an exact path before a prefix, a longer prefix before a shorter;
+3. then with more headers named;
+4. then with methods named;
+5. then that comes first in the file.
+
+Hosts are one dictionary and paths one trie of segments for each, so that what a match costs grows with the
+length of the path and of the host, and not with the number of routes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from rosedeal.routes.path import BadPath, normalise
+
+ANY_HOST = ""
+SAID_LIMIT = 5  # routes that came close that are told
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """The conditions of a route. What it leads to is looked up under its name by whoever asks.
+
+    `host`: a name, `*.suffix` (one label or more before the suffix), or empty for any. `path` in its normal
+    form; `exact`: that path alone, else everything below it as well, at segment borders. `methods`: empty for
+    any. `headers`: lower name and value that must be there; `*` for any value.
+    """
+
+    name: str
+    path: bytes = b"/"
+    exact: bool = False
+    host: str = ANY_HOST
+    methods: frozenset[bytes] = frozenset()
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    take_off: bytes = b""
+    put_before: bytes = b""
+
+    def __post_init__(self) -> None:
+        """Raises BadPath for a path that no request in its normal form has."""
+        for what, path in (("path", self.path), ("take_off", self.take_off), ("put_before", self.put_before)):
+            if path and (not path.startswith(b"/") or normalise(path) != path or b";" in path):
+                raise BadPath(f"{what} {path.decode('latin-1')!r} is not in its normal form")
+        if self.take_off and not is_below(self.path, self.take_off):
+            raise BadPath("take_off is not the beginning of the route's path")
+
+    def rewritten(self, path: bytes) -> bytes:
+        """The path that a box gets."""
+        if self.take_off:
+            path = _cut(path, self.take_off)
+        return self.put_before.rstrip(b"/") + path if self.put_before else path
+
+    def holds(self, method: bytes, headers: Mapping[bytes, bytes]) -> bool:
+        if self.methods and method not in self.methods:
+            return False
+        for name, wanted in self.headers:
+            value = headers.get(name)
+            if value is None or (wanted != b"*" and value != wanted):
+                return False
+        return True
+
+    def why_not(self, method: bytes, headers: Mapping[bytes, bytes]) -> str:
+        """What of a route whose host and path fit does not hold."""
+        if self.methods and method not in self.methods:
+            return f"its methods are {', '.join(sorted(m.decode('latin-1') for m in self.methods))}"
+        for name, wanted in self.headers:
+            shown, value = name.decode("latin-1"), headers.get(name)
+            if value is None:
+                return f"the header {shown} is missing"
+            if wanted != b"*" and value != wanted:
+                return f"the header {shown} is not {wanted.decode('latin-1')!r}"
+        return ""
+
+
+@dataclass(frozen=True, slots=True)
+class Near:
+    """A route that came close, and why it was not taken."""
+
+    route: Route
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Match:
+    route: Route | None
+    near: tuple[Near, ...] = ()
+
+
+@dataclass(slots=True)
+class _Node:
+    children: dict[bytes, _Node] = field(default_factory=dict)
+    exact: list[Route] = field(default_factory=list)
+    below: list[Route] = field(default_factory=list)
+
+
+class Table:
+    """Routes, compiled. Raises nothing: what cannot be is refused by `Route` itself."""
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self.routes = tuple(routes)
+        self.hosts: dict[str, _Node] = {}
+        self.suffixes: set[str] = set()
+        for route in self.routes:
+            host = route.host[1:] if route.host.startswith("*.") else route.host
+            if route.host.startswith("*."):
+                self.suffixes.add(host)  # with its leading dot
+            node = self.hosts.setdefault(host, _Node())
+            for segment in _segments(route.path):
+                node = node.children.setdefault(segment, _Node())
+            (node.exact if route.exact else node.below).append(route)
+        for root in self.hosts.values():
+            _sort(root)
+
+    def match(self, host: str, path: bytes, method: bytes, headers: Mapping[bytes, bytes]) -> Route | None:
+        """`host` as `read_host` gives it, `path` as `read_target` does, headers by lower name."""
+        root = self.hosts.get(host) if host else None
+        if root is not None:
+            found = _find(root, path, method, headers)
+            if found is not None:
+                return found
+        if self.suffixes:
+            for suffix in _suffixes(host):
+                if suffix in self.suffixes:
+                    found = _find(self.hosts[suffix], path, method, headers)
+                    if found is not None:
+                        return found
+        root = self.hosts.get(ANY_HOST)
+        return _find(root, path, method, headers) if root is not None else None
+
+    def methods(self, host: str, path: bytes) -> frozenset[bytes]:
+        """Those of routes whose host and path fit: what 405 tells. Empty: there is none."""
+        return frozenset(m for route in self._fitting(host, path) for m in route.methods)
+
+    def explain(self, host: str, path: bytes, method: bytes, headers: Mapping[bytes, bytes]) -> Match:
+        """The route taken, and those that came close, nearest first, each with the reason."""
+        taken = self.match(host, path, method, headers)
+        near: list[Near] = []
+        for route in self._fitting(host, path):
+            if route is taken:
+                continue
+            why = route.why_not(method, headers)
+            near.append(Near(route, why or f'"{taken.name if taken else ""}" comes before it'))
+        fitting = {near_by.route.name for near_by in near}
+        for route in self.routes:
+            if route is not taken and route.name not in fitting:
+                why = _why_unfit(route, host, path)
+                if why:
+                    near.append(Near(route, why))
+        return Match(taken, tuple(near[:SAID_LIMIT]))
+
+    def never(self) -> tuple[Near, ...]:
+        """Routes that can never be taken, each with the reason."""
+        found = []
+        for place, route in enumerate(self.routes):
+            same = [
+                (_order(other), number, other)
+                for number, other in enumerate(self.routes)
+                if other is not route
+                and (other.host, other.path, other.exact) == (route.host, route.path, route.exact)
+                and (_order(other), number) < (_order(route), place)
+                and set(other.headers) <= set(route.headers)
+            ]
+            earlier = [other for _, _, other in sorted(same, key=lambda item: item[:2])]
+            whole = next((other for other in earlier if not other.methods), None)
+            if whole is not None:
+                found.append(Near(route, f'"{whole.name}" comes before it and takes all that it would'))
+            elif route.methods and route.methods <= {m for other in earlier for m in other.methods}:
+                names = ", ".join(f'"{other.name}"' for other in earlier)
+                found.append(Near(route, f"{names} come before it and take all that it would"))
+        return tuple(found)
+
+    def _fitting(self, host: str, path: bytes) -> Iterator[Route]:
+        """Those whose host and path fit, in order of precedence."""
+        for key in dict.fromkeys((host, *filter(self.suffixes.__contains__, _suffixes(host)), ANY_HOST)):
+            root = self.hosts.get(key)
+            if root is not None:
+                yield from _along(root, path)
+
+
+def is_below(path: bytes, prefix: bytes) -> bool:
+    """Whether a path is a prefix or lies below it, at a segment's border."""
+    bare = prefix.rstrip(b"/")
+    return path == bare or path.startswith(bare + b"/")
+
+
+def _segments(path: bytes) -> list[bytes]:
+    return path.strip(b"/").split(b"/") if path != b"/" else []
+
+
+def _sort(node: _Node) -> None:
+    node.exact.sort(key=_order)
+    node.below.sort(key=_order)  # stable: those alike stay in the file's order
+    for child in node.children.values():
+        _sort(child)
+
+
+def _order(route: Route) -> tuple[int, bool]:
+    return -len(route.headers), not route.methods
+
+
+def _suffixes(host: str) -> Iterator[str]:
+    """`.b.c` and `.c` of `a.b.c`, longest first."""
+    place = host.find(".")
+    while place >= 0:
+        yield host[place:]
+        place = host.find(".", place + 1)
+
+
+def _walk(root: _Node, path: bytes) -> tuple[list[_Node], bool]:
+    """The nodes along a path, from the root, and whether the last one is the whole path's."""
+    nodes = [root]
+    node = root
+    if path == b"/":
+        return nodes, True
+    bare = path.endswith(b"/")
+    for segment in (path[1:-1] if bare else path[1:]).split(b"/"):
+        if b";" in segment:
+            segment = segment.partition(b";")[0]
+        child = node.children.get(segment)
+        if child is None:
+            return nodes, False
+        nodes.append(child)
+        node = child
+    return nodes, True
+
+
+def _along(root: _Node, path: bytes) -> Iterator[Route]:
+    nodes, whole = _walk(root, path)
+    if whole:
+        slash = path.endswith(b"/")
+        yield from (r for r in nodes[-1].exact if r.path.endswith(b"/") == slash)
+    for node in reversed(nodes):
+        yield from node.below
+
+
+def _find(root: _Node, path: bytes, method: bytes, headers: Mapping[bytes, bytes]) -> Route | None:
+    nodes, whole = _walk(root, path)
+    if whole and nodes[-1].exact:
+        slash = path.endswith(b"/")
+        for route in nodes[-1].exact:
+            if route.path.endswith(b"/") == slash and route.holds(method, headers):
+                return route
+    for node in reversed(nodes):
+        for route in node.below:
+            if route.holds(method, headers):
+                return route
+    return None
+
+
+def _why_unfit(route: Route, host: str, path: bytes) -> str:
+    """Why a route is out, if only its host or only its path is."""
+    if route.host.startswith("*."):
+        host_fits = host.endswith(route.host[1:]) and host != route.host[2:]
+    else:
+        host_fits = route.host in (ANY_HOST, host)
+    path_fits = path == route.path if route.exact else is_below(path, route.path)
+    if host_fits is path_fits:
+        return ""
+    if path_fits:
+        return f"its host is {route.host}"
+    shown = route.path.decode("latin-1")
+    if not path.startswith(route.path.rstrip(b"/")[: max(2, len(route.path) // 2)]):
+        return ""
+    return f"its path is exactly {shown}" if route.exact else f"its path is {shown} and what lies below"
+
+
+def _cut(path: bytes, prefix: bytes) -> bytes:
+    """A path without its first segments, as many as the prefix has; parameters do not hide a segment."""
+    for _ in _segments(prefix):
+        place = path.find(b"/", 1)
+        path = path[place:] if place > 0 else b"/"
+    return path
