--- a/rosedeal/admin/figures.py
+++ b/rosedeal/admin/figures.py
@@ -75,8 +75,15 @@
         self.usual_us = [0.0] * len(classes)
         self.boxes: dict[int, BoxFigures] = {}
 
+    def follow(self, classes: tuple[tuple[str, int], ...]) -> None:
+        """The classes there are now: those of before under their numbers, and further ones."""
+        more = len(classes) - len(self.classes)
+        self.classes = classes
+        self.seconds += [Seconds(SPAN_S + 1, KINDS) for _ in range(more)]
+        self.usual_us += [0.0] * more
+
     def answered(self, now_us: int, klass: int, status: int, took_us: int) -> None:
-        if status == 200:
+        if status < 500 and status != 429:
             kind = IN_TIME if took_us <= self.classes[klass][1] else LATE
             usual_us = self.usual_us[klass]
             self.usual_us[klass] = usual_us + SMOOTHING * (took_us - usual_us) if usual_us else took_us
@@ -117,6 +124,7 @@
                 plot=self._plot(number, second),
             )
             for number, (name, wanted_us) in enumerate(self.classes)
+            if "~" not in name  # of a file before: nothing new comes under it
         ]
 
     def _window(self, klass: int, second: int, span: int) -> Window:
--- a/rosedeal/admin/room.py
+++ b/rosedeal/admin/room.py
@@ -99,6 +99,9 @@
         log.info("the admin socket is %s", self.path)
 
     def reload(self, config: Config) -> None:
+        if config.grows:
+            aims = (klass.aim_us for klass in config.settings.classes)
+            self.figures.follow(tuple(zip(config.names.classes, aims, strict=True)))
         self.story.tell(self._now_us(), "The configuration was read again")
         self.refresh()
 
@@ -183,7 +186,7 @@
         proxy = self.proxy
         assert proxy is not None
         now_us = proxy.clock.now_us()
-        host, port = proxy.listens or self.config.listen
+        host, port = proxy.listens or self.config.listen or ("nowhere", 0)
         return Snapshot(
             site=self.config.name,
             pid=os.getpid(),
--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -12,15 +12,15 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from functools import partial
 from operator import attrgetter
 
 from rosedeal.interface import (
     MAY_STILL_RUN, NEVER_RAN, Action, AttemptEnded, Cancel, Effect, Event, Fail, ListedServer, ListKind, Log,
-    Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList, ServerStatus, ServerView, SetTimer,
-    Settings, StreamStarted, TimerFired, WatchList,
+    Outcome, Refuse, RequestArrived, RequestClass, RequestGone, Scope, Send, ServerList, ServerStatus,
+    ServerView, SetTimer, Settings, StreamStarted, TimerFired, WatchList,
 )
 
 # The breaker
@@ -142,6 +142,15 @@
             return self.open(now_us)
         return None
 
+    def take_back(self, now_us: int) -> State | None:
+        """An answer that was entered as good has broken off since: it was a failure all along."""
+        if self.state is State.CLOSED and False in self.ring:
+            self.ring[len(self.ring) - 1 - list(reversed(self.ring)).index(False)] = True
+            self.failures += 1
+            if len(self.ring) >= MINIMUM and self.failures >= len(self.ring) * THRESHOLD:
+                return self.open(now_us)
+        return None
+
     def forgo_trial(self, trial_of: int) -> None:
         """A trial that proved nothing gives its place back."""
         if self.state is State.HALF_OPEN and trial_of == self.episode:
@@ -169,6 +178,8 @@
     rank: float  # rendezvous hash of this proxy and the server: its place in the subset, lowest first
     breakers: list[Breaker]  # the first judges all its outcomes; then one a class, in their order
     out: dict[Attempt, int] = field(default_factory=dict)  # attempts and when they were sent, oldest first
+    streams: int = 0  # attempts that their clients own
+    answered_us: int = 0  # when its last answer began
     spent_us: float = 0.0  # cold only: work sent and not yet paid off
     spent_at_us: int = 0
 
@@ -181,6 +192,9 @@
     ended: bool = False
     may_have_run: bool = True
     overdue: bool = False
+    due_us: int = 0  # from then on it is overdue
+    owned: bool = False  # by its client: no load of the server's that passes, and no sign of silence
+    answered: bool = False  # an answer has begun, and was judged
 
 
 @dataclass(slots=True, eq=False)
@@ -303,6 +317,26 @@
             self.cold_share(server), server.weight, len(server.out),
         )
 
+    def add_classes(self, classes: tuple[RequestClass, ...], like: tuple[int | None, ...]) -> None:
+        """Further classes behind those there are; one `like` another begins with what that has learnt.
+
+        A class is never changed or taken away: requests go on under the rules they came under.
+        """
+        self.settings = replace(self.settings, classes=self.settings.classes + classes)
+        for klass, old in zip(classes, like, strict=True):
+            self.smoothed.append(klass.aim_us / 4 if old is None else self.smoothed[old])
+            self.unhindered.append(klass.aim_us / 4 if old is None else self.unhindered[old])
+            self.recent.append(0.0 if old is None else self.recent[old])
+            self.answers.append(0 if old is None else self.answers[old])
+            self.mean_work.append(0.0)
+            self.patience.append((klass.give_up_us, 0))
+            self.asked.append(0.0)
+            self.served.append(0.0)
+            for server in self.servers.values():
+                server.breakers.append(Breaker())
+        total = sum(each.worth for each in self.settings.classes)
+        self.keen = [c.worth * len(self.settings.classes) > total for c in self.settings.classes]
+
     # Requests
 
     def on_request(self, event: RequestArrived) -> None:
@@ -391,7 +425,7 @@
         """Requests held by each server in use, if every proxy has as many out as this one."""
         ready = [s for s in self.ranked if s.entry.status is ServerStatus.READY]
         used = sum(s.breakers[0].state is State.CLOSED for s in ready)
-        return out * self.settings.proxies / max(1, used)
+        return out * self.settings.proxies / (max(1, used) * self.settings.at_once)
 
     def worths(self) -> list[float]:
         """What the goal gains from each unit of server time, by class."""
@@ -470,7 +504,7 @@
         request.done = True
         if request.out == 0:
             self.forget(request)
-        elif not request.streaming:
+        elif not any(attempt.answered for attempt in request.attempts):  # whoever owns that one ends it
             self.call_off(request)
 
     def forget(self, request: Request) -> None:
@@ -501,8 +535,26 @@
         request = self.requests.get(event.request)
         if request is None or request.done or not 0 <= event.attempt < len(request.attempts):
             return
+        attempt = request.attempts[event.attempt]
         request.streaming = True
         self.call_off(request, spared=event.attempt)
+        if attempt.ended or attempt.answered:
+            return
+        if not attempt.owned:
+            # Guards against streams that last: a thousand slow readers are no crowd, and a server that sends
+            # to one for an hour is not silent.
+            attempt.owned = True
+            attempt.server.streams += 1
+            attempt.server.out.pop(attempt, None)
+            self.out -= 1
+        if event.answered:
+            attempt.answered = True
+            latency_us = event.latency_us if event.latency_us >= 0 else self.now_us - attempt.sent_us
+            number = attempt.server.entry.server
+            begun = AttemptEnded(request.id, event.attempt, number, Outcome.OK, latency_us)
+            self.judge(request, attempt, begun)
+            if self.now_us <= request.aim_us:
+                self.served[request.klass] += 1
 
     # Order
 
@@ -567,6 +619,7 @@
             server.spent_us += self.cold_cost_us(request)
         self.actions.append(Send(request.id, server.entry.server, max(1, self.end_us(request) - self.now_us)))
         overdue_us = self.now_us + int(OVERDUE * self.expected_us(request))
+        attempt.due_us = max(overdue_us, request.aim_us) if self.settings.varied_work else overdue_us
         if klass.effect is not Effect.UNSAFE and overdue_us < request.deadline_us:
             self.set_timer(overdue_us, partial(self.on_overdue, request))
         return True
@@ -613,17 +666,24 @@
         attempt.ended = True
         attempt.may_have_run = event.outcome not in self.never_ran
         request.out -= 1
-        attempt.server.out.pop(attempt, None)
-        self.out -= 1
+        if attempt.owned:
+            attempt.server.streams -= 1
+        else:
+            attempt.server.out.pop(attempt, None)
+            self.out -= 1
         if request.line is not None and event.outcome in MAY_STILL_RUN:
             request.line.rest_until_us = self.now_us + self.settings.key_rest_us
             self.set_timer(request.line.rest_until_us, partial(self.pass_turn, request.line))
-        self.judge(request, attempt, event)
+        if attempt.answered:
+            self.judge_rest(request, attempt, event)
+        else:
+            self.judge(request, attempt, event)
         if request.done:
             if request.out == 0:
                 self.forget(request)
         elif event.finished or event.outcome is Outcome.OK:
-            if event.outcome is Outcome.OK and self.now_us <= request.aim_us:
+            in_time = event.outcome is Outcome.OK and self.now_us <= request.aim_us
+            if in_time and not attempt.answered:
                 self.served[request.klass] += 1
             self.finish(request)
         elif request.out == 0:
@@ -634,7 +694,7 @@
         klass = self.settings.classes[request.klass]
         ran = any(a.may_have_run for a in request.attempts)
         time_left = self.end_us(request) - self.now_us > self.unhindered[request.klass] * request.size
-        allowed = not ran or klass.effect is not Effect.UNSAFE
+        allowed = not request.streaming and (not ran or klass.effect is not Effect.UNSAFE)
         if ran and not (self.may_repeat() or self.may_replace(request, event)):
             allowed = False
         if not allowed or not time_left or len(request.attempts) >= self.settings.max_attempts:
@@ -722,7 +782,7 @@
         """A server's weight in the draw; 0 for one that is not eligible."""
         if not self.cold_room(server, request):
             return 0.0
-        free = 1.0 / (1.0 + len(server.out)) ** FREE
+        free = 1.0 / ((1.0 + len(server.out)) ** FREE * (1.0 + server.streams))
         share = self.cold_share(server)  # slow start
         return server.entry.weight * server.weight * free * self.nearness(server.entry) * share
 
@@ -734,11 +794,26 @@
         ready = server.entry.status is ServerStatus.READY and not self.is_silent(server)
         return ready and all(b.lets_through(self.now_us) for b in judges(server, klass))
 
+    def is_able(self, now_us: int, klass: int) -> bool:
+        """Whether any server may be sent a request of this class: else another pool may serve it."""
+        self.now_us = max(now_us, self.now_us)
+        return any(self.is_eligible(server, klass) for server in self.ranked)
+
     def is_silent(self, server: Server) -> bool:
         """True while the oldest attempt out is overdue: nothing more until it is answered or times out."""
+        if self.settings.varied_work:
+            return self.is_mute(server)
         sent_us = next(iter(server.out.values()), self.now_us)
         return self.now_us - sent_us > OVERDUE * max(self.smoothed)
 
+    def is_mute(self, server: Server) -> bool:
+        """The same where work varies by itself: two attempts are overdue, and nothing was answered meanwhile.
+
+        Guards against one long report that would keep a server from everybody; a server that takes requests
+        and answers none is given two.
+        """
+        return sum(a.due_us < self.now_us and server.answered_us <= a.sent_us for a in server.out) > 1
+
     # Judging servers
 
     def judge(self, request: Request, attempt: Attempt, event: AttemptEnded) -> None:
@@ -750,6 +825,7 @@
         failed = outcome is not Outcome.OK
         ratio = 0.0 if failed else event.latency_us / max(1.0, self.expected_us(request))
         if not failed:
+            server.answered_us = self.now_us
             self.learn_latency(request, event.latency_us)
         if server.breakers[0].state is State.CLOSED:  # else it keeps the weight it had when it tripped
             self.adjust_weight(server, failed or ratio > SLOW)
@@ -763,6 +839,14 @@
                 span = f" for {breaker.cooldown_us / 1e6:g} s" if changed is State.OPEN else ""
                 self.log(f"server {server.entry.server}: {what} {changed.value}{span}")
 
+    def judge_rest(self, request: Request, attempt: Attempt, event: AttemptEnded) -> None:
+        """The rest of an answer whose beginning was judged: that a server broke it off says something."""
+        if event.outcome in (Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR):
+            self.adjust_weight(attempt.server, True)
+            for breaker in judges(attempt.server, request.klass):
+                if breaker.take_back(self.now_us) is State.OPEN:
+                    self.log(f"server {attempt.server.entry.server}: breaker open, its answers break off")
+
     def learn_latency(self, request: Request, latency_us: int) -> None:
         index, latency = request.klass, latency_us / request.size
         self.smoothed[index] += SMOOTHING * (latency - self.smoothed[index])
--- a/rosedeal/cli/main.py
+++ b/rosedeal/cli/main.py
@@ -58,6 +58,12 @@
         if name == "serve":
             command.add_argument("--until-stdin-ends", action="store_true", help=argparse.SUPPRESS)
 
+    route = commands.add_parser("route", help="say which route of an operator file a request takes, and why")
+    route.add_argument("file", type=Path, metavar="FILE", help="the operator file, TOML")
+    route.add_argument("method", metavar="METHOD")
+    route.add_argument("url", metavar="URL", help="a whole URL, or a path")
+    route.add_argument("-H", "--header", action="append", default=[], metavar="NAME: VALUE")
+
     console = _to_gateway(commands.add_parser("console", help="see and steer the gateway from this terminal"))
     console.add_argument("--ascii", action="store_true", help="draw plots with digits")
 
@@ -86,6 +92,12 @@
             case "check":
                 print(check(args.file, os.environ))
                 return 0
+            case "route":
+                from rosedeal.cli.route import explain
+
+                told, found = explain(args.file, args.method, args.url, args.header)
+                print(told)
+                return 0 if found else REFUSED
             case "demo":
                 from rosedeal.cli.demo import demo  # the stand-ins, which a gateway never imports
 
--- a/rosedeal/cli/serve.py
+++ b/rosedeal/cli/serve.py
@@ -19,6 +19,7 @@
 from rosedeal.site import DrainStore, Site, SiteRoom, combine, read_site, to_config
 from rosedeal.site.convert import carry_names
 from rosedeal.site.schema import EtcdTable
+from rosedeal.site.web import never
 
 log = logging.getLogger(__name__)
 
@@ -31,7 +32,7 @@
         self.environ = environ
         self.site = read_site(path)
         self.overruled: list[str] = []
-        self.config = self._config(self.site, None)
+        self.config = self.newest = self._config(self.site, None)
 
     def _config(self, site: Site, old: Config | None) -> Config:
         if not self.environ.get("ROUTER_CONFIG"):
@@ -45,7 +46,7 @@
         """Raises ConfigError, and then the old ones stay. Called off the loop."""
         site = read_site(self.path)
         config = self._config(site, old)
-        self.site = site
+        self.site, self.newest = site, config
         return config
 
     @property
@@ -74,6 +75,10 @@
     ]
     if setup.site.etcd is not None:
         rooms.insert(1, etcd_room(setup.site.etcd, path.parent, environ))
+    if setup.site.http is not None:
+        from rosedeal.cli.web import web_room
+
+        rooms.append(web_room(setup, environ, figures))
     if until_stdin_ends:
         rooms.append(Lifeline())
     return run(config, setup.read_again, rooms, figures)
@@ -85,9 +90,11 @@
     site, config = setup.site, setup.config
     if site.etcd is not None:
         etcd_room(site.etcd, path.parent, environ)
-    host, port = config.listen
+    listens = [config.listen] if config.listen is not None else []
+    listens += [site.http.listen.pair] if site.http is not None else []
+    where = " and ".join(f"{host}:{port}" for host, port in listens)
     words = [
-        f"{path}: good. {config.name} would listen on {host}:{port}",
+        f"{path}: good. {config.name} would listen on {where}",
         f"{len(config.names.classes)} classes",
         f"{len(site.boxes)} boxes",
         f"admin socket {setup.socket}",
@@ -96,6 +103,9 @@
         else "no etcd",
         "drains by hand are kept" if setup.store is not None else "drains by hand end with the process",
     ]
+    if site.http is not None:
+        words.insert(1, f"{len(site.routes)} routes, {len(site.pools) + 1} pools")
+        words += never(site)
     if setup.overruled:
         words.append(f"the platform's configuration overrules {', '.join(setup.overruled)}")
     return "; ".join(words)
--- /dev/null
+++ b/rosedeal/cli/web.py
@@ -0,0 +1,105 @@
+"""Ordinary HTTP as an operator file sets it: the listener's plan, and the pools with what feeds them."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Mapping
+from functools import partial
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from rosedeal.gateway.config import Config
+from rosedeal.gateway.pools import Feeder, PoolPlan
+from rosedeal.gateway.proxy import Observer
+from rosedeal.gateway.run import Room
+from rosedeal.site import Site, SiteRoom
+from rosedeal.site.convert import pool_config
+from rosedeal.site.schema import PoolTable
+from rosedeal.site.web import MAIN, REPEATABLE, UNSAFE, to_route
+from rosedeal.web.plan import Limits, RoutePlan, Variants, WebPlan
+from rosedeal.web.room import WebRoom
+
+if TYPE_CHECKING:
+    from rosedeal.cli.serve import Setup
+
+CONNECTIONS = 0.5  # of the descriptors that are not reserved: as many as for the platform's clients
+RESERVED = 64
+
+
+def web_room(setup: Setup, environ: Mapping[str, str], observer: Observer) -> Room:
+    """Ordinary HTTP, by the file as it was read last."""
+
+    def feed(pool: PoolTable) -> list[Feeder]:
+        feeders: list[Feeder] = [SiteRoom(lambda: setup.site, None, str(pool.name))]
+        if pool.etcd_prefix is not None and setup.site.etcd is not None:
+            table = msgspec.structs.replace(setup.site.etcd, prefix=pool.etcd_prefix)
+            from rosedeal.cli.serve import etcd_room
+
+            feeders.append(etcd_room(table, setup.path.parent, environ))
+        return feeders
+
+    def read() -> tuple[WebPlan, list[PoolPlan]]:
+        site, config = setup.site, setup.newest
+        plans = [
+            PoolPlan(
+                name=str(pool.name),
+                config=pool_config(config, pool),
+                feed=partial(feed, pool),
+                same=(pool, site.etcd if pool.etcd_prefix is not None else None),
+                weight=pool.weight,
+            )
+            for pool in site.pools
+        ]
+        return to_plan(site, config), plans
+
+    return WebRoom(read, observer)
+
+
+def failing(words: list[str]) -> frozenset[int]:
+    """The statuses of words such as "5xx" and "429"."""
+    found: set[int] = set()
+    for word in words:
+        first = int(word[0]) * 100
+        found.update(range(first, first + 100) if word.endswith("xx") else (int(word),))
+    return frozenset(found)
+
+
+def to_plan(site: Site, config: Config) -> WebPlan:
+    """The listener's plan. `config` has the classes under the names that `convert` gives them."""
+    assert site.http is not None
+    http, numbers = site.http, {name: number for number, name in enumerate(config.names.classes)}
+    classes = {str(klass.name): klass for klass in site.classes}
+    plans = []
+    for table in site.routes:
+        klass = classes[table.klass]
+        base = numbers[table.klass]
+        repeatable = numbers.get(table.klass + REPEATABLE, base)
+        keyed = base if klass.repeats == "keyed" else None
+        pools = table.pools or {table.pool or MAIN: 1.0}
+        between_us = table.between_bytes if table.between_bytes is not None else http.between_bytes
+        limit = table.upload_limit if table.upload_limit is not None else http.upload_limit
+        plans.append(
+            RoutePlan(
+                route=to_route(table),
+                variants=Variants(repeatable, numbers.get(table.klass + UNSAFE, base), keyed),
+                answer_us=int(table.answer_within or klass.given_up_after),
+                between_s=between_us / 1e6,
+                upload_limit=int(limit),
+                pools=tuple((str(name), float(weight)) for name, weight in pools.items()),
+                spare=str(table.spare) if table.spare is not None else None,
+                failing=failing(table.failing),
+            )
+        )
+    limits = Limits(
+        head_s=http.head_within / 1e6,
+        body_s=http.body_within / 1e6,
+        between_s=http.between_bytes / 1e6,
+        unread_s=http.unread_within / 1e6,
+        idle_s=http.idle_connections / 1e6,
+        tunnel_s=http.quiet_tunnels / 1e6,
+        end_s=http.end_within / 1e6,
+        connections=int((config.sockets - RESERVED) * CONNECTIONS),
+    )
+    trusted = tuple(ipaddress.ip_network(network) for network in http.trusted_proxies)
+    return WebPlan(http.listen.pair, limits, tuple(plans), trusted)
--- a/rosedeal/gateway/config.py
+++ b/rosedeal/gateway/config.py
@@ -31,7 +31,7 @@
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
-    listen: Address
+    listen: Address | None  # None: no listener for the platform's clients
     discovery: Address | None  # None: the hosts come from other sources
     seed: int
     sockets: int  # file descriptors that the process may hold
@@ -42,6 +42,7 @@
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     peers_all: Address | None = None
+    grows: bool = False  # a later configuration may hold further classes behind those of this one
 
 
 def parse_address(text: object) -> Address:
@@ -83,6 +84,9 @@
 def needs_restart(old: Config, new: Config) -> list[str]:
     """What differs that a running process does not take over; `known` is for a start only."""
     followed = {"discovery", "filed_discovery", "known"}
+    if old.grows:
+        more = old.settings.classes + new.settings.classes[len(old.settings.classes) :]
+        old = replace(old, settings=replace(old.settings, classes=more), names=new.names)
     return [
         f.name
         for f in fields(Config)
--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -370,6 +370,8 @@
 
     async def start(self) -> Address:
         """Listen for clients; returns where, as port 0 leaves the choice to the system."""
+        if self.config.listen is None:
+            raise ValueError("nothing to listen on")
         host, port = self.config.listen
         self.listener = await self.loop.create_server(
             lambda: ClientConnection(self), host, port, backlog=BACKLOG, reuse_address=True
@@ -378,6 +380,11 @@
         bound: Address = self.listener.sockets[0].getsockname()[:2]
         return bound
 
+    def follow(self, config: Config) -> None:
+        """Requests to come are read by the classes there are now."""
+        open_ids, self.intake = self.intake.open_ids, Intake(config)
+        self.intake.open_ids = open_ids
+
     def add(self, connection: ClientConnection) -> None:
         """Guards against running out of descriptors: what is missed least goes, else new ones hear 503."""
         if len(self.connections) >= self.limit:
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -11,7 +11,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Protocol
 
@@ -41,6 +41,7 @@
     RequestGone,
     Send,
     SetTimer,
+    StreamStarted,
     TellPeers,
     TimerFired,
     WatchList,
@@ -63,6 +64,23 @@
 Reply = Callable[[Answer], None]
 
 
+class Books(Protocol):
+    """What a streamed attempt tells of itself; each at most once, but for `ended` in this order."""
+
+    def committed(self) -> None:
+        """Part of the request has gone on that is held no more: it cannot be sent again."""
+
+    def began(self, status: int, waited_s: float) -> None:
+        """A host's answer is passed on from here: it is the final one. `waited_s`: for its head."""
+
+    def ended(self, outcome: Outcome, answer: Answer | None) -> None:
+        """Always comes. An answer goes with it if it is whole and has not been passed on."""
+
+
+# Sends one attempt of a request that is no whole payload: to this host, which has so many seconds to begin.
+Launch = Callable[[Upstream, int, float, Books], Exchange]
+
+
 class Observer(Protocol):
     """Hears what became of requests and attempts; called in the midst of serving, so it only counts."""
 
@@ -102,6 +120,7 @@
     is_retry: bool = False
     tenant: int = 0
     is_write: bool = False
+    launch: Launch | None = None  # None: headers and body go out as one payload, the answer comes whole
 
 
 @dataclass(slots=True, eq=False)
@@ -114,6 +133,31 @@
     last_resort: asyncio.TimerHandle | None = None
     attempts: list[Exchange | None] = field(default_factory=list)
     out: int = 0
+    kept: Answer | None = None  # a host's own answer to a streamed request, which counts as its failure
+
+
+class StreamBooks:
+    """One streamed attempt in the proxy's books."""
+
+    __slots__ = ("number", "proxy", "request", "sent_us", "server")
+
+    def __init__(self, proxy: Proxy, request: Request, number: int, server: int, sent_us: int) -> None:
+        self.proxy, self.request, self.number, self.server = proxy, request, number, server
+        self.sent_us = sent_us
+
+    def committed(self) -> None:
+        if self.request.last_resort is not None:
+            self.request.last_resort.cancel()  # the rest takes as long as the client and the route say
+        self.proxy.feed(StreamStarted(self.request.id, self.number, answered=False))
+
+    def began(self, status: int, waited_s: float) -> None:
+        self.proxy.close_with(self.request, status)
+        self.proxy.feed(StreamStarted(self.request.id, self.number, latency_us=int(waited_s * 1e6)))
+
+    def ended(self, outcome: Outcome, answer: Answer | None) -> None:
+        if outcome is Outcome.ERROR:
+            self.request.kept = answer
+        self.proxy.attempt_ended(self.request, self.number, self.server, self.sent_us, outcome, answer)
 
 
 def plain(status: int, text: str, *headers: tuple[bytes, bytes]) -> Answer:
@@ -169,6 +213,9 @@
         self.open = 0  # requests that are owed an answer
         self.listens: Address | None = None  # where clients come in, once it is known
         self.taken = 0
+        self.may_open: Callable[[], bool] | None = (
+            None  # of a gateway of several pools; None: the setting holds
+        )
         self.events: deque[Event] = deque()
         self.busy = False
 
@@ -201,8 +248,19 @@
             self.discovery.move(config.discovery)
         for name in needs_restart(self.config, config):
             log.warning("the new configuration changes %s: that needs a restart", name)
+        if config.grows:
+            self.grow(config)
         self.filed = config
 
+    def grow(self, config: Config) -> None:
+        """Take over the classes that a configuration holds behind those there are."""
+        known = len(self.settings.classes)
+        classes, names = config.settings.classes[known:], config.names.classes
+        # A class that was changed stands under its own name anew, the old entry under the name and a mark.
+        old = {name.partition("~")[0]: number for number, name in enumerate(names[:known])}
+        self.balancer.add_classes(classes, tuple(old.get(name) for name in names[known:]))
+        self.settings = replace(self.settings, classes=self.settings.classes + classes)
+
     def close(self) -> None:
         for source in self.sources.values():
             source.close()
@@ -289,7 +347,7 @@
 
     def arrive(self, asked: Asked, reply: Reply) -> Request | None:
         """Take a request: `reply` is called exactly once, unless `leave` comes first."""
-        if 0 < self.settings.max_open_requests <= self.open:
+        if not self.has_room():
             reply(refused("too many requests"))
             if self.observer is not None:
                 self.observer.answered(self.clock.now_us(), asked.klass, 503, 0)
@@ -316,6 +374,15 @@
         )
         return request
 
+    def has_room(self) -> bool:
+        if self.may_open is not None:
+            return self.may_open()
+        return not 0 < self.settings.max_open_requests <= self.open
+
+    def is_able(self, klass: int) -> bool:
+        """Whether any host may be given a request of this class now."""
+        return self.balancer.is_able(self.clock.now_us(), klass)
+
     def leave(self, request: Request) -> None:
         """The client has closed its connection."""
         if request.reply is not None:
@@ -336,19 +403,25 @@
     def finish(self, number: str, answer: Answer) -> None:
         request = self.requests.get(number)
         if request is not None:
-            self.settle(request, answer)
+            # What a host says of its own failure tells the client more than what this gateway could.
+            self.settle(request, answer if request.kept is None else request.kept)
             self.forget_if_over(request)
 
     def settle(self, request: Request, answer: Answer) -> None:
         """Give the final answer, if it is still owed."""
         reply = request.reply
         if reply is not None:
-            self.close_account(request)
+            self.close_with(request, answer.status)
             reply(answer)
+
+    def close_with(self, request: Request, status: int) -> None:
+        """The final answer, with this status, is given now."""
+        if request.reply is not None:
+            self.close_account(request)
             if self.observer is not None:
                 now_us = self.clock.now_us()
                 took_us = now_us - request.came_us + request.asked.waited_us
-                self.observer.answered(now_us, request.asked.klass, answer.status, took_us)
+                self.observer.answered(now_us, request.asked.klass, status, took_us)
 
     def close_account(self, request: Request) -> None:
         request.reply = None
@@ -376,29 +449,34 @@
             )
             return
 
-        def ended(outcome: Outcome, answer: Answer | None) -> None:
-            request.out -= 1
-            latency_us = self.clock.now_us() - sent_us
-            if outcome is Outcome.OK and answer is not None:
-                self.settle(request, answer)
-            if self.observer is not None:
-                self.observer.attempted(sent_us + latency_us, action.server, outcome, latency_us)
-            self.feed(
-                AttemptEnded(
-                    request.id,
-                    number,
-                    action.server,
-                    outcome,
-                    latency_us,
-                    request.reply is None,
-                    self.report(answer),
-                )
-            )
-            self.forget_if_over(request)
-
         request.out += 1
-        payload = request_bytes(request.asked, left_us)
-        request.attempts.append(self.upstream.send(action.server, payload, left_us / 1e6, ended))
+        asked, upstream = request.asked, self.upstream
+        if asked.launch is None:
+            ended = partial(self.attempt_ended, request, number, action.server, sent_us)
+            exchange = upstream.send(action.server, request_bytes(asked, left_us), left_us / 1e6, ended)
+        else:
+            books = StreamBooks(self, request, number, action.server, sent_us)
+            exchange = asked.launch(upstream, action.server, left_us / 1e6, books)
+        request.attempts.append(exchange)
+
+    def attempt_ended(
+        self,
+        request: Request,
+        number: int,
+        server: int,
+        sent_us: int,
+        outcome: Outcome,
+        answer: Answer | None,
+    ) -> None:
+        request.out -= 1
+        latency_us = self.clock.now_us() - sent_us
+        if outcome is Outcome.OK and answer is not None:
+            self.settle(request, answer)
+        if self.observer is not None:
+            self.observer.attempted(sent_us + latency_us, server, outcome, latency_us)
+        over, load = request.reply is None, self.report(answer)
+        self.feed(AttemptEnded(request.id, number, server, outcome, latency_us, over, load))
+        self.forget_if_over(request)
 
     def report(self, answer: Answer | None) -> tuple[tuple[str, float], ...]:
         if answer is None or self.settings.reports.mode is not ReportMode.ANSWERS:
--- a/rosedeal/gateway/run.py
+++ b/rosedeal/gateway/run.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 import uvloop
 
@@ -40,6 +40,14 @@
         """All requests are answered; the process is about to end."""
 
 
+@runtime_checkable
+class Taking(Protocol):
+    """A room that takes requests itself."""
+
+    async def drain(self) -> None:
+        """The process was told to end: returns once all that the room has taken is answered."""
+
+
 async def serve(
     config: Config, read_again: ReadAgain, rooms: Sequence[Room] = (), observer: Observer | None = None
 ) -> None:
@@ -54,15 +62,22 @@
     for room in rooms:
         room.join(proxy)
     await proxy.start()
-    proxy.listens = await downstream.start()
-    log.info("%s listens on %s:%d", config.name, *proxy.listens)
+    if config.listen is not None:
+        proxy.listens = await downstream.start()
+        log.info("%s listens on %s:%d", config.name, *proxy.listens)
     for room in rooms:
         await room.start()
-    reloads = loop.create_task(reload(proxy, hung_up, read_again, rooms))
+    reloads = loop.create_task(reload(proxy, downstream, hung_up, read_again, rooms))
     await told.wait()
     ignore_signals(loop)
     reloads.cancel()  # a process that ends follows no configuration
-    await downstream.drain()
+    # A room that fails must not keep the others from answering what they have taken.
+    ends = [room.drain() for room in rooms if isinstance(room, Taking)]
+    if config.listen is not None:
+        ends.append(downstream.drain())
+    for failed in await asyncio.gather(*ends, return_exceptions=True):
+        if failed is not None:
+            log.error("the end was not as planned", exc_info=failed)
     for room in reversed(rooms):
         await room.close()
     proxy.close()
@@ -79,7 +94,11 @@
 
 
 async def reload(
-    proxy: Proxy, hung_up: asyncio.Event, read_again: ReadAgain, rooms: Sequence[Room] = ()
+    proxy: Proxy,
+    downstream: Downstream,
+    hung_up: asyncio.Event,
+    read_again: ReadAgain,
+    rooms: Sequence[Room] = (),
 ) -> None:
     """Read the file again at each SIGHUP, beside the serving loop; one that is bad changes nothing."""
     while True:
@@ -91,6 +110,8 @@
             log.error("the old configuration stays: %s", error)
         else:
             proxy.take_over(config)
+            if config.grows:
+                downstream.follow(config)
             for room in rooms:
                 room.reload(config)
             log.info("the configuration was read again")
--- /dev/null
+++ b/rosedeal/gateway/streams.py
@@ -0,0 +1,136 @@
+"""Bodies as streams between a client's transport and a host's: the seam of every transport.
+
+The rules, stated once. `Upload` is the body of a request on its way, `Download` what a client's side takes.
+
+1. A request may be tried elsewhere only while all of its body that has come is still held. `HOLD` bytes are,
+   and the read that goes beyond them; the next drops the hold, and the attempt then out is the last.
+2. Nothing is sent to a host before the body is whole or the hold is full: a slow client costs no host.
+3. What a client sends is read no faster than the host takes it, beyond the hold; what a host sends is read no
+   faster than the client takes it. Each side is paused by the other, and holds one write's worth at most.
+4. Once an answer's head is passed on the attempt is the last one. If it breaks, `broke` tells the client's
+   side, which must make the client see it: a short body never ends as a whole one does.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+HOLD = 64 * 1024  # bytes of a body that are held for another try
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class UploadTaker(Protocol):
+    """The host's side of a request: takes what comes after the first lot."""
+
+    def more(self, data: bytes) -> None: ...
+    def no_more(self, trailers: Headers) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Upload:
+    """The body of a request. `flow(False)` asks the client's side to stop reading, `flow(True)` to go on."""
+
+    flow: Callable[[bool], None]
+    limit: int | None = None  # bytes, checked by whoever reads
+    size: int = 0
+    held: list[bytes] = field(default_factory=list)
+    is_held: bool = True  # all that has come: it can be sent again
+    complete: bool = False
+    trailers: Headers = field(default_factory=list)
+    taker: UploadTaker | None = None
+    on_ready: Callable[[], None] | None = None  # called once, when rule 2 is met
+    on_drop: Callable[[], None] | None = None  # called when the hold is dropped: the attempt is the last
+
+    @property
+    def ready(self) -> bool:
+        return self.complete or self.size >= HOLD
+
+    def put(self, data: bytes) -> None:
+        self.size += len(data)
+        if not self.is_held:
+            if self.taker is not None:
+                self.taker.more(data)
+            return
+        if self.taker is not None and self.size > HOLD:
+            self.is_held = False
+            self.held.clear()
+            if self.on_drop is not None:
+                self.on_drop()
+            # The drop may have ended the attempt.
+            if self.taker is not None:
+                self.taker.more(data)
+            return
+        self.held.append(data)
+        if self.size >= HOLD and self.taker is None:
+            self.flow(False)  # until a host takes it
+        self._tell_ready()
+
+    def end(self, trailers: Headers) -> None:
+        self.complete, self.trailers = True, trailers
+        if self.taker is not None:
+            self.taker.no_more(trailers)
+        self._tell_ready()
+
+    def _tell_ready(self) -> None:
+        if self.ready and self.on_ready is not None:
+            ready, self.on_ready = self.on_ready, None
+            ready()
+
+    def attach(self, taker: UploadTaker, on_drop: Callable[[], None]) -> bytes:
+        """A host's side takes over: what is held, to be sent now. The rest comes by `more`."""
+        self.taker, self.on_drop = taker, on_drop
+        if not self.complete:
+            self.flow(True)
+        return b"".join(self.held)
+
+    def detach(self, taker: UploadTaker) -> None:
+        """That side takes no more. What is held stays, for another."""
+        if self.taker is taker:
+            self.taker = self.on_drop = None
+            if not self.complete:
+                self.flow(not self.is_held or self.size < HOLD)
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerHead:
+    """A host's answer as it is passed on. `length`: of the body, None if only its end will tell."""
+
+    status: int
+    headers: Headers
+    length: int | None
+    has_body: bool = True  # False: HEAD, 204, 304
+    upgraded: bool = False  # 101: from here on both sides speak as they like
+
+
+class Download(Protocol):
+    """The client's side of an answer."""
+
+    def interim(self, status: int, headers: Headers) -> None:
+        """An answer of the kind 1xx, ahead of the final one."""
+
+    def begin(self, head: AnswerHead, source: DownloadSource) -> None:
+        """The final answer's head. Called once at the most."""
+
+    def data(self, data: bytes) -> None: ...
+
+    def end(self, trailers: Headers) -> None:
+        """The answer is whole."""
+
+    def broke(self) -> None:
+        """The answer has broken off."""
+
+
+class DownloadSource(Protocol):
+    """The host's side of an answer that is passed on."""
+
+    def flow(self, on: bool) -> None:
+        """The client takes no more, or takes it again."""
+
+    def more(self, data: bytes) -> None:
+        """Of a tunnel: what the client sends."""
+
+    def client_left(self) -> None:
+        """Nobody takes the rest."""
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -63,7 +63,7 @@
     def __init__(self, payload: bytes, ended: Ended) -> None:
         self.payload = payload
         self._ended = ended
-        self.connection: HostConnection | None = None
+        self.connection: PooledConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # the last byte has left the process: from here on it may have run
         self.done = False
@@ -94,8 +94,11 @@
             connection.abort()
 
 
-class HostConnection(asyncio.Protocol):
-    """One connection to a host; carries one exchange at a time."""
+class PooledConnection(asyncio.Protocol):
+    """One connection to a host, of whatever kind; carries one exchange at a time.
+
+    A kind says how an exchange is written and what is read; that it is there, idle or busy, is the pool's.
+    """
 
     def __init__(self, pool: Upstream, host: Host) -> None:
         self.pool = pool
@@ -104,16 +107,6 @@
         self.transport: asyncio.Transport | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.idle_since = 0.0
-        self.answer = Answer()
-        self.size = 0
-        self.raw = 0  # bytes since the request went out, however they are framed
-        self.interim = 0
-        self.chunks: list[bytes] = []
-        self.complete = False
-        self.keep_alive = False
-        self.parser = httptools.HttpResponseParser(self)
-
-    # Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's are none by inheritance
@@ -129,6 +122,58 @@
         else:
             self.write(exchange)
 
+    def write(self, exchange: Exchange) -> None:
+        """Send what the exchange has to say."""
+        raise NotImplementedError
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.pool.drop(self)
+        if self.exchange is not None:
+            self.exchange.lost()
+
+    def abort(self) -> None:
+        self.exchange = None
+        self.pool.drop(self)
+        if self.connecting is not None:
+            self.connecting.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def fail(self) -> None:
+        """What came is no answer that can be passed on: as good as a broken connection."""
+        exchange = self.exchange
+        self.abort()
+        if exchange is not None:
+            exchange.lost()
+
+    def is_quiet(self) -> bool:
+        """Whether nothing waits to be read, neither data nor an end.
+
+        Guards against what came unasked since the last answer: it would pass for the answer to the next.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+
+class HostConnection(PooledConnection):
+    """Exchanges whole: a payload out, an answer of bounded size in."""
+
+    def __init__(self, pool: Upstream, host: Host) -> None:
+        super().__init__(pool, host)
+        self.answer = Answer()
+        self.size = 0
+        self.raw = 0  # bytes since the request went out, however they are framed
+        self.interim = 0
+        self.chunks: list[bytes] = []
+        self.complete = False
+        self.keep_alive = False
+        self.parser = httptools.HttpResponseParser(self)
+
+    # Transport
+
     def write(self, exchange: Exchange) -> None:
         transport = self.transport
         assert transport is not None
@@ -164,37 +209,6 @@
         elif not clean or self.raw > RAW_LIMIT:
             self.fail()
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.pool.drop(self)
-        if self.exchange is not None:
-            self.exchange.lost()
-
-    def abort(self) -> None:
-        self.exchange = None
-        self.pool.drop(self)
-        if self.connecting is not None:
-            self.connecting.cancel()
-        if self.transport is not None:
-            self.transport.abort()
-
-    def fail(self) -> None:
-        """What came is no answer that can be passed on: as good as a broken connection."""
-        exchange = self.exchange
-        self.abort()
-        if exchange is not None:
-            exchange.lost()
-
-    def is_quiet(self) -> bool:
-        """Whether nothing waits to be read, neither data nor an end.
-
-        Guards against what came unasked since the last answer: it would pass for the answer to the next.
-        """
-        if self.transport is None or self.transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
-
     # Parser
 
     def on_message_begin(self) -> None:
@@ -250,7 +264,7 @@
 class Host:
     address: Address
     stop_at: float | None = None  # loop time from which nothing new may be written, once it drains or is gone
-    idle: list[HostConnection] = field(default_factory=list)  # the one used last comes last
+    idle: list[PooledConnection] = field(default_factory=list)  # the one used last comes last
 
 
 class Upstream:
@@ -271,7 +285,7 @@
         self.idle_s = (idle_us / 1e6 or IDLE_UNSTATED_S) * IDLE_SHARE
         self.drain_grace_s = drain_grace_us / 1e6
         self.hosts: dict[HostId, Host] = {}
-        self.connections: set[HostConnection] = set()
+        self.connections: set[PooledConnection] = set()
 
     # Hosts
 
@@ -310,30 +324,39 @@
 
     def send(self, number: HostId, payload: bytes, timeout_s: float, ended: Ended) -> Exchange:
         exchange = Exchange(payload, ended)
+        self.carry(number, exchange, timeout_s, HostConnection)
+        return exchange
+
+    def carry(
+        self, number: HostId, exchange: Exchange, timeout_s: float, kind: type[PooledConnection]
+    ) -> None:
+        """Have an exchange carried by an idle connection of this kind, or else by a new one."""
         host = self.hosts.get(number)
         if host is None or not self.may_send(host):
             self.loop.call_soon(exchange.never_sent)
-            return exchange
+            return
         exchange.timer = self.loop.call_later(timeout_s, exchange.give_up, Outcome.TIMEOUT)
         while host.idle:
             connection = host.idle.pop()
-            if connection.is_quiet():
+            if type(connection) is kind and connection.is_quiet():
                 connection.write(exchange)
-                return exchange
+                return
             connection.abort()
-        self.connect(host, exchange)
-        return exchange
+        self.connect(host, exchange, kind)
 
-    def connect(self, host: Host, exchange: Exchange) -> None:
-        if len(self.connections) >= self.limit and not self.close_oldest_idle():
+    def connect(self, host: Host, exchange: Exchange, kind: type[PooledConnection]) -> None:
+        if not self.has_room() and not self.close_oldest_idle():
             self.loop.call_soon(exchange.never_sent)
             return
-        connection = HostConnection(self, host)
+        connection = kind(self, host)
         connection.exchange, exchange.connection = exchange, connection
         self.connections.add(connection)
         connection.connecting = self.loop.create_task(self.open(connection, exchange))
 
-    async def open(self, connection: HostConnection, exchange: Exchange) -> None:
+    def has_room(self) -> bool:
+        return len(self.connections) < self.limit
+
+    async def open(self, connection: PooledConnection, exchange: Exchange) -> None:
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 await self.loop.create_connection(lambda: connection, *connection.host.address)
@@ -348,14 +371,14 @@
 
     # The pool
 
-    def rest(self, connection: HostConnection) -> None:
+    def rest(self, connection: PooledConnection) -> None:
         if connection.host.stop_at is not None:
             connection.abort()
             return
         connection.idle_since = self.loop.time()
         connection.host.idle.append(connection)
 
-    def drop(self, connection: HostConnection) -> None:
+    def drop(self, connection: PooledConnection) -> None:
         self.connections.discard(connection)
         if connection in connection.host.idle:
             connection.host.idle.remove(connection)
--- a/rosedeal/interface.py
+++ b/rosedeal/interface.py
@@ -198,6 +198,9 @@
     server_kinds: int = 1
     tier: int = 0  # the tier that this proxy sends to
     tiers: int = 1
+    # Ordinary applications, whose work varies by itself
+    at_once: int = 1  # requests that a server of the usual size works on at a time
+    varied_work: bool = False  # a server that answers anything meanwhile is not silent
 
     def __post_init__(self) -> None:
         """Reject settings that no decision can be made from."""
@@ -228,6 +231,7 @@
             "zones",
             "server_kinds",
             "tiers",
+            "at_once",
         )
         least = dict.fromkeys(at_least_0, 0) | dict.fromkeys(at_least_1, 1)
         _check(self, least, shares=("start_capacity", "over_share_worth"))
@@ -287,10 +291,16 @@
 
 @dataclass(slots=True, frozen=True)
 class StreamStarted:
-    """The answer has begun: the client owns the attempt and no deadline holds."""
+    """The client owns the attempt: no deadline holds, and there will be no other.
+
+    `answered`: the answer has begun, after `latency_us` (-1: since it was sent). Else part of the request has
+    gone on that cannot be sent again, and how the server does shows later.
+    """
 
     request: str
     attempt: int
+    answered: bool = True
+    latency_us: int = -1
 
 
 @dataclass(slots=True, frozen=True)
--- a/rosedeal/routes/path.py
+++ b/rosedeal/routes/path.py
@@ -24,7 +24,7 @@
 PLAIN = re.compile(rb"(?:/(?!\.\.?(?:/|\Z))[A-Za-z0-9._~!$&'()*+,=:@-]+)*/?")
 PATH = re.compile(rb"/[\x21\x24-\x3e\x40-\x5b\x5d-\x7e]*")  # no space, quote, "#", "?" or backslash
 QUERY = re.compile(rb"[\x21\x23-\x7e]*")
-ABSOLUTE = re.compile(rb"(?i:https?)://([^/?#@]*)(.*)", re.S)
+ABSOLUTE = re.compile(rb"(?i:https?)://([^/?#]*)([/?].*)?", re.S)
 NAMED = re.compile(r"[a-z0-9_](?:[a-z0-9_-]*[a-z0-9_])?(?:\.[a-z0-9_](?:[a-z0-9_-]*[a-z0-9_])?)*\.?")
 HOST_LIMIT = 255
 
@@ -49,7 +49,7 @@
         absolute = ABSOLUTE.fullmatch(raw)
         if absolute is None or not absolute[1]:
             raise BadPath("the target is neither a path nor an http URL")
-        authority, raw = absolute[1], absolute[2]
+        authority, raw = absolute[1], absolute[2] or b"/"
         if not raw.startswith(b"/"):
             raw = b"/" + raw
     path, mark, query = raw.partition(b"?")
--- a/rosedeal/site/convert.py
+++ b/rosedeal/site/convert.py
@@ -6,10 +6,19 @@
 
 from rosedeal.gateway.config import Config, ConfigError, Names
 from rosedeal.interface import Effect, Prices, RequestClass, Scope, Settings
-from rosedeal.site.schema import ClassTable, Site
-
-EFFECTS = {"safe": Effect.SAFE, "keyed": Effect.KEYED, "unsafe": Effect.UNSAFE}
+from rosedeal.site.schema import Address, ClassTable, PoolTable, Site
+from rosedeal.site.web import REPEATABLE, UNSAFE
+
+EFFECTS = {
+    "safe": Effect.SAFE,
+    "keyed": Effect.KEYED,
+    "unsafe": Effect.UNSAFE,
+    "by-method": Effect.SAFE,  # of those methods that may be repeated; the others are an entry of their own
+}
+LISTEN = Address("127.0.0.1:8080")
+LATE_WORTH = 0.5  # of a page: one that comes late is still read
 SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE}
+CLASSES_EVER = 512  # of one process: the decisions never forget a class while they run
 CROSSING = 0.08  # price of a request that leaves its zone, where the own zone is preferred
 
 
@@ -17,12 +26,15 @@
     """The configuration of a gateway that has no platform. Raises ConfigError."""
     if not site.classes:
         raise ConfigError("the operator file names no class: add a [[class]] table")
-    if not site.boxes and site.site.discovery is None and site.etcd is None:
+    if not site.boxes and site.site.discovery is None and site.etcd is None and not site.pools:
         raise ConfigError("the operator file names no box: add a [[box]] table, site.discovery or [etcd]")
     zones, kinds = _zones(site), _kinds(site)
+    classes = [entry for table in site.classes for entry in _entries(table, site.http is not None)]
+    # The entries that stand under the file's own names come first: their numbers are those of before.
+    classes.sort(key=lambda entry: "+" in entry[0])
     try:
         settings = Settings(
-            classes=tuple(map(_class, site.classes)),
+            classes=tuple(klass for _, klass in classes),
             prices=Prices(cross_zone=CROSSING if site.fleet.prefer_own_zone else 0.0),
             zone=0,
             max_attempts=site.limits.attempts,
@@ -40,18 +52,36 @@
             max_open_requests=site.limits.open_requests,
             zones=max(1, len(zones)),
             server_kinds=max(1, len(kinds)),
+            at_once=site.fleet.at_once,
+            varied_work=site.http is not None,
+            marks_retry=site.http is not None and site.site.listen is None,
         )
     except ValueError as error:
         raise ConfigError(f"the operator file cannot be used: {error}") from None
     discovery = site.site.discovery
+    listen = site.site.listen or (LISTEN if site.http is None else None)
     return Config(
         name=str(site.site.name),
-        listen=site.site.listen.pair,
+        listen=listen.pair if listen is not None else None,
         discovery=discovery.pair if discovery is not None else None,
         seed=seed,
         sockets=site.limits.sockets,
         settings=settings,
-        names=Names(tuple(str(c.name) for c in site.classes), (), zones, kinds),
+        names=Names(tuple(name for name, _ in classes), (), zones, kinds),
+        known={},
+        filed_discovery=str(discovery) if discovery is not None else None,
+        grows=True,
+    )
+
+
+def pool_config(config: Config, pool: PoolTable) -> Config:
+    """The configuration of one of the further pools."""
+    discovery = pool.discovery
+    return replace(
+        config,
+        name=f"{config.name}/{pool.name}",
+        discovery=discovery.pair if discovery is not None else None,
+        settings=replace(config.settings, list_is_pushed=discovery is None),
         known={},
         filed_discovery=str(discovery) if discovery is not None else None,
     )
@@ -65,18 +95,56 @@
 
 
 def carry_names(new: Config, old: Config) -> Config:
-    """Zones and kinds keep the numbers that they have: those of a reloaded file may come in another order."""
-    names = replace(new.names, zones=old.names.zones, kinds=old.names.kinds)
-    settings = replace(new.settings, zones=old.settings.zones, server_kinds=old.settings.server_kinds)
+    """Zones, kinds and classes keep the numbers they have: a reloaded file may name them in another order.
+
+    Raises ConfigError once the file has changed classes too often.
+    """
+    classes = _carry_classes(new, old)
+    names = Names(tuple(name for name, _ in classes), (), old.names.zones, old.names.kinds)
+    settings = replace(
+        new.settings,
+        classes=tuple(klass for _, klass in classes),
+        zones=old.settings.zones,
+        server_kinds=old.settings.server_kinds,
+    )
     return replace(new, names=names, settings=settings, seed=old.seed)
 
 
+def _carry_classes(new: Config, old: Config) -> list[tuple[str, RequestClass]]:
+    """Those of before, the ones that have changed or gone under a mark; then what is new or has changed."""
+    wanted = dict(zip(new.names.classes, new.settings.classes, strict=True))
+    before = list(zip(old.names.classes, old.settings.classes, strict=True))
+    kept: list[tuple[str, RequestClass]] = []
+    for number, (name, klass) in enumerate(before):
+        stays = wanted.get(name) == klass
+        kept.append((name if stays or "~" in name else f"{name}~{number}", klass))
+    there = {name for name, _ in kept}
+    kept += [(name, klass) for name, klass in wanted.items() if name not in there]
+    if len(kept) > CLASSES_EVER:
+        raise ConfigError(f"classes were changed too often since the start ({CLASSES_EVER}): restart")
+    return kept
+
+
+def _entries(table: ClassTable, by_method: bool) -> list[tuple[str, RequestClass]]:
+    """What the balancer knows of one class: with ordinary HTTP, one entry for each that a repeat may do."""
+    klass, name = _class(table), str(table.name)
+    entries = [(name, klass)]
+    if by_method and table.repeats in ("keyed", "by-method"):
+        entries.append((name + UNSAFE, replace(klass, effect=Effect.UNSAFE)))
+    if by_method and table.repeats == "keyed":
+        entries.append((name + REPEATABLE, replace(klass, effect=Effect.SAFE)))
+    return entries
+
+
 def _class(table: ClassTable) -> RequestClass:
+    late_worth = table.late_worth
+    if late_worth is None:
+        late_worth = LATE_WORTH if table.repeats == "by-method" else 0.0
     return RequestClass(
         aim_us=int(table.wanted_within),
         give_up_us=int(table.given_up_after),
         worth=table.worth,
-        late_worth=table.late_worth,
+        late_worth=late_worth,
         effect=EFFECTS[table.repeats],
         scope=SCOPES[table.repeats_dropped_by],
         window_us=int(table.repeats_dropped_for) if table.repeats == "keyed" else 0,
--- a/rosedeal/site/read.py
+++ b/rosedeal/site/read.py
@@ -16,7 +16,20 @@
 
 from rosedeal.gateway.config import ConfigError
 from rosedeal.site.locate import line_of, lines_of
-from rosedeal.site.schema import BoxTable, ClassTable, EtcdTable, Fleet, Limits, Site, SiteTable, decode
+from rosedeal.site.schema import (
+    BoxTable,
+    ClassTable,
+    EtcdTable,
+    Fleet,
+    HttpTable,
+    Limits,
+    PoolTable,
+    RouteTable,
+    Site,
+    SiteTable,
+    decode,
+)
+from rosedeal.site.web import contradictions as of_web
 
 SIZE_LIMIT = 1024 * 1024  # bytes of a file
 FOUND_LIMIT = 60  # characters of a wrong value that an error repeats
@@ -29,6 +42,9 @@
     "etcd": EtcdTable,
     "class": ClassTable,
     "box": BoxTable,
+    "http": HttpTable,
+    "route": RouteTable,
+    "pool": PoolTable,
 }
 AT = re.compile(r"(?P<what>.*?)(?: - at `\$(?P<path>[^`]*)`)?", re.S)
 UNKNOWN = re.compile(r"Object contains unknown field `(?P<key>.*)`", re.S)
@@ -94,7 +110,12 @@
 def _contradictions(site: Site) -> list[tuple[str, str]]:
     """What no single key shows: (path, what is wrong)."""
     found: list[tuple[str, str]] = []
-    named = {"class": [c.name for c in site.classes], "box": [b.name for b in site.boxes]}
+    named = {
+        "class": [c.name for c in site.classes],
+        "box": [b.name for b in site.boxes],
+        "route": [r.name for r in site.routes],
+        "pool": [p.name for p in site.pools],
+    }
     for table, names in named.items():
         first: dict[str, int] = {}
         for number, name in enumerate(names):
@@ -116,6 +137,7 @@
         )
     if site.etcd is not None:
         found += _of_etcd(site.etcd)
+    found += of_web(site)
     if site.fleet.overload_within < 1_000:
         found.append(("fleet.overload_within", 'found less than "1ms"; allowed: "1ms" or more'))
     return found
--- a/rosedeal/site/schema.py
+++ b/rosedeal/site/schema.py
@@ -67,9 +67,44 @@
     return Address(text)
 
 
+class Size(int):
+    """Bytes; written with their unit."""
+
+
+SIZE = re.compile(r"([0-9]+(?:\.[0-9]+)?) ?(B|kB|MB|GB)")
+UNITS_BYTES = {"B": 1, "kB": 1_000, "MB": 1_000_000, "GB": 1_000_000_000}
+LARGEST = 1 << 50
+SIZE_ALLOWED = 'a size in quotes, such as "64kB", "10MB" or "2GB"'
+
+
+def parse_size(text: object) -> Size:
+    """Bytes of a text such as "10MB". Raises ValueError."""
+    match = SIZE.fullmatch(text) if isinstance(text, str) else None
+    if match is None or float(match[1]) * UNITS_BYTES[match[2]] > LARGEST:
+        raise ValueError(SIZE_ALLOWED)
+    return Size(round(float(match[1]) * UNITS_BYTES[match[2]]))
+
+
+class Network(str):
+    """An IP address, or a range of them such as 10.0.0.0/8."""
+
+
+def parse_network(text: object) -> Network:
+    try:
+        return Network(ipaddress.ip_network(text if isinstance(text, str) else "", strict=True))
+    except ValueError:
+        raise ValueError('an IP address or network in quotes, such as "10.0.0.7" or "10.0.0.0/8"') from None
+
+
 def decode(kind: type, value: Any) -> Any:
     """msgspec's hook for the types above."""
-    parsers = {Duration: parse_duration, Name: parse_name, Address: parse_address}
+    parsers = {
+        Duration: parse_duration,
+        Name: parse_name,
+        Address: parse_address,
+        Size: parse_size,
+        Network: parse_network,
+    }
     return parsers[kind](value)
 
 
@@ -79,7 +114,9 @@
 
 class SiteTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     name: Name
-    listen: Address = Address("127.0.0.1:8080")
+    listen: Address | None = (
+        None  # for the platform's clients; None: 127.0.0.1:8080, or not at all with [http]
+    )
     admin: Path | None = None  # Unix socket of console and commands; None: the user's own default
     state: Path | None = None  # folder for what outlives a restart; None: nothing does
     zone: Name | None = None  # where this gateway stands
@@ -106,6 +143,7 @@
     overload_multiple: Annotated[float, msgspec.Meta(ge=1.0, le=100.0)] = 4.0
     overload_within: Duration = Duration(3_000_000)
     prefer_own_zone: bool = False
+    at_once: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 1  # requests that a box works on at a time
 
 
 class ClassTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -113,8 +151,8 @@
     wanted_within: Duration
     given_up_after: Duration
     worth: Annotated[float, msgspec.Meta(ge=0.0, le=1_000_000.0)] = 1.0
-    late_worth: Share = 0.0
-    repeats: Literal["safe", "keyed", "unsafe"] = "unsafe"
+    late_worth: Share | None = None  # None: 0, and 0.5 of "by-method"
+    repeats: Literal["safe", "keyed", "unsafe", "by-method"] = "unsafe"
     repeats_dropped_for: Duration = Duration(60_000_000)  # of "keyed"
     repeats_dropped_by: Literal["all", "zone"] = "all"  # of "keyed": boxes that share what they remember
 
@@ -124,9 +162,64 @@
     address: Address
     zone: Name | None = None
     kind: Name | None = None
+    pool: Name | None = None  # None: the main one
     weight: Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)] = 1.0
 
 
+class HttpTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Ordinary HTTP for clients, by the routes of this file."""
+
+    listen: Address = Address("127.0.0.1:8080")
+    trusted_proxies: Annotated[list[Network], msgspec.Meta(max_length=64)] = msgspec.field(
+        default_factory=list
+    )
+    head_within: Duration = Duration(10_000_000)
+    body_within: Duration = Duration(300_000_000)
+    between_bytes: Duration = Duration(60_000_000)
+    unread_within: Duration = Duration(60_000_000)
+    idle_connections: Duration = Duration(60_000_000)
+    quiet_tunnels: Duration = Duration(3_600_000_000)
+    end_within: Duration = Duration(10_000_000)
+    upload_limit: Size = Size(10_000_000)
+
+
+Failing = Annotated[str, msgspec.Meta(pattern="^[1-5](xx|[0-9][0-9])$")]
+Method = Annotated[str, msgspec.Meta(pattern="^[A-Z][A-Z-]{0,31}$")]
+Weight = Annotated[float, msgspec.Meta(ge=0.0, le=1_000_000.0)]
+
+
+class RouteTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Which requests, and what becomes of them."""
+
+    name: Name
+    host: Annotated[str, msgspec.Meta(min_length=1, max_length=255)] | None = None
+    path: Path | None = None  # exactly this one
+    prefix: Path | None = None  # this one and what lies below; None, with no path either: everything
+    methods: Annotated[list[Method], msgspec.Meta(max_length=32)] = msgspec.field(default_factory=list)
+    headers: Annotated[dict[str, str], msgspec.Meta(max_length=16)] = msgspec.field(default_factory=dict)
+    klass: Name = msgspec.field(name="class")
+    pool: Name | None = None
+    pools: dict[str, Weight] | None = None  # several, each with its weight
+    spare: Name | None = None
+    take_off: Path | None = None
+    put_before: Path | None = None
+    answer_within: Duration | None = None  # None: the class's given_up_after
+    between_bytes: Duration | None = None  # None: that of [http]
+    upload_limit: Size | None = None  # None: that of [http]
+    failing: Annotated[list[Failing], msgspec.Meta(max_length=64)] = msgspec.field(
+        default_factory=lambda: ["5xx"]
+    )
+
+
+class PoolTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Boxes apart from the main ones, with decisions of their own."""
+
+    name: Name
+    weight: Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)] = 1.0  # of what pools divide
+    discovery: Address | None = None
+    etcd_prefix: Annotated[str, msgspec.Meta(min_length=1, max_length=256)] | None = None
+
+
 class EtcdTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """Boxes that an etcd names under a prefix. A relative path is taken from the operator file's folder."""
 
@@ -148,6 +241,13 @@
     limits: Limits = Limits()
     fleet: Fleet = Fleet()
     etcd: EtcdTable | None = None
+    http: HttpTable | None = None
+    routes: Annotated[list[RouteTable], msgspec.Meta(max_length=4096)] = msgspec.field(
+        name="route", default_factory=list
+    )
+    pools: Annotated[list[PoolTable], msgspec.Meta(max_length=32)] = msgspec.field(
+        name="pool", default_factory=list
+    )
     classes: Annotated[list[ClassTable], msgspec.Meta(max_length=64)] = msgspec.field(
         name="class", default_factory=list
     )
--- a/rosedeal/site/source.py
+++ b/rosedeal/site/source.py
@@ -12,6 +12,7 @@
 from rosedeal.interface import ListedServer, ListKind
 from rosedeal.site.drains import DrainStore
 from rosedeal.site.schema import BoxTable, Site
+from rosedeal.site.web import MAIN
 
 log = logging.getLogger(__name__)
 
@@ -62,8 +63,10 @@
 class SiteRoom:
     """Lets the file's boxes and the drains that were kept into the gateway."""
 
-    def __init__(self, site: Callable[[], Site], store: DrainStore | None) -> None:
+    def __init__(self, site: Callable[[], Site], store: DrainStore | None, pool: str | None = None) -> None:
+        """`pool`: the further pool whose boxes these are; None for the main one."""
         self.site = site
+        self.pool = pool
         self.store = store
         self.source: FileSource | None = None
 
@@ -72,21 +75,26 @@
             proxy.roster.restore(self.store.load())
         config, site = proxy.config, self.site()
         fallback = site.etcd is not None and site.etcd.boxes_of_this_file == "until-heard"
+        if self.pool is not None:
+            fallback = fallback and any(p.name == self.pool and p.etcd_prefix for p in site.pools)
         self.source = FileSource(
-            site.boxes, config.names, config.settings.zone, fallback, partial(proxy.hear, FileSource.name)
+            self.boxes(), config.names, config.settings.zone, fallback, partial(proxy.hear, FileSource.name)
         )
         proxy.add_source(self.source)
 
+    def boxes(self) -> list[BoxTable]:
+        return [box for box in self.site().boxes if (box.pool or MAIN) == (self.pool or MAIN)]
+
     async def start(self) -> None:
         """Its boxes are told with those of the other sources."""
 
     def reload(self, config: Config) -> None:
         assert self.source is not None
-        before, after = {b.name for b in self.source.boxes}, {b.name for b in self.site().boxes}
+        before, after = {b.name for b in self.source.boxes}, {b.name for b in self.boxes()}
         for word, names in (("added", after - before), ("removed", before - after)):
             if names:
                 log.info("%s by the operator file: %s", word, ", ".join(sorted(names)))
-        self.source.tell(self.site().boxes)
+        self.source.tell(self.boxes())
 
     async def close(self) -> None:
         """Drains are kept as they are made."""
--- /dev/null
+++ b/rosedeal/web/back.py
@@ -0,0 +1,383 @@
+"""HTTP/1.1 to boxes as streams: one exchange at a time on a connection, each with exactly one outcome.
+
+What an outcome says of a box that may have run the request:
+
+- Nothing of it has left this process: never ran. Else it may have, whatever became of the rest.
+- Once the head of an answer is passed on the outcome is that of the stream: whole, broken off by the box, or
+  no longer wanted by the client.
+- An answer that counts as the box's failure is held, up to HOLD bytes, so that another box may be asked; a
+  longer one is passed on as it comes, and counts as a failure all the same.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import httptools
+
+from rosedeal.gateway.proxy import Books
+from rosedeal.gateway.streams import HOLD, AnswerHead, Download, Headers, Upload
+from rosedeal.gateway.upstream import (
+    HEAD_LIMIT,
+    INTERIM_LIMIT,
+    Answer,
+    Exchange,
+    Host,
+    PooledConnection,
+    Upstream,
+)
+from rosedeal.interface import Outcome
+from rosedeal.web.heads import BadHead, answer_headers, trailers
+
+BUFFER = 64 * 1024  # bytes written to a box and not yet sent, beyond which the client is not read
+LAST_READ = 256 * 1024  # bytes read of what stands in a broken connection
+NO_BODY = (204, 304)
+
+
+@dataclass(slots=True, frozen=True)
+class Wanted:
+    """What an exchange is for."""
+
+    head: bytes  # lines for the box, without the final empty one
+    upload: Upload
+    download: Download
+    is_head: bool  # the method is HEAD: the answer has no body
+    chunked: bool  # how the request's body is framed
+    upgrade: bool  # the client would speak as it likes from 101 on
+    failing: Callable[[int], bool]  # whether a status counts as the box's failure
+
+
+class BoxExchange(Exchange):
+    """One try of a request at a box."""
+
+    __slots__ = (
+        "began_at",
+        "begun",
+        "books",
+        "last_at",
+        "last_try",
+        "loop",
+        "paused",
+        "stuck",
+        "wanted",
+        "whole",
+    )
+
+    def __init__(self, wanted: Wanted, books: Books, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(wanted.head, books.ended)
+        self.wanted, self.books, self.loop = wanted, books, loop
+        self.begun = False  # the answer's head is passed on
+        self.whole = False  # and so is its end
+        self.paused = False  # by the client, which takes no more
+        self.last_try = False  # the request's body is not held any more
+        self.stuck = False  # the box takes no more of it
+        self.began_at = self.last_at = loop.time()  # last: when the box last said or took something
+
+    @property
+    def box(self) -> BoxConnection | None:
+        return self.connection if isinstance(self.connection, BoxConnection) else None
+
+    def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
+        if self.done:
+            return
+        self.wanted.upload.detach(self)
+        cut = self.begun and not self.whole
+        super().end(outcome, answer)
+        if cut:
+            self.wanted.download.broke()
+
+    def check_time(self, now: float, between_s: float, answer_s: float) -> None:
+        """The box says or takes nothing for too long, where the decisions' own time is over."""
+        if self.done or not (self.begun or self.last_try):
+            return
+        quiet_s, upload = now - self.last_at, self.wanted.upload
+        if self.begun:
+            late = not self.paused and quiet_s > between_s
+        elif upload.complete:
+            late = quiet_s > answer_s
+        else:
+            late = self.stuck and quiet_s > between_s
+        if late:
+            self.give_up(Outcome.TIMEOUT)
+
+    # The request's body
+
+    def committed(self) -> None:
+        """What has come is held no more: the time to the answer counts from the request's end."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.last_try = True
+        self.books.committed()
+
+    def more(self, data: bytes) -> None:
+        box = self.box
+        if box is not None:
+            self.last_at = self.loop.time()
+            box.send(b"%x\r\n%b\r\n" % (len(data), data) if self.wanted.chunked else data)
+
+    def no_more(self, fields: Headers) -> None:
+        box = self.box
+        if box is not None and self.wanted.chunked:
+            box.send(last_chunk(fields))
+        self.began_at = self.last_at = self.loop.time()
+
+    # The answer
+
+    def begin(self, head: AnswerHead) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.begun = True
+        self.last_at = self.loop.time()
+        self.books.began(head.status, self.last_at - self.began_at)
+        self.wanted.download.begin(head, self)
+
+    def flow(self, on: bool) -> None:
+        self.paused = not on
+        self.last_at = self.loop.time()
+        box = self.box
+        if box is not None and box.transport is not None and not box.transport.is_closing():
+            (box.transport.resume_reading if on else box.transport.pause_reading)()
+
+    def client_left(self) -> None:
+        self.whole = True  # nobody is to be told of a break
+        self.give_up(Outcome.CANCELLED)
+
+
+class BoxConnection(PooledConnection):
+    def __init__(self, pool: Upstream, host: Host) -> None:
+        super().__init__(pool, host)
+        self.carried: BoxExchange | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.headers: Headers = []
+        self.fields: Headers = []  # trailers
+        self.size = 0
+        self.interim = 0
+        self.head_read = self.complete = self.keep_alive = False
+        self.until_close = self.tunnel = False
+        self.outcome = Outcome.OK
+        self.answer: Answer | None = None  # held: it counts as the box's failure
+        self.chunks: list[bytes] = []
+
+    # Transport
+
+    def write(self, exchange: Exchange) -> None:
+        transport = self.transport
+        assert transport is not None and isinstance(exchange, BoxExchange)
+        self.exchange = self.carried = exchange
+        exchange.connection = self
+        self.fresh()
+        self.interim = 0
+        wanted = exchange.wanted
+        held = wanted.upload.attach(exchange, exchange.committed)
+        if wanted.chunked:
+            held = (b"%x\r\n%b\r\n" % (len(held), held) if held else b"") + (
+                last_chunk(wanted.upload.trailers) if wanted.upload.complete else b""
+            )
+        payload = exchange.payload + b"\r\n" + held
+        exchange.began_at = exchange.last_at = exchange.loop.time()
+        exchange.written = True
+        transport.write(payload)
+        # Nothing has left the process: the write met a broken connection, or all of it waits.
+        if transport.is_closing() or transport.get_write_buffer_size() >= len(payload):
+            exchange.written = False
+        transport.set_write_buffer_limits(high=BUFFER)
+
+    def fresh(self) -> None:
+        self.headers, self.fields, self.chunks = [], [], []
+        self.size = 0
+        self.head_read = self.complete = self.keep_alive = False
+        self.until_close = self.tunnel = False
+        self.outcome, self.answer = Outcome.OK, None
+
+    def send(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def pause_writing(self) -> None:
+        if self.carried is not None and self.exchange is not None:
+            self.carried.stuck = True
+            self.carried.wanted.upload.flow(False)
+
+    def resume_writing(self) -> None:
+        if self.carried is not None and self.exchange is not None:
+            self.carried.written, self.carried.stuck = True, False
+            self.carried.last_at = self.carried.loop.time()
+            self.carried.wanted.upload.flow(True)
+
+    def data_received(self, data: bytes) -> None:
+        exchange = self.carried
+        if exchange is None or self.exchange is None:  # nothing was asked
+            self.abort()
+            return
+        exchange.written = True
+        exchange.last_at = exchange.loop.time()
+        if self.tunnel:
+            exchange.wanted.download.data(data)
+            return
+        clean = True
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as switch:
+            rest = data[switch.args[0] :]
+            if not self.tunnel:
+                clean = False
+            elif rest:
+                exchange.wanted.download.data(rest)
+        except httptools.HttpParserError:
+            clean = False
+        if self.exchange is not exchange:
+            return  # it has ended from within
+        if self.complete:
+            # What comes right behind a whole answer spoils the connection, not the answer.
+            self.conclude(clean)
+        elif not clean:
+            self.fail()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.pool.drop(self)
+        if exc is not None and self.exchange is not None:
+            self.read_last()
+        exchange = self.carried
+        if self.exchange is None or exchange is None:
+            return
+        if exc is None and self.head_read and (self.until_close or self.tunnel):
+            self.complete = True
+            self.conclude(False)
+        else:
+            exchange.lost()
+
+    def read_last(self) -> None:
+        """What the box had said before the connection broke.
+
+        Guards against losing the answer of a box that refuses an upload and closes: the next write meets the
+        reset, while the answer still stands unread in the socket.
+        """
+        transport = self.transport
+        if transport is None or transport.get_extra_info("ssl_object") is not None:
+            return
+        left = LAST_READ
+        with (
+            contextlib.suppress(OSError, ValueError),
+            # A descriptor of its own: the transport's is about to be closed by the loop.
+            socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as sock,
+        ):
+            while left > 0 and self.exchange is not None:
+                data = sock.recv(min(left, BUFFER), socket.MSG_DONTWAIT)
+                if not data:
+                    break
+                left -= len(data)
+                self.data_received(data)
+
+    # Parser
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.size += len(name) + len(value) + 4
+        if self.size > HEAD_LIMIT:
+            raise ValueError("head too long")
+        (self.fields if self.head_read else self.headers).append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        exchange = self.carried
+        assert exchange is not None
+        status = self.parser.get_status_code()
+        headers, self.headers, self.size = self.headers, [], 0
+        if status < 200 and status != 101:
+            self.interim += 1
+            if self.interim > INTERIM_LIMIT:
+                raise ValueError("too many interim answers")
+            if status != 100:  # this gateway has said it for itself
+                exchange.wanted.download.interim(status, answer_headers(headers))
+            return
+        self.head_read = True
+        if status == 101:
+            self.switch(exchange, headers)
+            return
+        head = self.read_head(exchange, status, headers)
+        self.keep_alive = self.parser.should_keep_alive() and not self.until_close
+        self.outcome = outcome_of(status, headers, exchange.wanted.failing)
+        if self.outcome is Outcome.OK:
+            exchange.begin(head)
+        else:
+            self.answer = Answer(status, head.headers)
+            self.held = head
+        if not head.has_body:
+            # The parser would wait for the body that the length names: it is done with here.
+            self.complete = True
+            self.parser = httptools.HttpResponseParser(self)
+
+    def switch(self, exchange: BoxExchange, headers: Headers) -> None:
+        upgrade = next((value for name, value in headers if name == b"upgrade"), b"")
+        if not exchange.wanted.upgrade or upgrade.lower() != b"websocket":
+            raise ValueError("an upgrade that nobody asked for")
+        self.tunnel = True
+        kept = [*answer_headers(headers), (b"connection", b"Upgrade"), (b"upgrade", b"websocket")]
+        exchange.begin(AnswerHead(101, kept, None, has_body=True, upgraded=True))
+
+    def read_head(self, exchange: BoxExchange, status: int, headers: Headers) -> AnswerHead:
+        lengths = {value for name, value in headers if name == b"content-length"}
+        codings = [value.lower() for name, value in headers if name == b"transfer-encoding"]
+        if (codings and (lengths or codings != [b"chunked"])) or len(lengths) > 1:
+            raise BadHead("an answer of ambiguous length")
+        length = int(lengths.pop()) if lengths else None  # the parser takes nothing but digits
+        has_body = not (exchange.wanted.is_head or status in NO_BODY)
+        self.until_close = has_body and length is None and not codings
+        return AnswerHead(status, answer_headers(headers), length, has_body)
+
+    def on_body(self, body: bytes) -> None:
+        exchange = self.carried
+        if exchange is None or self.exchange is None or self.complete:
+            return
+        if exchange.begun:
+            exchange.wanted.download.data(body)
+            return
+        self.size += len(body)
+        self.chunks.append(body)
+        if self.size > HOLD:
+            exchange.begin(self.held)
+            for chunk in self.chunks:
+                exchange.wanted.download.data(chunk)
+            self.chunks = []
+
+    def on_message_complete(self) -> None:
+        if self.head_read and not self.tunnel:
+            self.complete = True
+
+    def conclude(self, clean: bool) -> None:
+        """Only now that the parser has read all there was: the next request may go out on this connection."""
+        exchange = self.carried
+        assert exchange is not None
+        outcome, answer = self.outcome, self.answer
+        if answer is not None:
+            answer.body = b"".join(self.chunks)
+        self.exchange = self.carried = None
+        transport = self.transport
+        upload = exchange.wanted.upload
+        reusable = clean and self.keep_alive and upload.complete and transport is not None
+        if reusable and transport is not None and not transport.get_write_buffer_size():
+            transport.set_write_buffer_limits(high=0)
+            if exchange.paused:
+                transport.resume_reading()
+            self.pool.rest(self)
+        else:
+            self.abort()
+        if exchange.begun:
+            exchange.whole = True
+            exchange.wanted.download.end(trailers(self.fields))
+            exchange.end(outcome)
+        else:
+            exchange.end(outcome, answer)
+
+
+def outcome_of(status: int, headers: Headers, failing: Callable[[int], bool]) -> Outcome:
+    if status in (503, 504) and (b"not-started", b"1") in headers:
+        return Outcome.FULL
+    return Outcome.ERROR if failing(status) else Outcome.OK
+
+
+def last_chunk(fields: Headers) -> bytes:
+    return b"0\r\n" + b"".join(b"%b: %b\r\n" % field for field in fields) + b"\r\n"
--- /dev/null
+++ b/rosedeal/web/door.py
@@ -0,0 +1,223 @@
+"""The listener for ordinary HTTP: its connections, and the way that each request takes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rosedeal.gateway.config import Address
+from rosedeal.gateway.pools import Pools
+from rosedeal.gateway.proxy import Asked, Launch, Proxy, plain, refused
+from rosedeal.gateway.upstream import Answer
+from rosedeal.routes import BadPath, read_host, read_target
+from rosedeal.web.front import Front, Incoming
+from rosedeal.web.heads import Peer, is_trusted, request_id
+from rosedeal.web.plan import Limits, WebPlan, choose
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 1024
+SWEEP_S = 0.5
+RESTING_SHARE = 0.5  # of the connections: so many of them between requests
+STALLED_S = 5.0  # a client that has taken or sent nothing for so long gives way when connections are short
+TURNED_AWAY = 32  # connections over the limit that are told 503
+POLL_S = 0.02
+LAST_ACCEPT_S = 0.5  # new connections go on coming for a moment after an end has begun
+
+
+@dataclass(slots=True)
+class Way:
+    """What was decided of a request when it came; it stands whatever is read again meanwhile."""
+
+    proxy: Proxy
+    klass: int
+    path: bytes
+    query: bytes
+    host: bytes
+    answer_us: int
+    between_s: float
+    failing: Callable[[int], bool]
+
+    @property
+    def answer_s(self) -> float:
+        return self.answer_us / 1e6
+
+
+class Door:
+    def __init__(self, plan: WebPlan, pools: Pools, loop: asyncio.AbstractEventLoop, seed: int) -> None:
+        self.plan, self.pools, self.loop = plan, pools, loop
+        self.random = random.Random(seed)
+        self.id_base, self.ids = secrets.token_hex(6).encode(), 0
+        self.connections: set[Front] = set()
+        self.resting: dict[Front, None] = {}  # between requests, the one used last comes last
+        self.draining = False
+        self.listener: asyncio.Server | None = None
+        self.sweeping: asyncio.TimerHandle | None = None
+
+    @property
+    def limits(self) -> Limits:
+        return self.plan.limits
+
+    async def start(self) -> Address:
+        host, port = self.plan.listen
+        self.listener = await self.loop.create_server(
+            lambda: Front(self), host, port, backlog=BACKLOG, reuse_address=True
+        )
+        self.sweeping = self.loop.call_later(SWEEP_S, self.sweep)
+        bound: Address = self.listener.sockets[0].getsockname()[:2]
+        return bound
+
+    def peer_of(self, transport: asyncio.Transport) -> Peer:
+        name = transport.get_extra_info("peername")
+        address = name[0] if isinstance(name, tuple) and name else "unknown"
+        secure = transport.get_extra_info("ssl_object") is not None
+        return Peer(address, b"https" if secure else b"http", is_trusted(address, self.plan.trusted))
+
+    # Requests
+
+    def take(self, front: Front, incoming: Incoming) -> Answer | None:
+        """Find the request's way, or the answer that it gets at once."""
+        self.ids += 1
+        incoming.number = request_id(incoming, b"%b%x" % (self.id_base, self.ids))
+        if front.refusing:
+            return refused("too many connections")
+        if incoming.method in (b"CONNECT", b"TRACE"):
+            incoming.keep_alive = False
+            return plain(405, f"{incoming.method.decode()} is not served here")
+        if incoming.target == b"*" and incoming.method == b"OPTIONS":
+            return Answer(204, [])
+        try:
+            target = read_target(incoming.target)
+            host_as_said = target.authority or incoming.host
+            host = read_host(host_as_said) if host_as_said else ""
+        except BadPath as bad:
+            incoming.keep_alive = False  # what it asks cannot be read: no trust in what follows either
+            return plain(400, str(bad))
+        plan = self.plan
+        route = plan.table.match(host, target.path, incoming.method, incoming.by_name)
+        if route is None:
+            return self.unrouted(host, target.path, incoming)
+        to = plan.by_name[route.name]
+        incoming.upload.limit = to.upload_limit
+        if incoming.length is not None and incoming.length > to.upload_limit:
+            return plain(413, f"body over {to.upload_limit} bytes")
+        klass = to.variants.of(incoming)
+        proxy = self.pool_for(to.pools, to.spare, klass)
+        if proxy is None:
+            return refused("no pool serves this")
+        incoming.way = Way(
+            proxy,
+            klass,
+            route.rewritten(target.path),
+            target.query,
+            host_as_said,
+            to.answer_us,
+            to.between_s,
+            to.failing.__contains__,
+        )
+        return None
+
+    def unrouted(self, host: str, path: bytes, incoming: Incoming) -> Answer:
+        methods = self.plan.table.methods(host, path)
+        if methods and incoming.method not in methods:
+            return plain(405, "no route takes this method here", (b"allow", b", ".join(sorted(methods))))
+        return plain(404, "no route leads here")
+
+    def pool_for(self, pools: tuple[tuple[str, float], ...], spare: str | None, klass: int) -> Proxy | None:
+        name = pools[0][0] if len(pools) == 1 else choose(pools, self.random.random())
+        proxy = self.pools.proxy(name)
+        if spare is not None and (proxy is None or not proxy.is_able(klass)):
+            other = self.pools.proxy(spare)
+            if other is not None and (proxy is None or other.is_able(klass)):
+                return other
+        return proxy
+
+    def asked(self, incoming: Incoming, launch: Launch) -> Asked:
+        way = incoming.way
+        assert way is not None
+        return Asked(
+            klass=way.klass,
+            timeout_us=way.answer_us,
+            waited_us=0,
+            method=incoming.method,
+            target=way.path,
+            headers=b"",
+            body=b"",
+            launch=launch,
+        )
+
+    # Connections
+
+    def add(self, front: Front) -> None:
+        """Guards against running out of descriptors: who is missed least goes, else new ones hear 503."""
+        limit = self.plan.limits.connections
+        if len(self.connections) >= limit and not self.make_room():
+            front.refusing = True
+        self.connections.add(front)
+        if len(self.connections) > limit + TURNED_AWAY:
+            front.abort()
+
+    def make_room(self) -> bool:
+        """One that rests, else one that never asked, else the one that has stalled longest."""
+        if self.resting:
+            oldest = next(iter(self.resting))
+        else:
+            now = self.loop.time()
+            stalled = [
+                c
+                for c in self.connections
+                if now - c.progress_at > STALLED_S and (c.blocked or c.reading or not c.asked)
+            ]
+            if not stalled:
+                return False
+            oldest = min(stalled, key=lambda c: c.progress_at)
+        self.drop(oldest)
+        oldest.reset()
+        return True
+
+    def drop(self, front: Front) -> None:
+        self.connections.discard(front)
+        self.resting.pop(front, None)
+
+    def rest(self, front: Front) -> None:
+        self.resting[front] = None
+        if len(self.resting) > self.plan.limits.connections * RESTING_SHARE:
+            oldest = next(iter(self.resting))
+            del self.resting[oldest]
+            oldest.close()
+
+    def sweep(self) -> None:
+        now = self.loop.time()
+        for connection in list(self.connections):
+            connection.check_time(now)
+        self.sweeping = self.loop.call_later(SWEEP_S, self.sweep)
+
+    # The end
+
+    async def drain(self) -> None:
+        """Planned end: take what still comes, answer everything; streams and tunnels get their time."""
+        self.draining = True
+        await asyncio.sleep(LAST_ACCEPT_S)
+        if self.listener is not None:
+            self.listener.close()
+        until = self.loop.time() + self.plan.limits.end_s
+        while self.connections:
+            late = self.loop.time() > until
+            for connection in list(self.connections):
+                if connection.idle:
+                    connection.close()
+                elif late:
+                    connection.reset()
+            await asyncio.sleep(POLL_S)
+
+    def close(self) -> None:
+        if self.sweeping is not None:
+            self.sweeping.cancel()
+        if self.listener is not None:
+            self.listener.close()
+        for connection in list(self.connections):
+            connection.abort()
--- /dev/null
+++ b/rosedeal/web/front.py
@@ -0,0 +1,561 @@
+"""HTTP/1.1 from ordinary clients: heads read strictly, bodies as streams, one answer for each request.
+
+Bounds, each with what happens at it: a head HEAD_LIMIT bytes (431), its time HEAD_S (408), a connection
+between requests IDLE_S (closed), a request's body the route's limit (413), its silence and its time (408),
+a client that takes nothing of an answer (cut), requests read ahead of their turn: what one read brings.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import struct
+from collections import deque
+from dataclasses import dataclass, field
+from functools import partial
+from http import HTTPStatus
+from typing import TYPE_CHECKING, cast
+
+import httptools
+
+from rosedeal.gateway.proxy import Books, Request, plain
+from rosedeal.gateway.streams import AnswerHead, DownloadSource, Headers, Upload
+from rosedeal.gateway.upstream import Answer, Exchange, Upstream
+from rosedeal.web.back import BoxConnection, BoxExchange, Wanted, last_chunk
+from rosedeal.web.heads import BadHead, Peer, RequestHead, request_lines, trailers
+
+if TYPE_CHECKING:
+    from rosedeal.web.door import Door, Way
+
+log = logging.getLogger(__name__)
+
+HEAD_LIMIT = 16 * 1024
+TARGET_LIMIT = 8 * 1024
+PIPELINED = 64  # requests of one read that are answered in turn
+BUFFER = 64 * 1024  # bytes written to a client and not yet sent, beyond which the box is not read
+LINGER_S = 1.0
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+VIA = (b"via", b"1.1 badgergap")
+
+
+@dataclass(slots=True, eq=False)
+class Incoming(RequestHead):
+    """A request as it is read, and its answer as it is written."""
+
+    raw: int = 0  # bytes read while its head is not whole
+    size: int = 0  # of its header fields, or of its trailers
+    head_read: bool = False
+    keep_alive: bool = True
+    refusal: Answer | None = None  # what it is answered in its turn, without a look at the rest
+    upload: Upload = field(default_factory=lambda: Upload(lambda on: None))
+    fields: Headers = field(default_factory=list)  # trailers
+    number: bytes = b""
+    way: Way | None = None
+    began_at: float = 0.0  # of its body
+    request: Request | None = None
+    source: DownloadSource | None = None  # once an answer is passed on
+    chunked: bool = False  # how that is framed
+    exchange: BoxExchange | None = None  # the newest
+    last: bool = False  # the client was told that the connection ends with this answer
+
+
+class Front(asyncio.Protocol):
+    """One connection from a client."""
+
+    def __init__(self, door: Door) -> None:
+        self.door = door
+        self.loop = door.loop
+        self.transport: asyncio.Transport | None = None
+        self.peer = Peer("")
+        self.parser = httptools.HttpRequestParser(self)
+        self.incoming = Incoming()
+        self.reading = False  # between a request's first byte and its last
+        self.waiting: deque[Incoming] = deque()
+        self.current: Incoming | None = None
+        self.asked = False
+        self.closing = False  # nothing more is read
+        self.refusing = False  # over the limit
+        self.rest = b""  # what came behind a request that may end in a tunnel
+        self.tunnel = False
+        self.blocked = False  # the client takes no more for now
+        self.paused = False  # not read
+        self.upload_paused = False
+        self.unsent = 0  # bytes that the client had not taken at the last look
+        self.since = self.loop.time()
+        self.progress_at = self.since  # when the client last sent or took something
+
+    # Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's are none by inheritance
+        self.transport.set_write_buffer_limits(high=BUFFER)
+        self.peer = self.door.peer_of(self.transport)
+        self.door.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.progress_at = self.loop.time()
+        if self.tunnel and self.current is not None and self.current.source is not None:
+            self.current.source.more(data)
+        elif self.closing:
+            return
+        elif self.rest or self.may_switch:
+            self.rest += data
+            self.check_flow()
+        else:
+            self.read(data)
+
+    @property
+    def may_switch(self) -> bool:
+        """A request that would end in a tunnel waits for its answer: what follows is not read as HTTP yet."""
+        return self.current is not None and self.current.upgrade and self.current is self.incoming
+
+    def read(self, data: bytes) -> None:
+        while data and not self.closing:
+            if not self.reading:
+                self.begin()
+            rest = b""
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as switch:
+                rest = data[switch.args[0] :]
+                self.parser = httptools.HttpRequestParser(self)
+                if self.incoming.upgrade:
+                    self.rest, rest = rest, b""
+            except httptools.HttpParserError:
+                self.lose_framing(plain(400, "malformed request"))
+            incoming = self.incoming
+            if not incoming.head_read and not self.closing:
+                incoming.raw += len(data)
+                if incoming.raw > HEAD_LIMIT:
+                    self.lose_framing(plain(431, "head too long"))
+            data = rest
+        self.next()
+        self.check_flow()
+
+    def begin(self) -> None:
+        self.incoming = Incoming()
+        self.incoming.upload.flow = partial(self.upload_flow, self.incoming)
+        self.reading = True
+        self.door.resting.pop(self, None)
+        if self.asked:
+            self.since = self.loop.time()
+
+    def upload_flow(self, incoming: Incoming, on: bool) -> None:
+        if incoming is self.incoming:
+            self.upload_paused = not on
+            self.progress_at = self.loop.time()
+            self.check_flow()
+
+    def check_flow(self) -> None:
+        """Read on, or not: never much ahead of what can be passed on or answered.
+
+        A client that takes no answers is not read either, but for what a request in hand still needs: it may
+        send all of a body before it reads.
+        """
+        unread = self.blocked and not self.tunnel and not (self.reading and self.incoming is self.current)
+        pause = not self.closing and (
+            self.upload_paused or bool(self.waiting) or len(self.rest) > HEAD_LIMIT or unread
+        )
+        if self.transport is None or pause is self.paused or self.transport.is_closing():
+            return
+        self.paused = pause
+        (self.transport.pause_reading if pause else self.transport.resume_reading)()
+
+    def pause_writing(self) -> None:
+        self.blocked = True
+        self.progress_at = self.loop.time()
+        if self.current is not None and self.current.source is not None:
+            self.current.source.flow(False)
+        self.check_flow()
+
+    def resume_writing(self) -> None:
+        self.blocked = False
+        self.progress_at = self.loop.time()
+        if self.current is not None and self.current.source is not None:
+            self.current.source.flow(True)
+        self.check_flow()
+
+    def eof_received(self) -> bool:
+        return False  # the client has gone: the transport closes
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.door.drop(self)
+        self.closing = True
+        self.waiting.clear()
+        self.abandon()
+
+    def abandon(self) -> None:
+        """Nothing of the current request is wanted any more."""
+        current, self.current = self.current, None
+        if current is None:
+            return
+        current.upload.on_ready = None
+        if current.source is not None:
+            source, current.source = current.source, None
+            source.client_left()
+        elif current.request is not None and current.way is not None:
+            current.way.proxy.leave(current.request)
+
+    def lose_framing(self, answer: Answer) -> None:
+        """Where the next request begins is unknown: answer this one in its turn, then close."""
+        if self.closing:
+            return
+        self.closing, self.reading = True, False
+        if self.incoming.upload.complete:
+            self.incoming = Incoming()  # it stands, and what is wrong came behind it
+        incoming = self.incoming
+        if incoming is self.current:
+            # Its head was good and its body is not: it ends here, whatever has become of it.
+            if incoming.source is not None:
+                self.reset()
+                return
+            self.abandon()
+            self.current = incoming
+            self.answer(incoming, answer)
+        else:
+            incoming.refusal = answer
+            if not self.waiting or self.waiting[-1] is not incoming:
+                self.waiting.append(incoming)
+
+    # Parser
+
+    def on_message_begin(self) -> None:
+        if not self.reading:  # a further one in the same data
+            self.begin()
+
+    def on_url(self, url: bytes) -> None:
+        self.incoming.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        incoming = self.incoming
+        if self.closing:
+            return
+        incoming.size += len(name) + len(value) + 4
+        if incoming.size > HEAD_LIMIT:
+            self.lose_framing(plain(431, "head too long"))
+            return
+        if incoming.head_read:
+            incoming.fields.append((name.lower(), value))
+            return
+        try:
+            incoming.add(name, value)
+        except BadHead as bad:
+            self.lose_framing(plain(bad.status, str(bad)))
+
+    def on_headers_complete(self) -> None:
+        incoming = self.incoming
+        if self.closing:
+            return
+        incoming.method = self.parser.get_method()
+        incoming.version = self.parser.get_http_version()
+        incoming.keep_alive = self.parser.should_keep_alive()
+        try:
+            if len(incoming.target) > TARGET_LIMIT:
+                raise BadHead("target too long", 414)
+            incoming.read()
+        except BadHead as bad:
+            self.lose_framing(plain(bad.status, str(bad)))
+            return
+        incoming.head_read, incoming.size = True, 0
+        incoming.began_at = self.loop.time()
+        if len(self.waiting) >= PIPELINED:
+            self.lose_framing(plain(400, "too many requests ahead of their turn"))
+        else:
+            incoming.upload.complete = incoming.length == 0
+            self.waiting.append(incoming)
+            self.next()
+
+    def on_body(self, body: bytes) -> None:
+        incoming = self.incoming
+        if self.closing or incoming.refusal is not None:
+            return
+        limit = incoming.upload.limit
+        if limit is not None and incoming.upload.size + len(body) > limit:
+            self.lose_framing(plain(413, f"body over {limit} bytes"))
+        else:
+            incoming.upload.put(body)
+
+    def on_message_complete(self) -> None:
+        self.reading = False
+        if not self.closing:
+            if not self.incoming.keep_alive:
+                self.closing = True  # its answer is the connection's last
+            if not self.incoming.upload.complete:
+                self.incoming.upload.end(trailers(self.incoming.fields))
+            self.settled()
+
+    # Requests, one at a time
+
+    @property
+    def owed(self) -> bool:
+        return self.current is not None or bool(self.waiting)
+
+    @property
+    def idle(self) -> bool:
+        return not self.owed and not self.reading
+
+    def next(self) -> None:
+        """Take up the next request unless one is in hand."""
+        while self.current is None and self.waiting:
+            incoming = self.current = self.waiting.popleft()
+            if incoming.refusal is not None:
+                self.answer(incoming, incoming.refusal)
+                continue
+            self.asked = True
+            try:
+                refusal = self.door.take(self, incoming)
+            except Exception:
+                log.exception("failed on a request")
+                refusal = plain(500, "internal error")
+            if refusal is not None:
+                self.answer(incoming, refusal)
+            else:
+                self.start(incoming)
+
+    def start(self, incoming: Incoming) -> None:
+        """The request has its way: it arrives once its body is whole, or as much of it as is held."""
+        upload = incoming.upload
+        if incoming.expects and not upload.size and not upload.complete:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if upload.ready:
+            self.arrive(incoming)
+        else:
+            upload.on_ready = partial(self.arrive, incoming)
+
+    def arrive(self, incoming: Incoming) -> None:
+        way = incoming.way
+        assert way is not None
+        asked = self.door.asked(incoming, partial(self.launch, incoming))
+        try:
+            request = way.proxy.arrive(asked, partial(self.answer, incoming))
+        except Exception:
+            log.exception("failed on a request")
+            self.answer(incoming, plain(500, "internal error"))
+            return
+        if request is not None and incoming is self.current:
+            incoming.request = request
+
+    def launch(
+        self, incoming: Incoming, upstream: Upstream, server: int, timeout_s: float, books: Books
+    ) -> Exchange:
+        way = incoming.way
+        assert way is not None
+        lines = request_lines(incoming, way.path, way.query, way.host, self.peer, incoming.number)
+        wanted = Wanted(
+            head=lines,
+            upload=incoming.upload,
+            download=Downward(self, incoming),
+            is_head=incoming.method == b"HEAD",
+            chunked=incoming.length is None,
+            upgrade=incoming.upgrade,
+            failing=way.failing,
+        )
+        before, exchange = incoming.exchange, BoxExchange(wanted, books, self.loop)
+        incoming.exchange = exchange
+        if before is not None and not before.done and not incoming.upload.complete:
+            # A second copy beside the first: there is one body yet to come, and it cannot go two ways.
+            self.loop.call_soon(exchange.never_sent)
+            incoming.exchange = before
+            return exchange
+        upstream.carry(server, exchange, timeout_s, BoxConnection)
+        return exchange
+
+    # Answers
+
+    def answer(self, incoming: Incoming, answer: Answer) -> None:
+        """A whole answer: this gateway's own, or one of a box that was held."""
+        if incoming is not self.current:  # its client has gone, or it had its answer
+            return
+        incoming.upload.on_ready = None
+        own = [
+            (name, whole_seconds(value) if name == b"retry-after" else value)
+            for name, value in answer.headers
+        ]
+        head = AnswerHead(answer.status, own, len(answer.body))
+        lines = self.head_lines(incoming, head)
+        self.write(lines + (b"" if incoming.method == b"HEAD" else answer.body))
+        self.finished(incoming)
+
+    def is_last(self, incoming: Incoming) -> bool:
+        """Whether the connection ends with this answer. Never on a request that was read and has none."""
+        if incoming.last or not incoming.keep_alive or incoming.refusal is not None:
+            return True
+        if not incoming.upload.complete:
+            return True
+        return (self.closing or self.refusing or self.door.draining) and not self.waiting
+
+    def head_lines(self, incoming: Incoming, head: AnswerHead) -> bytes:
+        incoming.last = self.is_last(incoming)
+        lines = [b"HTTP/1.1 %d %b" % (head.status, REASONS.get(head.status, b""))]
+        lines += [b"%b: %b" % header for header in head.headers]
+        lines.append(b"%b: %b" % VIA)
+        if incoming.number:
+            lines.append(b"x-request-id: " + incoming.number)
+        if head.length is not None and head.status != 204:
+            lines.append(b"content-length: %d" % head.length)
+        elif incoming.chunked:
+            lines.append(b"transfer-encoding: chunked")
+        if incoming.last and not head.upgraded:
+            lines.append(b"connection: close")
+        elif incoming.version == "1.0" and not head.upgraded:
+            lines.append(b"connection: keep-alive")
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def finished(self, incoming: Incoming) -> None:
+        """The answer is written whole."""
+        last = self.tunnel or self.is_last(incoming)
+        self.current = None
+        incoming.source = None
+        self.since = self.progress_at = self.loop.time()
+        if last:
+            self.closing = True
+            self.waiting.clear()
+            if incoming.upload.complete and incoming.refusal is None:
+                self.close()
+            else:
+                self.linger()
+            return
+        if self.rest:
+            # It might have ended in a tunnel and has not: what follows is HTTP after all.
+            rest, self.rest = self.rest, b""
+            self.loop.call_soon(self.read, rest)
+        elif self.waiting:
+            self.loop.call_soon(self.next_and_flow)
+        else:
+            self.settled()
+        self.check_flow()
+
+    def settled(self) -> None:
+        if self.idle and not self.closing:
+            self.door.rest(self)
+
+    def next_and_flow(self) -> None:
+        self.next()
+        self.check_flow()
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def linger(self) -> None:
+        """Close for sending, and drop for a while what still comes: a reset would overtake the answer."""
+        transport = self.transport
+        if transport is not None and not transport.is_closing():
+            if transport.can_write_eof():
+                transport.write_eof()
+            self.loop.call_later(LINGER_S, transport.abort)
+            self.upload_paused = self.blocked = False
+            self.check_flow()
+
+    def close(self) -> None:
+        """Closed once what has been written is sent; a client that takes nothing is cut by `check_time`."""
+        self.closing = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        self.closing = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def reset(self) -> None:
+        """End with a reset: where only the connection's end tells, a close would tell of a whole body."""
+        if self.transport is not None and not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.abort()
+
+    def check_time(self, now: float) -> None:
+        limits, current = self.door.limits, self.current
+        unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        if unsent < self.unsent:
+            self.progress_at = now
+        self.unsent = unsent
+        quiet_s = now - self.progress_at
+        if current is not None and current.exchange is not None and current.way is not None:
+            way = current.way
+            current.exchange.check_time(now, limits.tunnel_s if self.tunnel else way.between_s, way.answer_s)
+        if unsent and quiet_s > limits.unread_s:
+            self.reset()  # it takes nothing: what it was promised cannot be kept in memory for ever
+        elif self.tunnel or self.closing:
+            return
+        elif self.reading and not self.incoming.head_read:
+            if now - self.since > limits.head_s:
+                self.lose_framing(plain(408, "the rest of the head has not come"))
+                self.next()
+        elif self.reading and not self.paused:
+            if quiet_s > limits.between_s or now - self.incoming.began_at > limits.body_s:
+                self.lose_framing(plain(408, "the rest of the body has not come"))
+                self.next()
+        elif self.idle and now - self.since > (limits.idle_s if self.asked else limits.head_s):
+            self.close()
+
+
+class Downward:
+    """The client's side of one answer that is passed on."""
+
+    __slots__ = ("front", "incoming")
+
+    def __init__(self, front: Front, incoming: Incoming) -> None:
+        self.front, self.incoming = front, incoming
+
+    @property
+    def open(self) -> bool:
+        return self.front.current is self.incoming
+
+    def interim(self, status: int, headers: Headers) -> None:
+        if self.open and self.incoming.version == "1.1":
+            lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b""))]
+            lines += [b"%b: %b" % header for header in headers]
+            self.front.write(b"\r\n".join(lines) + b"\r\n\r\n")
+
+    def begin(self, head: AnswerHead, source: DownloadSource) -> None:
+        front, incoming = self.front, self.incoming
+        if not self.open or incoming.source is not None:
+            source.client_left()
+            return
+        incoming.source = source
+        incoming.chunked = head.has_body and head.length is None and incoming.version == "1.1"
+        if head.upgraded:
+            incoming.chunked = False
+            front.tunnel = True
+        elif head.has_body and head.length is None and not incoming.chunked:
+            incoming.keep_alive = False  # only the connection's end tells
+        front.progress_at = front.loop.time()
+        front.write(front.head_lines(incoming, head))
+        if front.blocked:
+            source.flow(False)
+        if head.upgraded and front.rest:
+            rest, front.rest = front.rest, b""
+            source.more(rest)
+        front.check_flow()
+
+    def data(self, data: bytes) -> None:
+        if self.open and data:
+            front = self.front
+            if not front.blocked:
+                front.progress_at = front.loop.time()
+            front.write(b"%x\r\n%b\r\n" % (len(data), data) if self.incoming.chunked else data)
+
+    def end(self, fields: Headers) -> None:
+        if self.open:
+            front, incoming = self.front, self.incoming
+            if incoming.chunked:
+                front.write(last_chunk(fields))
+            front.finished(incoming)
+
+    def broke(self) -> None:
+        if self.open:
+            self.incoming.source = None
+            self.front.current = None
+            self.front.reset()
+
+
+def whole_seconds(value: bytes) -> bytes:
+    """RFC 9110 section 10.2.3 knows whole seconds only; those that are no number stay as they are."""
+    try:
+        seconds = float(value)
+    except ValueError:
+        return value
+    return b"%d" % max(1, -int(-seconds // 1))
--- /dev/null
+++ b/rosedeal/web/heads.py
@@ -0,0 +1,251 @@
+"""What of a head goes on, and what is said anew, between an ordinary client and an ordinary box. Pure.
+
+The rules, stated once, with the section of RFC 9110 (or 9112) each comes from:
+
+1. `Connection`, what it lists, and the fields between two machines only end here (7.6.1). What frames a
+   message or says whom it is for is never taken off by being listed.
+2. A request has one `Host`, one length or `chunked`, never both (9112 6.1-6.3); HTTP/1.0 has no chunks.
+3. Names are tokens, values hold no control character (5.5, 5.6.2). A name with `_` is dropped: programs
+   behind CGI read it as if it had `-`, and so as a field that the gateway vouches for.
+4. `Via` grows by this gateway (7.6.3). `Forwarded` (RFC 7239) and `X-Forwarded-*` are believed from trusted
+   proxies, and grow; from anybody else they are dropped and begin here.
+5. Fields that frame, route or identify are no trailers (6.5.1): dropped there.
+6. `Upgrade` goes on for `websocket` alone (7.8).
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+from rosedeal.gateway.streams import Headers
+
+TOKEN = re.compile(rb"[!#$%&'*+.^`|~0-9A-Za-z_-]+")
+VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+# Said anew by this gateway, whatever came.
+OWN = frozenset((b"host", b"content-length", b"expect", b"via", b"x-request-id"))
+FORWARDED = frozenset(
+    (
+        b"forwarded",
+        b"x-forwarded-for",
+        b"x-forwarded-host",
+        b"x-forwarded-proto",
+        b"x-forwarded-port",
+        b"x-forwarded-prefix",
+        b"x-forwarded-server",
+        b"x-real-ip",
+    )
+)
+# Never taken off by being listed in `Connection`.
+KEPT = frozenset((b"host", b"content-length", b"content-type", b"authorization", b"cookie", b"cache-control"))
+NO_TRAILER = HOP | OWN | FORWARDED | KEPT | frozenset((b"content-encoding", b"content-range", b"set-cookie"))
+ID = re.compile(rb"[!-~]{1,128}")
+NAME = b"badgergap"
+
+Network: TypeAlias = ipaddress.IPv4Network | ipaddress.IPv6Network
+
+
+class BadHead(ValueError):
+    """A head that cannot be passed on so that all read it alike. `status` is the answer."""
+
+    def __init__(self, why: str, status: int = 400) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@dataclass(slots=True)
+class RequestHead:
+    """A request's head as it came: names in lower case, in order."""
+
+    method: bytes = b""
+    target: bytes = b""
+    version: str = "1.1"
+    headers: Headers = field(default_factory=list)
+    # What `read` finds
+    length: int | None = None  # of the body; None: chunked
+    host: bytes = b""
+    upgrade: bool = False
+    expects: bool = False  # 100-continue
+    by_name: dict[bytes, bytes] = field(default_factory=dict)  # several of one name are joined by commas
+
+    def add(self, name: bytes, value: bytes) -> None:
+        """Raises BadHead."""
+        value = value.strip(b" \t")
+        if TOKEN.fullmatch(name) is None:
+            raise BadHead("a header's name is no token")
+        if VALUE.fullmatch(value) is None:
+            raise BadHead("odd bytes in a header")
+        if b"_" in name:
+            return
+        name = name.lower()
+        self.headers.append((name, value))
+        if name in self.by_name:
+            if name in (b"host", b"content-length", b"transfer-encoding", b"expect"):
+                raise BadHead("a header is repeated")
+            self.by_name[name] += (b"; " if name == b"cookie" else b", ") + value
+        else:
+            self.by_name[name] = value
+
+    def read(self) -> None:
+        """What the head says of the message itself. Raises BadHead."""
+        named = self.by_name
+        if self.version not in ("1.0", "1.1"):
+            raise BadHead("neither HTTP/1.0 nor HTTP/1.1", 505)
+        host = named.get(b"host")
+        if host is None and self.version == "1.1":
+            raise BadHead("Host is missing")
+        self.host = host or b""
+        coding, length = named.get(b"transfer-encoding"), named.get(b"content-length")
+        if coding is not None:
+            if length is not None or self.version == "1.0":
+                raise BadHead("ambiguous length")
+            if coding.lower() != b"chunked":
+                raise BadHead("a transfer coding other than chunked", 501)
+            self.length = None
+        elif length is not None:
+            if not length.isdigit() or len(length) > 18:
+                raise BadHead("Content-Length is no number")
+            self.length = int(length)
+        else:
+            self.length = 0
+        listed = connection_list(named)
+        upgrade = named.get(b"upgrade", b"").lower()
+        self.upgrade = (
+            b"upgrade" in listed
+            and upgrade == b"websocket"
+            and self.method == b"GET"
+            and self.version == "1.1"
+            and self.length == 0
+        )
+        expect = named.get(b"expect", b"").lower()
+        if expect and expect != b"100-continue":
+            raise BadHead("an expectation that nobody meets", 417)
+        self.expects = bool(expect) and self.version == "1.1" and self.length != 0
+
+
+def connection_list(named: dict[bytes, bytes]) -> set[bytes]:
+    return {option.strip().lower() for option in named.get(b"connection", b"").split(b",")} - {b""}
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Whom a request came from: its address, over TLS or not, and whether its word on others counts."""
+
+    address: str
+    scheme: bytes = b"http"
+    trusted: bool = False
+
+
+def is_trusted(address: str, networks: Iterable[Network]) -> bool:
+    try:
+        ip = ipaddress.ip_address(address.partition("%")[0])
+    except ValueError:
+        return False
+    if isinstance(ip, ipaddress.IPv6Address) and ip.ipv4_mapped is not None:
+        ip = ip.ipv4_mapped
+    return any(ip in network for network in networks)
+
+
+def request_lines(
+    head: RequestHead, path: bytes, query: bytes, host: bytes, peer: Peer, number: bytes
+) -> bytes:
+    """The head for a box, without the final empty line. `host`: as the client named it; `number`: the id."""
+    listed = connection_list(head.by_name) - KEPT
+    lines = [b"%b %b%b HTTP/1.1" % (head.method, path, query), b"Host: " + host]
+    cookies = []
+    for name, value in head.headers:
+        if name in HOP or name in OWN or name in listed:
+            continue
+        if name in FORWARDED and not peer.trusted:
+            continue
+        if name in (b"x-forwarded-for", b"forwarded"):
+            continue  # they grow, below
+        if name == b"cookie":
+            cookies.append(value)  # one field for the box (RFC 6265 section 5.4)
+            continue
+        lines.append(b"%b: %b" % (name, value))
+    if cookies:
+        lines.append(b"cookie: " + b"; ".join(cookies))
+    lines += _forwarded(head, host, peer)
+    via = head.by_name.get(b"via")
+    lines.append(b"via: %b%b %b" % (via + b", " if via else b"", head.version.encode(), NAME))
+    lines.append(b"x-request-id: " + number)
+    if head.length is None:
+        lines.append(b"transfer-encoding: chunked")
+    elif head.length or b"content-length" in head.by_name or head.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"content-length: %d" % head.length)
+    if head.upgrade:
+        lines.append(b"connection: Upgrade\r\nupgrade: websocket")
+    elif head.length is None and b"trailers" in head.by_name.get(b"te", b"").lower():
+        lines.append(b"connection: TE\r\nte: trailers")
+    return b"\r\n".join(lines) + b"\r\n"
+
+
+def _forwarded(head: RequestHead, host: bytes, peer: Peer) -> list[bytes]:
+    named = head.by_name if peer.trusted else {}
+    address = peer.address.encode()
+    node = b'"[%b]"' % address if b":" in address else address
+    element = b"for=%b;proto=%b" % (node, peer.scheme)
+    if host:
+        element += b";host=%b" % (b'"%b"' % host if b":" in host else host)
+    before = named.get(b"forwarded")
+    chain = named.get(b"x-forwarded-for")
+    lines = [
+        b"forwarded: " + (before + b", " + element if before else element),
+        b"x-forwarded-for: " + (chain + b", " + address if chain else address),
+    ]
+    if b"x-forwarded-proto" not in named:
+        lines.append(b"x-forwarded-proto: " + peer.scheme)
+    if b"x-forwarded-host" not in named and host:
+        lines.append(b"x-forwarded-host: " + host)
+    return lines
+
+
+def request_id(head: RequestHead, made: bytes) -> bytes:
+    """The client's own, if it is one word of visible characters, else the one made here."""
+    named = head.by_name.get(b"x-request-id", b"")
+    return named if ID.fullmatch(named) else made
+
+
+def trailers(fields: Headers) -> Headers:
+    return [
+        (name, value)
+        for name, value in fields
+        if name not in NO_TRAILER and TOKEN.fullmatch(name) and b"_" not in name and VALUE.fullmatch(value)
+    ]
+
+
+def answer_headers(fields: Headers) -> Headers:
+    """Of a box's answer, what the client gets as it is. Raises BadHead."""
+    listed = {
+        option.strip().lower()
+        for name, value in fields
+        if name == b"connection"
+        for option in value.split(b",")
+    }
+    kept: Headers = []
+    for name, value in fields:
+        if TOKEN.fullmatch(name) is None or VALUE.fullmatch(value) is None:
+            raise BadHead("a box's header that nobody can pass on")
+        if name in HOP or name in (b"content-length", b"not-started", b"server-load"):
+            continue
+        if name in listed and name not in KEPT:
+            continue
+        kept.append((name, value))
+    return kept
--- /dev/null
+++ b/rosedeal/web/room.py
@@ -0,0 +1,66 @@
+"""Ordinary HTTP as a room beside the core."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+
+from rosedeal.gateway.config import Address, Config
+from rosedeal.gateway.pools import PoolPlan, Pools
+from rosedeal.gateway.proxy import Observer, Proxy
+from rosedeal.web.door import Door
+from rosedeal.web.plan import WebPlan
+
+log = logging.getLogger(__name__)
+
+Read = Callable[[], tuple[WebPlan, Sequence[PoolPlan]]]
+
+
+class WebRoom:
+    """`read` gives what the operator file says now; it was checked when the file was read."""
+
+    def __init__(self, read: Read, observer: Observer | None) -> None:
+        self.read, self.observer = read, observer
+        self.pools: Pools | None = None
+        self.door: Door | None = None
+        self.listens: Address | None = None
+        self.reloading: asyncio.Task[None] | None = None
+
+    def join(self, proxy: Proxy) -> None:
+        self.pools = Pools(proxy, self.observer)
+
+    async def start(self) -> None:
+        assert self.pools is not None
+        plan, pools = self.read()
+        proxy = self.pools.main
+        await self.pools.apply(pools, proxy.config)
+        self.door = Door(plan, self.pools, proxy.loop, proxy.config.seed)
+        self.listens = await self.door.start()
+        if proxy.listens is None:
+            proxy.listens = self.listens
+        log.info("%s serves HTTP on %s:%d", proxy.config.name, *self.listens)
+
+    def reload(self, config: Config) -> None:
+        plan, pools = self.read()
+        if self.reloading is not None and not self.reloading.done():
+            self.reloading.cancel()
+        self.reloading = asyncio.get_running_loop().create_task(self._reload(plan, pools, config))
+
+    async def _reload(self, plan: WebPlan, pools: Sequence[PoolPlan], config: Config) -> None:
+        assert self.pools is not None and self.door is not None
+        await self.pools.apply(pools, config)
+        if plan.listen != self.door.plan.listen:
+            log.warning("the operator file changes http.listen: that needs a restart")
+        self.door.plan = plan
+        log.info("%d routes and %d pools are in force", len(plan.routes), len(pools) + 1)
+
+    async def drain(self) -> None:
+        if self.door is not None:
+            await self.door.drain()
+
+    async def close(self) -> None:
+        if self.door is not None:
+            self.door.close()
+        if self.pools is not None:
+            await self.pools.close()
--- a/tests/appliance/test_process.py
+++ b/tests/appliance/test_process.py
@@ -151,9 +151,12 @@
                 assert says in await process.line("the old configuration stays")
                 assert list(await admin.states()) == ["box-2", "box-3", "box-4"]
             process.log.clear()
-            process.path.write_text(site_text(every).replace('wanted_within = "2s"', 'wanted_within = "1s"'))
+            changed = site_text(every).replace('wanted_within = "2s"', 'wanted_within = "1s"')
+            process.path.write_text(changed.replace('connect_within = "5s"', 'connect_within = "4s"'))
             process.send(signal.SIGHUP)
             assert "settings" in await process.line("needs a restart")
+            # Classes follow: what comes now is measured by what they say now.
+            assert [klass.wanted_us for klass in (await admin.snapshot()).classes] == [1_000_000] * 3
             await process.line("added by the operator file: box-1")
             assert (await admin.states())["box-1"] == "drained"  # its drain has outlived its removal
             load = Load("127.0.0.1", process.port, KINDS)
--- /dev/null
+++ b/tests/web/test_streams.py
@@ -0,0 +1,232 @@
+"""Bodies as streams: what a client hears of a box that dies, stalls or lies, and what may be tried again."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from pathlib import Path
+
+from rosedeal.gateway.streams import HOLD
+from rosedeal.standins.app import content
+from tests.sockets import run
+from tests.web.harness import ROUTE, Site, request, site
+
+LARGE = 4_000_000
+BREAKS = (asyncio.IncompleteReadError, ConnectionError)
+
+
+async def broken(it: Site, raw: bytes) -> str:
+    """How an answer ends that its box does not finish."""
+    it.forgive()
+    client = await it.client()
+    client.send(raw)
+    status, head = await client.head()
+    assert status == 200
+    try:
+        body = await client.body(status, head)
+    except BREAKS:
+        return "broken"
+    return "whole" if len(body) == LARGE else "short and clean"
+
+
+def test_a_short_body_never_ends_as_a_whole_one_does(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path, http='between_bytes = "1s"') as it:
+            app = it.apps[0]
+            for path in ("/file", "/chunked", "/until-close"):
+                old = f"GET {path}?n={LARGE} HTTP/1.0\r\nHost: a\r\n\r\n".encode()
+                for raw in (request("GET", f"{path}?n={LARGE}"), old):
+                    app.fault = ""
+                    assert await broken(it, raw) == "whole"
+                    for fault in ("cut", "stall", "short"):
+                        app.fault = fault
+                        if path != "/until-close" or fault == "cut":
+                            assert await broken(it, raw) == "broken", (path, raw[-20:], fault)
+
+    run(test(), 60)
+
+
+def test_what_may_be_tried_at_another_box(tmp_path: Path) -> None:
+    """By method and by what is held: (method, bytes of the body, status, boxes that saw it)."""
+
+    async def test() -> None:
+        table = (
+            ("GET", None, 200, 2),
+            ("PUT", b"a" * 1000, 200, 2),
+            ("POST", b"a" * 1000, 502, 1),
+            ("PATCH", b"a" * 1000, 502, 1),
+        )
+        for method, body, status, boxes in table:
+            async with site(tmp_path, boxes=2) as it:
+                dying = it.apps[0]
+
+                async def die_at_the_first(dying: object = dying, it: Site = it) -> None:
+                    for app in it.apps:
+                        app.silent = True
+                    while not it.runs():
+                        await asyncio.sleep(0.01)
+                    for app in it.apps:
+                        app.silent = False
+                    next(app for app in it.apps if app.runs).die()
+
+                client = await it.client()
+                client.send(request(method, "/upload", body))
+                await die_at_the_first()
+                assert (await client.answer())[0] == status, method
+                assert sum(bool(app.runs) for app in it.apps) == boxes, method
+
+    run(test(), 60)
+
+
+def test_an_upload_that_is_held_no_more_is_not_sent_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path, boxes=2) as it:
+            client = await it.client()
+            head = f"PUT /upload HTTP/1.1\r\nHost: a\r\nContent-Length: {LARGE}\r\n\r\n".encode()
+            client.send(head + content(4 * HOLD))
+            while not it.runs():
+                await asyncio.sleep(0.01)
+            client.send(content(HOLD))
+            took = next(app for app in it.apps if app.runs)
+            while took.runs[0].size < 3 * HOLD:
+                await asyncio.sleep(0.01)
+            took.die()
+            assert (await client.answer())[0] in (502, 503)
+            assert it.runs() == 1 and await client.ended()
+
+    run(test())
+
+
+def test_an_upload_goes_on_as_it_comes_and_a_slow_one_costs_no_box_anything(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            body = content(LARGE)
+            client = await it.client()
+            for framing in ("length", "chunked"):
+                if framing == "length":
+                    client.send(
+                        f"POST /upload HTTP/1.1\r\nHost: a\r\nContent-Length: {LARGE}\r\n\r\n".encode()
+                    )
+                    client.send(body[: HOLD // 2])
+                    await asyncio.sleep(0.05)
+                    assert it.runs() == 0  # nothing of a slow body has reached a box
+                    client.send(body[HOLD // 2 :])
+                else:
+                    client.send(b"POST /upload HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    for start in range(0, LARGE, 70_000):
+                        piece = body[start : start + 70_000]
+                        client.send(b"%x\r\n%b\r\n" % (len(piece), piece))
+                    client.send(b"0\r\n\r\n")
+                status, _, told = await client.answer()
+                assert status == 200 and hashlib.sha256(body).hexdigest().encode() in told
+            assert (await client.ask(request("POST", "/upload", b"")))[0] == 200
+
+    run(test())
+
+
+def test_answers_before_the_upload_is_over_and_limits(tmp_path: Path) -> None:
+    async def test() -> None:
+        routes = (
+            ROUTE + '[[route]]\nname = "small"\nprefix = "/small"\nclass = "pages"\nupload_limit = "1kB"\n'
+        )
+        async with site(tmp_path, routes=routes, http='body_within = "1s"\nhead_within = "1s"') as it:
+            it.apps[0].fault = "early"
+            client = await it.client()
+            client.send(f"POST /upload HTTP/1.1\r\nHost: a\r\nContent-Length: {LARGE}\r\n\r\n".encode())
+            client.send(content(2 * HOLD))
+            status, head, body = await client.answer()
+            assert (status, body) == (413, b"too much") and head["connection"] == "close"
+            it.apps[0].fault = ""
+            expects = {"Expect": "100-continue"}
+            client = await it.client()
+            client.send(request("POST", "/upload", b"", **expects).replace(b"Length: 0", b"Length: 5"))
+            assert (await client.head())[0] == 100
+            client.send(b"hello")
+            assert b'"size": 5' in (await client.answer())[2]
+            runs = it.runs()
+            for raw, refused in (
+                (request("POST", "/small/x", b"a" * 2000, **expects), 413),
+                (
+                    b"POST /small/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nfff\r\n"
+                    + b"a" * 4095,
+                    413,
+                ),
+                (b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\nabc", 408),
+                (b"POST /x HTTP/1.1\r\nHost: a\r\n", 408),
+            ):
+                client = await it.client()
+                client.send(raw)
+                status, head, _ = await client.answer()  # and no 100 before it
+                assert status == refused and head["connection"] == "close" and await client.ended()
+            assert it.runs() == runs
+
+    run(test())
+
+
+def test_a_box_that_stops_taking_or_answering_an_upload_is_given_up(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path, http='between_bytes = "1s"\nupload_limit = "1GB"') as it:
+            app = it.apps[0]
+            app.fault = "deaf"
+            client = await it.client()
+            client.send(f"PUT /upload HTTP/1.1\r\nHost: a\r\nContent-Length: {4 * LARGE}\r\n\r\n".encode())
+            client.send(content(4 * LARGE))
+            assert (await client.answer())[0] in (502, 503)
+        routes = ROUTE + 'answer_within = "1s"\n'
+        async with site(tmp_path, routes=routes) as it:
+            it.apps[0].silent = True
+            client = await it.client()
+            client.send(request("PUT", "/upload", content(LARGE)))
+            assert (await client.answer())[0] in (502, 503)
+
+    run(test())
+
+
+def test_a_box_is_read_no_faster_than_its_client_reads_and_a_client_that_reads_nothing_is_cut(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        async with site(tmp_path, http='unread_within = "1s"') as it:
+            client = await it.client(small=True)
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            client.send(request("GET", "/file?n=300000000"))
+            assert it.web.door is not None
+            while not it.web.door.connections:
+                await asyncio.sleep(0.01)
+            (front,) = it.web.door.connections
+            most = 0
+            while front in it.web.door.connections:
+                if front.transport is not None:
+                    most = max(most, front.transport.get_write_buffer_size())
+                await asyncio.sleep(0.01)
+            assert 0 < most < 1_000_000  # of 300 MB
+            while it.apps[0].writers:  # and the box is not kept busy with the rest
+                await asyncio.sleep(0.01)
+
+    run(test(), 60)
+
+
+def test_what_an_error_of_a_box_means_is_the_routes_to_say(tmp_path: Path) -> None:
+    """A client gets the box's own page; only what the route calls failing counts against the box."""
+
+    async def test() -> None:
+        routes = ROUTE + 'failing = ["503", "404"]\n'
+        async with site(tmp_path, routes=routes) as it:
+            view = it.proxy.balancer.look(0)[0].server
+            breaker = it.proxy.balancer.servers[view].breakers[0]
+            for status, failures in ((500, 0), (302, 0), (503, 1), (404, 2)):
+                client = await it.client()
+                assert (await client.ask(request("POST", f"/status/{status}", b"")))[::2] == (
+                    status,
+                    b"as asked\n",
+                )
+                assert breaker.failures == failures
+            client = await it.client()
+            client.send(
+                request("GET", "/status/304") + request("HEAD", "/file?n=9") + request("GET", "/status/204")
+            )
+            assert (await client.answer())[0] == 304
+            assert (await client.answer(head_only=True))[1]["content-length"] == "9"
+            assert (await client.answer())[0] == 204
+
+    run(test())
