--- a/rosedeal/gateway/pools.py
+++ b/rosedeal/gateway/pools.py
@@ -154,5 +154,5 @@
     """A pool stays while its hosts come the same way and the decisions' settings are as they were."""
     if new is None or new.same != old.same:
         return False
-    before, after = (replace(plan.config.settings, classes=()) for plan in (old, new))
-    return before == after
+    settings = new.config.settings  # classes only grow, and are taken over
+    return replace(old.config.settings, classes=settings.classes) == settings
--- a/rosedeal/standins/app.py
+++ b/rosedeal/standins/app.py
@@ -294,6 +294,7 @@
             [(name, value) for name, value in request.headers], request.target.decode()
         )
         self.app.chat.add(self)
+        said = ""
         try:
             while True:
                 for event in self.ws.events():
@@ -301,8 +302,11 @@
                         case Request():
                             self.say(self.ws.send(AcceptConnection()))
                         case TextMessage():
-                            for party in self.app.chat:
-                                party.say(party.ws.send(TextMessage(data=event.data)))
+                            said += event.data
+                            if event.message_finished:
+                                for party in self.app.chat:
+                                    party.say(party.ws.send(TextMessage(data=said)))
+                                said = ""
                         case Ping():
                             self.say(self.ws.send(event.response()))
                         case CloseConnection():
--- a/tests/web/harness.py
+++ b/tests/web/harness.py
@@ -99,6 +99,7 @@
 class Site:
     setup: Setup
     proxy: Proxy
+    figures: Figures
     rooms: list[SiteRoom | WebRoom]
     apps: list[App]
 
@@ -137,6 +138,7 @@
         self.setup.path.write_text(text)
         config = self.setup.read_again(self.proxy.filed)
         self.proxy.take_over(config)
+        self.figures.follow(tuple((name, 20_000_000) for name in config.names.classes))
         for room in self.rooms:
             room.reload(config)
         assert self.web.reloading is not None
@@ -178,7 +180,7 @@
     proxy = Proxy(setup.config, asyncio.get_running_loop(), figures)
     web = web_room(setup, {}, figures)
     assert isinstance(web, WebRoom)
-    it = Site(setup, proxy, [SiteRoom(lambda: setup.site, None), web], apps)
+    it = Site(setup, proxy, figures, [SiteRoom(lambda: setup.site, None), web], apps)
     for room in it.rooms:
         room.join(proxy)
     await proxy.start()
