Add TLS for clients and to boxes: certificates by name, reload, authorities, client certificates

Connections for TLS are accepted and counted before their handshake: a listener of the loop would hold a descriptor for each that stops half way, uncounted.

--- a/rosedeal/admin/room.py
+++ b/rosedeal/admin/room.py
@@ -13,7 +13,7 @@
 import os
 import socket
 import stat
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, Protocol, cast
 
@@ -79,6 +79,7 @@
         self.lock: int | None = None
         self.started_us = 0
         self.tasks: set[asyncio.Task[None]] = set()
+        self.notices: list[Callable[[], list[str]]] = []  # what else people should know of
 
     # The room
 
@@ -210,6 +211,8 @@
             found.append(f"Drains by hand will not outlive a restart: {self.not_kept}.")
         if not any(box.state in (*ABLE, "trial") for box in boxes):
             found.append("No box serves: every request is refused.")
+        for notice in self.notices:
+            found += notice()
         return found
 
     async def _tick(self) -> None:
--- a/rosedeal/cli/serve.py
+++ b/rosedeal/cli/serve.py
@@ -8,7 +8,7 @@
 import secrets
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
 from pathlib import Path
 
@@ -32,6 +32,7 @@
         self.environ = environ
         self.site = read_site(path)
         self.overruled: list[str] = []
+        self.checks: list[Callable[[Site], None]] = []  # of what files the operator file names; ConfigError
         self.config = self.newest = self._config(self.site, None)
 
     def _config(self, site: Site, old: Config | None) -> Config:
@@ -46,6 +47,8 @@
         """Raises ConfigError, and then the old ones stay. Called off the loop."""
         site = read_site(self.path)
         config = self._config(site, old)
+        for check in self.checks:
+            check(site)
         self.site, self.newest = site, config
         return config
 
@@ -69,29 +72,53 @@
     config, store = setup.config, setup.store
     aims = (klass.aim_us for klass in config.settings.classes)
     figures = Figures(tuple(zip(config.names.classes, aims, strict=True)))
-    rooms: list[Room] = [
-        SiteRoom(lambda: setup.site, store),
-        AdminRoom(setup.socket, config, figures, store),
-    ]
+    admin = AdminRoom(setup.socket, config, figures, store)
+    rooms: list[Room] = [SiteRoom(lambda: setup.site, store), admin]
     if setup.site.etcd is not None:
         rooms.insert(1, etcd_room(setup.site.etcd, path.parent, environ))
     if setup.site.http is not None:
         from rosedeal.cli.web import web_room
 
-        rooms.append(web_room(setup, environ, figures))
+        web, tls = web_room(setup, environ, figures)
+        rooms.append(web)
+        if tls is not None:
+            admin.notices.append(tls.certificates.problems)
+    if setup.site.fleet.ca is not None:
+        rooms.append(fleet_tls(setup))
     if until_stdin_ends:
         rooms.append(Lifeline())
     return run(config, setup.read_again, rooms, figures)
 
 
+def fleet_tls(setup: Setup) -> Room:
+    """TLS to the main pool's boxes. Raises ConfigError."""
+    from rosedeal.cli.tls import BoxTls
+
+    def read() -> tuple[Path, str | None]:
+        fleet = setup.site.fleet
+        if fleet.ca is None:
+            raise ConfigError("fleet.ca has gone: that needs a restart")
+        return setup.path.parent / fleet.ca, fleet.certificate_name
+
+    return BoxTls(read)
+
+
 def check(path: Path, environ: Mapping[str, str]) -> str:
     """One line on a file that can be used. Raises ConfigError."""
     setup = Setup(path, environ)
     site, config = setup.site, setup.config
     if site.etcd is not None:
         etcd_room(site.etcd, path.parent, environ)
+    if site.http is not None:
+        from rosedeal.cli.web import web_room
+
+        _, tls = web_room(setup, environ, None)
+        notices = tls.certificates.problems() if tls is not None else []
+    if site.fleet.ca is not None:
+        fleet_tls(setup)
     listens = [config.listen] if config.listen is not None else []
     listens += [site.http.listen.pair] if site.http is not None else []
+    listens += [site.https.listen.pair] if site.https is not None else []
     where = " and ".join(f"{host}:{port}" for host, port in listens)
     words = [
         f"{path}: good. {config.name} would listen on {where}",
@@ -105,7 +132,7 @@
     ]
     if site.http is not None:
         words.insert(1, f"{len(site.routes)} routes, {len(site.pools) + 1} pools")
-        words += never(site)
+        words += never(site) + notices
     if setup.overruled:
         words.append(f"the platform's configuration overrules {', '.join(setup.overruled)}")
     return "; ".join(words)
--- a/rosedeal/cli/web.py
+++ b/rosedeal/cli/web.py
@@ -12,7 +12,6 @@
 from rosedeal.gateway.config import Config
 from rosedeal.gateway.pools import Feeder, PoolPlan
 from rosedeal.gateway.proxy import Observer
-from rosedeal.gateway.run import Room
 from rosedeal.site import Site, SiteRoom
 from rosedeal.site.convert import pool_config
 from rosedeal.site.schema import PoolTable
@@ -22,13 +21,24 @@
 
 if TYPE_CHECKING:
     from rosedeal.cli.serve import Setup
+    from rosedeal.cli.tls import ClientTls
 
 CONNECTIONS = 0.5  # of the descriptors that are not reserved: as many as for the platform's clients
 RESERVED = 64
 
 
-def web_room(setup: Setup, environ: Mapping[str, str], observer: Observer) -> Room:
-    """Ordinary HTTP, by the file as it was read last."""
+def web_room(
+    setup: Setup, environ: Mapping[str, str], observer: Observer | None
+) -> tuple[WebRoom, ClientTls | None]:
+    """Ordinary HTTP, by the file as it was read last, and its certificates. Raises ConfigError."""
+    tls: ClientTls | None = None
+    if setup.site.https is not None:
+        from rosedeal.cli.tls import ClientTls
+
+        tls = ClientTls(setup.site, setup.path.parent)
+        setup.checks.append(tls.check)
+    for pool in setup.site.pools:
+        feed_tls(setup, pool)  # so that a mistake shows at the start
 
     def feed(pool: PoolTable) -> list[Feeder]:
         feeders: list[Feeder] = [SiteRoom(lambda: setup.site, None, str(pool.name))]
@@ -37,10 +47,12 @@
             from rosedeal.cli.serve import etcd_room
 
             feeders.append(etcd_room(table, setup.path.parent, environ))
-        return feeders
+        return feeders + feed_tls(setup, pool)
 
     def read() -> tuple[WebPlan, list[PoolPlan]]:
         site, config = setup.site, setup.newest
+        if tls is not None:
+            tls.commit()
         plans = [
             PoolPlan(
                 name=str(pool.name),
@@ -53,7 +65,18 @@
         ]
         return to_plan(site, config), plans
 
-    return WebRoom(read, observer)
+    context = (lambda: tls.certificates.base) if tls is not None else None
+    return WebRoom(read, observer, context), tls
+
+
+def feed_tls(setup: Setup, pool: PoolTable) -> list[Feeder]:
+    """TLS to a pool's boxes, if it is so. Raises ConfigError."""
+    if pool.ca is None:
+        return []
+    from rosedeal.cli.tls import BoxTls
+
+    authority, name = setup.path.parent / pool.ca, pool.certificate_name
+    return [BoxTls(lambda: (authority, name))]
 
 
 def failing(words: list[str]) -> frozenset[int]:
@@ -87,6 +110,7 @@
                 between_s=between_us / 1e6,
                 upload_limit=int(limit),
                 pools=tuple((str(name), float(weight)) for name, weight in pools.items()),
+                needs_certificate=table.client_certificate == "required",
                 spare=str(table.spare) if table.spare is not None else None,
                 failing=failing(table.failing),
             )
@@ -98,8 +122,10 @@
         unread_s=http.unread_within / 1e6,
         idle_s=http.idle_connections / 1e6,
         tunnel_s=http.quiet_tunnels / 1e6,
+        handshake_s=(site.https.handshake_within if site.https is not None else 10_000_000) / 1e6,
         end_s=http.end_within / 1e6,
         connections=int((config.sockets - RESERVED) * CONNECTIONS),
     )
     trusted = tuple(ipaddress.ip_network(network) for network in http.trusted_proxies)
-    return WebPlan(http.listen.pair, limits, tuple(plans), trusted)
+    listen_tls = site.https.listen.pair if site.https is not None else None
+    return WebPlan(http.listen.pair, limits, tuple(plans), trusted, listen_tls)
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import select
+import ssl
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -284,6 +285,8 @@
         self.connect_timeout_s = connect_timeout_us / 1e6 or CONNECT_UNSTATED_S
         self.idle_s = (idle_us / 1e6 or IDLE_UNSTATED_S) * IDLE_SHARE
         self.drain_grace_s = drain_grace_us / 1e6
+        self.tls: ssl.SSLContext | None = None  # to all hosts; a certificate that does not fit: no connection
+        self.tls_name: str | None = None  # whom certificates must name; None: the address
         self.hosts: dict[HostId, Host] = {}
         self.connections: set[PooledConnection] = set()
 
@@ -359,7 +362,12 @@
     async def open(self, connection: PooledConnection, exchange: Exchange) -> None:
         try:
             async with asyncio.timeout(self.connect_timeout_s):
-                await self.loop.create_connection(lambda: connection, *connection.host.address)
+                await self.loop.create_connection(
+                    lambda: connection,
+                    *connection.host.address,
+                    ssl=self.tls,
+                    server_hostname=self.tls_name if self.tls is not None else None,
+                )
         except (OSError, TimeoutError, ValueError) as error:  # the last from an address that is none
             self.drop(connection)
             if isinstance(error, OSError) and error.errno in NO_DESCRIPTOR:
--- a/rosedeal/site/read.py
+++ b/rosedeal/site/read.py
@@ -18,9 +18,11 @@
 from rosedeal.site.locate import line_of, lines_of
 from rosedeal.site.schema import (
     BoxTable,
+    CertificateTable,
     ClassTable,
     EtcdTable,
     Fleet,
+    HttpsTable,
     HttpTable,
     Limits,
     PoolTable,
@@ -43,6 +45,8 @@
     "class": ClassTable,
     "box": BoxTable,
     "http": HttpTable,
+    "https": HttpsTable,
+    "certificate": CertificateTable,
     "route": RouteTable,
     "pool": PoolTable,
 }
--- a/rosedeal/site/schema.py
+++ b/rosedeal/site/schema.py
@@ -143,6 +143,10 @@
     overload_multiple: Annotated[float, msgspec.Meta(ge=1.0, le=100.0)] = 4.0
     overload_within: Duration = Duration(3_000_000)
     prefer_own_zone: bool = False
+    ca: Path | None = None  # boxes speak TLS, with certificates that this authority signs
+    certificate_name: Annotated[str, msgspec.Meta(min_length=1, max_length=255)] | None = (
+        None  # None: their address
+    )
     at_once: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 1  # requests that a box works on at a time
 
 
@@ -183,6 +187,22 @@
     upload_limit: Size = Size(10_000_000)
 
 
+class HttpsTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """The same over TLS. Needs the extra `tls`."""
+
+    listen: Address
+    least_version: Literal["1.2", "1.3"] = "1.2"
+    client_ca: Path | None = None  # clients are asked for a certificate signed by it
+    handshake_within: Duration = Duration(10_000_000)
+
+
+class CertificateTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """A chain and its key, PEM; for the names that the certificate says."""
+
+    certificate: Path
+    key: Path
+
+
 Failing = Annotated[str, msgspec.Meta(pattern="^[1-5](xx|[0-9][0-9])$")]
 Method = Annotated[str, msgspec.Meta(pattern="^[A-Z][A-Z-]{0,31}$")]
 Weight = Annotated[float, msgspec.Meta(ge=0.0, le=1_000_000.0)]
@@ -203,6 +223,7 @@
     spare: Name | None = None
     take_off: Path | None = None
     put_before: Path | None = None
+    client_certificate: Literal["any", "required"] = "any"
     answer_within: Duration | None = None  # None: the class's given_up_after
     between_bytes: Duration | None = None  # None: that of [http]
     upload_limit: Size | None = None  # None: that of [http]
@@ -218,6 +239,10 @@
     weight: Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)] = 1.0  # of what pools divide
     discovery: Address | None = None
     etcd_prefix: Annotated[str, msgspec.Meta(min_length=1, max_length=256)] | None = None
+    ca: Path | None = None  # its boxes speak TLS, with certificates that this authority signs
+    certificate_name: Annotated[str, msgspec.Meta(min_length=1, max_length=255)] | None = (
+        None  # None: their address
+    )
 
 
 class EtcdTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -242,6 +267,10 @@
     fleet: Fleet = Fleet()
     etcd: EtcdTable | None = None
     http: HttpTable | None = None
+    https: HttpsTable | None = None
+    certificates: Annotated[list[CertificateTable], msgspec.Meta(max_length=256)] = msgspec.field(
+        name="certificate", default_factory=list
+    )
     routes: Annotated[list[RouteTable], msgspec.Meta(max_length=4096)] = msgspec.field(
         name="route", default_factory=list
     )
--- a/rosedeal/site/web.py
+++ b/rosedeal/site/web.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from rosedeal.routes import BadPath, Route, Table, read_host
-from rosedeal.site.schema import RouteTable, Site
+from rosedeal.site.schema import Address, RouteTable, Site
 
 REPEATABLE, UNSAFE = "+repeatable", "+unsafe"  # further entries of one class, by what a repeat would do
 MAIN = "main"  # the pool of the boxes that name none
@@ -13,13 +13,15 @@
     """What no single key shows: (path, what is wrong)."""
     found: list[tuple[str, str]] = []
     if site.http is None:
-        for key, there in (("route", site.routes), ("pool", site.pools)):
+        tables = (("route[0]", site.routes), ("pool[0]", site.pools), ("https", site.https is not None))
+        for key, there in tables:
             if there:
-                found.append((f"{key}[0]", "means nothing without [http], the listener that follows routes"))
+                found.append((key, "means nothing without [http], the listener that follows routes"))
         return found
+    found += _of_tls(site)
     if not site.routes:
         found.append(("http", "leads nowhere: add a [[route]]"))
-    if site.site.listen is not None and site.site.listen == site.http.listen:
+    if site.site.listen is not None and _same(site.site.listen, site.http.listen):
         found.append(("http.listen", "is that of site.listen; the two need one each"))
     for key in ("head_within", "body_within", "between_bytes", "unread_within", "idle_connections"):
         if getattr(site.http, key) < 100_000:
@@ -48,6 +50,26 @@
     return found
 
 
+def _of_tls(site: Site) -> list[tuple[str, str]]:
+    found: list[tuple[str, str]] = []
+    if site.https is not None and not site.certificates:
+        found.append(("https", "shows no certificate: add a [[certificate]]"))
+    if site.https is None and site.certificates:
+        found.append(("certificate[0]", "means nothing without [https]"))
+    if site.https is not None and site.http is not None and _same(site.https.listen, site.http.listen):
+        found.append(("https.listen", "is that of http.listen; the two need one each"))
+    asks = site.https is not None and site.https.client_ca is not None
+    for number, table in enumerate(site.routes):
+        if table.client_certificate == "required" and not asks:
+            found.append((f"route[{number}].client_certificate", "means nothing without https.client_ca"))
+    return found
+
+
+def _same(one: Address, other: Address) -> bool:
+    """Whether both would be one listener; port 0 leaves each choice to the system."""
+    return one == other and one.pair[1] != 0
+
+
 def never(site: Site) -> list[str]:
     """A line for each route that no request can ever take."""
     table = Table(map(to_route, site.routes))
--- a/rosedeal/standins/app.py
+++ b/rosedeal/standins/app.py
@@ -22,6 +22,7 @@
 import hashlib
 import json
 import socket
+import ssl
 import struct
 import time
 from collections.abc import AsyncIterator, Callable
@@ -71,6 +72,7 @@
     name: str = "app"
     fault: str = ""
     silent: bool = False
+    tls: ssl.SSLContext | None = None
     port: int = 0
     runs: list[Run] = field(default_factory=list)
     refused: list[str] = field(default_factory=list)  # what h11 made of malformed requests
@@ -84,7 +86,9 @@
         return f"127.0.0.1:{self.port}"
 
     async def start(self) -> None:
-        self.listener = await asyncio.start_server(self._accept, "127.0.0.1", self.port, backlog=1024)
+        self.listener = await asyncio.start_server(
+            self._accept, "127.0.0.1", self.port, backlog=1024, ssl=self.tls
+        )
         self.port = self.listener.sockets[0].getsockname()[1]
 
     def die(self) -> None:
--- a/rosedeal/standins/certificates.py
+++ b/rosedeal/standins/certificates.py
@@ -4,6 +4,7 @@
 
 import datetime
 import ipaddress
+from collections.abc import Sequence
 from pathlib import Path
 
 from cryptography import x509
@@ -28,7 +29,9 @@
             certificate.sign(self.key, hashes.SHA256()).public_bytes(serialization.Encoding.PEM)
         )
 
-    def _builder(self, subject: x509.Name, key: ec.EllipticCurvePublicKey) -> x509.CertificateBuilder:
+    def _builder(
+        self, subject: x509.Name, key: ec.EllipticCurvePublicKey, life: datetime.timedelta = DAY
+    ) -> x509.CertificateBuilder:
         now = datetime.datetime.now(datetime.UTC)
         return (
             x509.CertificateBuilder()
@@ -37,15 +40,23 @@
             .public_key(key)
             .serial_number(x509.random_serial_number())
             .not_valid_before(now - DAY)
-            .not_valid_after(now + DAY)
+            .not_valid_after(now + life)
         )
 
-    def pair(self, name: str, address: str = "127.0.0.1") -> tuple[Path, Path]:
-        """A certificate for an address, and its key."""
+    def pair(
+        self,
+        name: str,
+        address: str = "127.0.0.1",
+        hosts: Sequence[str] = (),
+        life: datetime.timedelta = DAY,
+    ) -> tuple[Path, Path]:
+        """A certificate for an address and for hosts' names, and its key, which only its owner can read."""
         key = ec.generate_private_key(ec.SECP256R1())
         subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
-        names = x509.SubjectAlternativeName([x509.IPAddress(ipaddress.ip_address(address))])
-        certificate = self._builder(subject, key.public_key()).add_extension(names, critical=False)
+        names = x509.SubjectAlternativeName(
+            [x509.IPAddress(ipaddress.ip_address(address)), *map(x509.DNSName, hosts)]
+        )
+        certificate = self._builder(subject, key.public_key(), life).add_extension(names, critical=False)
         signed = certificate.sign(self.key, hashes.SHA256())
         certificate_path, key_path = self.folder / f"{name}.pem", self.folder / f"{name}-key.pem"
         certificate_path.write_bytes(signed.public_bytes(serialization.Encoding.PEM))
@@ -56,4 +67,5 @@
                 serialization.NoEncryption(),
             )
         )
+        key_path.chmod(0o600)
         return certificate_path, key_path
--- a/rosedeal/web/back.py
+++ b/rosedeal/web/back.py
@@ -158,7 +158,7 @@
         self.size = 0
         self.interim = 0
         self.head_read = self.complete = self.keep_alive = False
-        self.until_close = self.tunnel = False
+        self.until_close = self.tunnel = self.ended = False
         self.outcome = Outcome.OK
         self.answer: Answer | None = None  # held: it counts as the box's failure
         self.chunks: list[bytes] = []
@@ -245,12 +245,17 @@
         exchange = self.carried
         if self.exchange is None or exchange is None:
             return
-        if exc is None and self.head_read and (self.until_close or self.tunnel):
+        if self.ended and self.head_read and (self.until_close or self.tunnel):
             self.complete = True
             self.conclude(False)
         else:
             exchange.lost()
 
+    def eof_received(self) -> bool:
+        """The box has ended by itself; over TLS by its close_notify, as a connection cut short is no end."""
+        self.ended = True
+        return False
+
     def read_last(self) -> None:
         """What the box had said before the connection broke.
 
--- a/rosedeal/web/door.py
+++ b/rosedeal/web/door.py
@@ -6,8 +6,11 @@
 import logging
 import random
 import secrets
-from collections.abc import Callable
+import socket
+import ssl
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 from rosedeal.gateway.config import Address
 from rosedeal.gateway.pools import Pools
@@ -26,6 +29,8 @@
 STALLED_S = 5.0  # a client that has taken or sent nothing for so long gives way when connections are short
 TURNED_AWAY = 32  # connections over the limit that are told 503
 POLL_S = 0.02
+ACCEPT_AGAIN_S = 0.1
+SHUTDOWN_S = 5.0  # for a client's part in the end of TLS
 LAST_ACCEPT_S = 0.5  # new connections go on coming for a moment after an end has begun
 
 
@@ -56,7 +61,12 @@
         self.resting: dict[Front, None] = {}  # between requests, the one used last comes last
         self.draining = False
         self.listener: asyncio.Server | None = None
+        self.tls_listener: socket.socket | None = None
+        self.context: ssl.SSLContext | None = None
+        self.accepting: asyncio.Task[None] | None = None
         self.sweeping: asyncio.TimerHandle | None = None
+        self.handshakes: dict[Handshake, None] = {}  # oldest first
+        self.tasks: set[asyncio.Task[None]] = set()
 
     @property
     def limits(self) -> Limits:
@@ -71,11 +81,46 @@
         bound: Address = self.listener.sockets[0].getsockname()[:2]
         return bound
 
+    async def start_tls(self, context: ssl.SSLContext) -> Address:
+        assert self.plan.listen_tls is not None
+        self.context = context
+        host, port = self.plan.listen_tls
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.tls_listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        self.tls_listener.setblocking(False)
+        self.accepting = self.spawn(self.accept(self.tls_listener))
+        bound: Address = self.tls_listener.getsockname()[:2]
+        return bound
+
+    async def accept(self, listener: socket.socket) -> None:
+        """Take connections for TLS, and make room for each before its handshake."""
+        while True:
+            try:
+                sock, _ = await self.loop.sock_accept(listener)
+            except OSError as error:  # no descriptor, or a client that has gone again
+                log.warning("a connection for TLS could not be taken: %s", error.strerror)
+                await asyncio.sleep(ACCEPT_AGAIN_S)
+                continue
+            sock.setblocking(False)
+            if self.held >= self.plan.limits.connections and not self.make_room():
+                sock.close()
+                continue
+            self.handshakes[Handshake(self, sock)] = None
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
     def peer_of(self, transport: asyncio.Transport) -> Peer:
         name = transport.get_extra_info("peername")
         address = name[0] if isinstance(name, tuple) and name else "unknown"
-        secure = transport.get_extra_info("ssl_object") is not None
-        return Peer(address, b"https" if secure else b"http", is_trusted(address, self.plan.trusted))
+        conn = transport.get_extra_info("ssl_object")
+        trusted = is_trusted(address, self.plan.trusted)
+        if conn is None:
+            return Peer(address, b"http", trusted)
+        return Peer(address, b"https", trusted, conn.getpeercert(binary_form=True))
 
     # Requests
 
@@ -102,6 +147,8 @@
         if route is None:
             return self.unrouted(host, target.path, incoming)
         to = plan.by_name[route.name]
+        if to.needs_certificate and front.peer.certificate is None:
+            return plain(403, "this needs a client certificate")
         incoming.upload.limit = to.upload_limit
         if incoming.length is not None and incoming.length > to.upload_limit:
             return plain(413, f"body over {to.upload_limit} bytes")
@@ -152,19 +199,27 @@
 
     # Connections
 
+    @property
+    def held(self) -> int:
+        """Descriptors of clients."""
+        return len(self.connections) + len(self.handshakes)
+
     def add(self, front: Front) -> None:
         """Guards against running out of descriptors: who is missed least goes, else new ones hear 503."""
         limit = self.plan.limits.connections
-        if len(self.connections) >= limit and not self.make_room():
+        if self.held >= limit and not self.make_room():
             front.refusing = True
         self.connections.add(front)
-        if len(self.connections) > limit + TURNED_AWAY:
+        if self.held > limit + TURNED_AWAY:
             front.abort()
 
     def make_room(self) -> bool:
         """One that rests, else one that never asked, else the one that has stalled longest."""
         if self.resting:
             oldest = next(iter(self.resting))
+        elif self.handshakes:
+            next(iter(self.handshakes)).abort()
+            return True
         else:
             now = self.loop.time()
             stalled = [
@@ -202,8 +257,7 @@
         """Planned end: take what still comes, answer everything; streams and tunnels get their time."""
         self.draining = True
         await asyncio.sleep(LAST_ACCEPT_S)
-        if self.listener is not None:
-            self.listener.close()
+        self.stop_listening()
         until = self.loop.time() + self.plan.limits.end_s
         while self.connections:
             late = self.loop.time() > until
@@ -217,7 +271,48 @@
     def close(self) -> None:
         if self.sweeping is not None:
             self.sweeping.cancel()
-        if self.listener is not None:
-            self.listener.close()
+        self.stop_listening()
+        for handshake in list(self.handshakes):
+            handshake.abort()
         for connection in list(self.connections):
             connection.abort()
+
+    def stop_listening(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+        if self.accepting is not None and self.tls_listener is not None:
+            self.accepting.cancel()
+            self.tls_listener.close()
+
+
+class Handshake:
+    """A connection that is to speak TLS and does not yet.
+
+    It is accepted by itself and counted before its handshake. Guards against hundreds that stop half way: the
+    loop's own listener would hold a descriptor for each, and nobody would know of them.
+    """
+
+    def __init__(self, door: Door, sock: socket.socket) -> None:
+        self.door, self.sock = door, sock
+        self.task = door.spawn(self.shake())
+
+    def abort(self) -> None:
+        self.door.handshakes.pop(self, None)
+        self.task.cancel()
+
+    async def shake(self) -> None:
+        door = self.door
+        assert door.context is not None
+        try:
+            # The front is told of the connection once the handshake is done, and of nothing before.
+            await door.loop.connect_accepted_socket(
+                lambda: Front(door),
+                self.sock,
+                ssl=door.context,
+                ssl_handshake_timeout=door.plan.limits.handshake_s,
+                ssl_shutdown_timeout=SHUTDOWN_S,
+            )
+        except OSError:  # refused, cut or too slow: that is between it and its client
+            pass
+        finally:
+            door.handshakes.pop(self, None)
--- a/rosedeal/web/heads.py
+++ b/rosedeal/web/heads.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import base64
 import ipaddress
 import re
 from collections.abc import Iterable
@@ -50,6 +51,8 @@
         b"x-forwarded-prefix",
         b"x-forwarded-server",
         b"x-real-ip",
+        b"client-cert",
+        b"client-cert-chain",
     )
 )
 # Never taken off by being listed in `Connection`.
@@ -150,6 +153,7 @@
     address: str
     scheme: bytes = b"http"
     trusted: bool = False
+    certificate: bytes | None = None  # of the client, DER, verified
 
 
 def is_trusted(address: str, networks: Iterable[Network]) -> bool:
@@ -210,6 +214,8 @@
         b"forwarded: " + (before + b", " + element if before else element),
         b"x-forwarded-for: " + (chain + b", " + address if chain else address),
     ]
+    if peer.certificate is not None and b"client-cert" not in named:
+        lines.append(b"client-cert: :%b:" % base64.b64encode(peer.certificate))  # RFC 9440 section 2.2
     if b"x-forwarded-proto" not in named:
         lines.append(b"x-forwarded-proto: " + peer.scheme)
     if b"x-forwarded-host" not in named and host:
--- a/rosedeal/web/plan.py
+++ b/rosedeal/web/plan.py
@@ -41,6 +41,7 @@
     pools: tuple[tuple[str, float], ...] = ((MAIN, 1.0),)  # and the weight of each
     spare: str | None = None  # used while the one chosen has nothing able
     failing: frozenset[int] = DEFAULT_FAILING
+    needs_certificate: bool = False  # of the client
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +54,7 @@
     unread_s: float = 60.0  # for which a client may take nothing of its answer
     idle_s: float = 60.0  # between requests
     tunnel_s: float = 3600.0  # for which a tunnel may be quiet
+    handshake_s: float = 10.0  # of TLS
     end_s: float = 10.0  # for streams and tunnels, when the gateway ends
     connections: int = 480
 
@@ -63,6 +65,7 @@
     limits: Limits
     routes: tuple[RoutePlan, ...]
     trusted: tuple[Network, ...] = ()
+    listen_tls: Address | None = None
     table: Table = field(init=False, compare=False)
     by_name: dict[str, RoutePlan] = field(init=False, compare=False)
 
--- a/rosedeal/web/room.py
+++ b/rosedeal/web/room.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import ssl
 from collections.abc import Callable, Sequence
 
 from rosedeal.gateway.config import Address, Config
@@ -20,8 +21,12 @@
 class WebRoom:
     """`read` gives what the operator file says now; it was checked when the file was read."""
 
-    def __init__(self, read: Read, observer: Observer | None) -> None:
-        self.read, self.observer = read, observer
+    def __init__(
+        self, read: Read, observer: Observer | None, certificates: Callable[[], ssl.SSLContext] | None = None
+    ) -> None:
+        """`certificates`: the context that clients over TLS meet; None where there are none."""
+        self.read, self.observer, self.certificates = read, observer, certificates
+        self.listens_tls: Address | None = None
         self.pools: Pools | None = None
         self.door: Door | None = None
         self.listens: Address | None = None
@@ -40,6 +45,9 @@
         if proxy.listens is None:
             proxy.listens = self.listens
         log.info("%s serves HTTP on %s:%d", proxy.config.name, *self.listens)
+        if plan.listen_tls is not None and self.certificates is not None:
+            self.listens_tls = await self.door.start_tls(self.certificates())
+            log.info("%s serves HTTPS on %s:%d", proxy.config.name, *self.listens_tls)
 
     def reload(self, config: Config) -> None:
         plan, pools = self.read()
@@ -50,8 +58,9 @@
     async def _reload(self, plan: WebPlan, pools: Sequence[PoolPlan], config: Config) -> None:
         assert self.pools is not None and self.door is not None
         await self.pools.apply(pools, config)
-        if plan.listen != self.door.plan.listen:
-            log.warning("the operator file changes http.listen: that needs a restart")
+        before = self.door.plan
+        if (plan.listen, plan.listen_tls) != (before.listen, before.listen_tls):
+            log.warning("the operator file changes where HTTP is served: that needs a restart")
         self.door.plan = plan
         log.info("%d routes and %d pools are in force", len(plan.routes), len(pools) + 1)
 
--- a/tests/web/harness.py
+++ b/tests/web/harness.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import re
+import ssl
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -11,9 +11,10 @@
 
 from rosedeal.admin import Figures
 from rosedeal.choice import Breaker
-from rosedeal.cli.serve import Setup
+from rosedeal.cli.serve import Setup, fleet_tls
 from rosedeal.cli.web import web_room
 from rosedeal.gateway.proxy import Proxy
+from rosedeal.gateway.run import Room
 from rosedeal.site import SiteRoom
 from rosedeal.standins.app import App
 from rosedeal.standins.net import small_socket
@@ -28,6 +29,7 @@
 [fleet]
 at_once = 64
 connect_within = "20s"
+{fleet}
 [[class]]
 name = "pages"
 wanted_within = "20s"
@@ -38,10 +40,14 @@
 
 
 def site_text(
-    boxes: Sequence[tuple[str, str, str]], routes: str = ROUTE, http: str = "", answer: str = "20s"
+    boxes: Sequence[tuple[str, str, str]],
+    routes: str = ROUTE,
+    http: str = "",
+    answer: str = "20s",
+    fleet: str = "",
 ) -> str:
     """`boxes`: name, address and pool."""
-    text = HEAD.format(http=http, answer=answer) + routes
+    text = HEAD.format(http=http, answer=answer, fleet=fleet) + routes
     for name, address, pool in boxes:
         text += f'[[box]]\nname = "{name}"\naddress = "{address}"\n'
         text += f'pool = "{pool}"\n' if pool else ""
@@ -100,12 +106,12 @@
     setup: Setup
     proxy: Proxy
     figures: Figures
-    rooms: list[SiteRoom | WebRoom]
+    rooms: list[Room]
     apps: list[App]
 
     @property
     def web(self) -> WebRoom:
-        room = self.rooms[-1]
+        room = self.rooms[-1]  # the last to start
         assert isinstance(room, WebRoom)
         return room
 
@@ -164,23 +170,34 @@
 
 @asynccontextmanager
 async def site(
-    folder: Path, boxes: int = 1, routes: str = ROUTE, http: str = "", answer: str = "20s", pools: str = ""
+    folder: Path,
+    boxes: int = 1,
+    routes: str = ROUTE,
+    http: str = "",
+    answer: str = "20s",
+    pools: str = "",
+    fleet: str = "",
+    tls: ssl.SSLContext | None = None,
 ) -> AsyncIterator[Site]:
     """`boxes` applications in the main pool, and one in each of the pools named, with spaces between."""
     apps = [App(f"app-{n}") for n in range(boxes)] + [App(name) for name in pools.split()]
+    for app in apps:
+        app.tls = tls
     for app in apps:
         await app.start()
     named = [(app.name, app.address, "") for app in apps[:boxes]]
     named += [(app.name, app.address, app.name) for app in apps[boxes:]]
     routes += "".join(f'[[pool]]\nname = "{name}"\n' for name in pools.split())
     path = folder / "site.toml"
-    path.write_text(site_text(named, routes, http, answer))
+    path.write_text(site_text(named, routes, http, answer, fleet))
     setup = Setup(path, {})
     figures = Figures(tuple((name, 20_000_000) for name in setup.config.names.classes))
     proxy = Proxy(setup.config, asyncio.get_running_loop(), figures)
-    web = web_room(setup, {}, figures)
-    assert isinstance(web, WebRoom)
-    it = Site(setup, proxy, figures, [SiteRoom(lambda: setup.site, None), web], apps)
+    web, _ = web_room(setup, {}, figures)
+    rooms: list[Room] = [SiteRoom(lambda: setup.site, None), web]
+    if setup.site.fleet.ca is not None:
+        rooms.insert(0, fleet_tls(setup))
+    it = Site(setup, proxy, figures, rooms, apps)
     for room in it.rooms:
         room.join(proxy)
     await proxy.start()
@@ -193,14 +210,3 @@
         proxy.close()
         for app in apps:
             app.die()
-
-
-def changed(text: str, *swaps: tuple[str, str]) -> str:
-    for old, new in swaps:
-        assert old in text
-        text = text.replace(old, new)
-    return text
-
-
-def digits(text: str) -> int:
-    return int(re.sub(r"\D", "", text))
