--- a/rosedeal/admin/boxes.py
+++ b/rosedeal/admin/boxes.py
@@ -6,6 +6,8 @@
 import re
 from collections.abc import Iterable, Mapping
 
+import msgspec
+
 from rosedeal.admin.figures import Figures
 from rosedeal.admin.protocol import BoxView, Said
 from rosedeal.gateway.config import Names
@@ -30,13 +32,16 @@
         servers: Iterable[ServerView],
         connecting: Mapping[int, int],
         figures: Figures,
+        pools: Mapping[int, str] | None = None,
     ) -> list[BoxView]:
-        """Sorted as people sort: box-2 before box-10."""
+        """Sorted as people sort: box-2 before box-10. `pools`: of the boxes that are not in the main one."""
         by_number = {server.server: server for server in servers}
         views = []
         for host in hosts:
             number = host.entry.server.server
             view = self._view(now_us, host, by_number.get(number), connecting.get(number, 0), figures)
+            if pools and number in pools:
+                view = msgspec.structs.replace(view, pool=pools[number])
             if view.state != "gone" or now_us - view.since_us < GONE_SHOWN_US:
                 views.append(view)
         self.since = {view.name: (view.state, view.since_us) for view in views}
@@ -74,6 +79,7 @@
             failures=round(bad, 1),
             usual_us=round(counted.usual_us) if counted is not None else 0,
             answered_us=counted.answered_us if counted is not None else 0,
+            streams=server.streams if server is not None else 0,
             sources=[name for name, _, _ in host.said],
             said=[Said(source=name, status=status.value, at_us=at_us) for name, status, at_us in host.said],
         )
@@ -101,8 +107,10 @@
 
 
 def is_last_able(boxes: Iterable[BoxView], name: str) -> bool:
-    """Whether this box takes new requests and no other one does."""
-    able = [box.name for box in boxes if box.state in ABLE]
+    """Whether this box takes new requests and no other one of its pool does."""
+    boxes = list(boxes)
+    pools = {box.pool for box in boxes if box.name == name}
+    able = [box.name for box in boxes if box.state in ABLE and box.pool in pools]
     return able == [name]
 
 
--- a/rosedeal/admin/protocol.py
+++ b/rosedeal/admin/protocol.py
@@ -135,6 +135,8 @@
     answered_us: int = 0  # when it last gave a good answer; 0: not yet
     sources: list[str] = []  # that have spoken of it, the one that is believed first
     said: list[Said] = []
+    pool: str = ""  # the main one has no name
+    streams: int = 0  # answers, uploads and tunnels that go on as long as their clients like
 
 
 class SourceView(msgspec.Struct, kw_only=True, frozen=True):
--- a/rosedeal/admin/room.py
+++ b/rosedeal/admin/room.py
@@ -13,7 +13,7 @@
 import os
 import socket
 import stat
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
 from typing import Any, Protocol, cast
 
@@ -38,7 +38,8 @@
 from rosedeal.admin.story import Story
 from rosedeal.gateway.config import Config
 from rosedeal.gateway.proxy import Proxy
-from rosedeal.gateway.roster import HandDrain, RosterError
+from rosedeal.gateway.roster import HandDrain, HostView, RosterError
+from rosedeal.interface import ServerView
 
 log = logging.getLogger(__name__)
 
@@ -79,6 +80,7 @@
         self.lock: int | None = None
         self.started_us = 0
         self.tasks: set[asyncio.Task[None]] = set()
+        self.further: Callable[[], Mapping[str, Proxy]] = dict  # pools beside the main one
         self.notices: list[Callable[[], list[str]]] = []  # what else people should know of
 
     # The room
@@ -158,31 +160,52 @@
         return self.proxy.clock.now_us()
 
     def views(self) -> list[BoxView]:
-        proxy = self.proxy
-        assert proxy is not None
-        now_us = proxy.clock.now_us()
-        hosts = proxy.roster.view(SHOWN, now_us - GONE_SHOWN_US)
-        return self.boxes.views(
-            now_us,
-            hosts,
-            proxy.balancer.look(now_us, [host.entry.server.server for host in hosts]),
-            proxy.upstream.connecting(),
-            self.figures,
-        )
+        now_us = self._now_us()
+        hosts: list[HostView] = []
+        servers: list[ServerView] = []
+        connecting: dict[int, int] = {}
+        pools: dict[int, str] = {}
+        for pool, proxy in self.proxies().items():
+            seen = proxy.roster.view(max(1, SHOWN - len(hosts)), now_us - GONE_SHOWN_US)
+            numbers = [host.entry.server.server for host in seen]
+            hosts += seen
+            servers += proxy.balancer.look(now_us, numbers)
+            connecting |= proxy.upstream.connecting()
+            if proxy is not self.proxy:
+                pools |= dict.fromkeys(numbers, pool)
+        return self.boxes.views(now_us, hosts, servers, connecting, self.figures, pools)
+
+    def proxies(self) -> Mapping[str, Proxy]:
+        """Of all pools, the main one first."""
+        assert self.proxy is not None
+        return {
+            "": self.proxy,
+            **{n: proxy for n, proxy in self.further().items() if proxy is not self.proxy},
+        }
+
+    def _proxy_of(self, box: str) -> Proxy:
+        """The pool that a box is in; the main one if it is nowhere."""
+        assert self.proxy is not None
+        known = (proxy for proxy in self.proxies().values() if proxy.roster.entry(box) is not None)
+        return next(known, self.proxy)
 
     def sources(self) -> list[SourceView]:
         assert self.proxy is not None
         return [
             SourceView(
-                name=state.name,
+                name=f"{pool}/{state.name}" if pool else state.name,
                 boxes=state.hosts,
                 heard_us=state.heard_us,
                 failing_since_us=state.failing_since_us,
-                detail=self.proxy.sources[state.name].describe(),
+                detail=proxy.sources[state.name].describe(),
             )
-            for state in self.proxy.roster.sources.values()
+            for pool, proxy in self.proxies().items()
+            for state in proxy.roster.sources.values()
         ]
 
+    def _hosts(self) -> int:
+        return sum(proxy.roster.hosts for proxy in self.proxies().values())
+
     def snapshot(self, boxes: list[BoxView]) -> Snapshot:
         proxy = self.proxy
         assert proxy is not None
@@ -195,10 +218,10 @@
             started_us=self.started_us,
             at_us=now_us,
             listen=f"{host}:{port}",
-            open=proxy.open,
-            waiting=proxy.waiting(),
+            open=sum(each.open for each in self.proxies().values()),
+            waiting=sum(each.waiting() for each in self.proxies().values()),
             boxes=boxes,
-            not_shown=max(0, proxy.roster.hosts - sum(box.state != "gone" for box in boxes)),
+            not_shown=max(0, self._hosts() - sum(box.state != "gone" for box in boxes)),
             classes=self.figures.service(now_us),
             sources=self.sources(),
             log=list(self.story.lines),
@@ -209,8 +232,10 @@
         found = []
         if self.keeper is not None and self.not_kept:
             found.append(f"Drains by hand will not outlive a restart: {self.not_kept}.")
-        if not any(box.state in (*ABLE, "trial") for box in boxes):
-            found.append("No box serves: every request is refused.")
+        for pool in self.proxies():
+            if not any(box.state in (*ABLE, "trial") for box in boxes if box.pool == pool):
+                of = f" of pool {pool}" if pool else ""
+                found.append(f"No box{of} serves: every request{' to it' if pool else ''} is refused.")
         for notice in self.notices:
             found += notice()
         return found
@@ -284,13 +309,13 @@
         self._spawn(self._reply_when_kept(connection, request.id, result))
 
     def _carry_out(self, request: Drain | Undrain, do: str) -> ActionResult:
-        proxy, box, by = self.proxy, request.box, request.by
-        assert proxy is not None
+        box, by = request.box, request.by
+        proxy = self._proxy_of(box)
         was_drained = box in proxy.roster.drains
         if (
             isinstance(request, Drain)
             and not (was_drained or request.even_last)
-            and proxy.roster.hosts <= SHOWN
+            and self._hosts() <= SHOWN
             and is_last_able(self.views(), box)
         ):
             raise Refused("last-box", f"{box} is the last box that serves; nothing would be served")
@@ -312,10 +337,10 @@
         return result
 
     def _result(self, action: str, do: str, box: str, by: str, changed: bool, kept: bool) -> ActionResult:
-        assert self.proxy is not None
-        entry = self.proxy.roster.entry(box)
+        proxy = self._proxy_of(box)
+        entry = proxy.roster.entry(box)
         number = entry.server.server if entry is not None else -1
-        left = sum(view.out for view in self.proxy.balancer.look(0, [number]))
+        left = sum(view.out + view.streams for view in proxy.balancer.look(0, [number]))
         return ActionResult(
             action=action,
             do=do,
--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -314,7 +314,7 @@
         return ServerView(
             server.entry.server, breaker.open_until_us if is_open else 0,
             breaker.state is not State.CLOSED and not is_open, self.is_silent(server),
-            self.cold_share(server), server.weight, len(server.out),
+            self.cold_share(server), server.weight, len(server.out), server.streams,
         )
 
     def add_classes(self, classes: tuple[RequestClass, ...], like: tuple[int | None, ...]) -> None:
--- a/rosedeal/cli/serve.py
+++ b/rosedeal/cli/serve.py
@@ -81,6 +81,7 @@
 
         web, tls = web_room(setup, environ, figures)
         rooms.append(web)
+        admin.further = web.proxies
         if tls is not None:
             admin.notices.append(tls.certificates.problems)
     if setup.site.fleet.ca is not None:
--- a/rosedeal/console/view.py
+++ b/rosedeal/console/view.py
@@ -218,7 +218,8 @@
 
 
 def _box_facts(snapshot: Snapshot, box: BoxView) -> list[str]:
-    place = " ".join(clean(part) for part in (box.zone and f"zone {box.zone}", box.kind) if part)
+    parts = (box.pool and f"pool {box.pool}", box.zone and f"zone {box.zone}", box.kind)
+    place = " ".join(clean(part) for part in parts if part)
     answered = "never"
     if box.answered_us:
         answered = f"{words.span(max(0, snapshot.at_us - box.answered_us))} ago"
--- a/rosedeal/console/words.py
+++ b/rosedeal/console/words.py
@@ -256,9 +256,11 @@
     name_width = max([3, *(len(clean(b.name)) for b in snapshot.boxes)])
     for box in snapshot.boxes:
         usual = span(box.usual_us) if box.usual_us else "-"
+        more = f", {box.streams} streams" if box.streams else ""
+        more += f"; pool {clean(box.pool)}" if box.pool else ""
         lines.append(
             f"  {fit(clean(box.name), name_width)}  {state(box)}; waits {box.waiting}, works {box.in_work}, "
-            f"{box.rate:g} ans/s, usual {usual}"
+            f"{box.rate:g} ans/s, usual {usual}{more}"
         )
     lines += ["", "Service:"]
     for view in snapshot.classes:
--- a/rosedeal/gateway/pools.py
+++ b/rosedeal/gateway/pools.py
@@ -93,6 +93,7 @@
     async def _begin(self, plan: PoolPlan) -> None:
         proxy = Proxy(plan.config, self.main.loop, self.observer)
         proxy.clock = self.main.clock
+        proxy.roster.drains = self.main.roster.drains  # by hand: of boxes, in whatever pool
         pool = Pool(plan, proxy, list(plan.feed()))
         self.pools[plan.name] = pool
         for feeder in pool.feeders:
--- a/rosedeal/interface.py
+++ b/rosedeal/interface.py
@@ -350,6 +350,7 @@
     warm_share: float  # of its capacity that it surely has by now; 1: warm
     weight: float  # of the feedback controller
     out: int  # attempts that it has
+    streams: int = 0  # beside them, those that their clients own
 
 
 # Actions
--- a/rosedeal/web/room.py
+++ b/rosedeal/web/room.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import ssl
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from rosedeal.gateway.config import Address, Config
 from rosedeal.gateway.pools import PoolPlan, Pools
@@ -32,6 +32,9 @@
         self.listens: Address | None = None
         self.reloading: asyncio.Task[None] | None = None
 
+    def proxies(self) -> Mapping[str, Proxy]:
+        return self.pools.proxies() if self.pools is not None else {}
+
     def join(self, proxy: Proxy) -> None:
         self.pools = Pools(proxy, self.observer)
 
--- a/tests/appliance/harness.py
+++ b/tests/appliance/harness.py
@@ -76,7 +76,7 @@
     def socket(self) -> Path:
         return self.path.parent / "admin.sock"
 
-    async def start(self, **environ: str) -> None:
+    async def start(self, listens: str = "listens on", **environ: str) -> None:
         env = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")} | environ
         self.child = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "rosedeal.cli", "serve", str(self.path)),
@@ -85,7 +85,7 @@
         )
         self.log.clear()
         self.reading = asyncio.create_task(self._read())
-        line = await self.line("listens on")
+        line = await self.line(listens)
         self.port = int(line.rpartition(":")[2])
         await self.line("the admin socket is")
 
