Ship an operator file for ordinary applications; the demo serves a web page and says where

Need: with the shipped file and a plain web server as the box curl heard 404, and the demo did not say where it listens.

--- a/rosedeal/cli/demo.py
+++ b/rosedeal/cli/demo.py
@@ -16,22 +16,26 @@
 from pathlib import Path
 from typing import IO
 
-from rosedeal.admin import AdminError, NoAnswer, NoGateway, Snapshot, call
+from rosedeal.admin import AdminError, NoAnswer, NoGateway, Snapshot, call, default_socket
 from rosedeal.admin.protocol import VERSION, AskSnapshot, ProtocolError
 from rosedeal.console.words import percent, summary
 import contextlib
 
 START_S = 15.0
 END_S = 6.0
+HTTP_LINE = "serves HTTP on "
 
 SITE = """\
 [site]
 name = "demo"
+admin = "{admin}"
 listen = "127.0.0.1:0"
-admin = "admin.sock"
 state = "state"
 {discovery}
 
+[http]
+listen = "127.0.0.1:0"
+
 {etcd}
 [fleet]
 start_capacity = 0.15
@@ -55,7 +59,29 @@
 wanted_within = "2s"
 given_up_after = "4s"
 repeats = "safe"
+
+[[class]]
+name = "pages"
+wanted_within = "1s"
+given_up_after = "10s"
+repeats = "by-method"
+
+[[route]]
+name = "everything"
+class = "pages"
+pool = "web"
+
+[[pool]]
+name = "web"
+"""
+BOX = """
+[[box]]
+name = "{name}"
+address = "{address}"
+pool = "web"
 """
+WEB = 2  # ordinary web applications
+SHOWN_S = 2.0  # for which the demo's addresses stand before the console covers them
 
 
 class DemoError(Exception):
@@ -68,14 +94,12 @@
         self.boxes, self.rate, self.etcd = boxes, rate, etcd
         self.children: list[subprocess.Popen[str]] = []
         self.stage: subprocess.Popen[str] | None = None
-
-    @property
-    def socket(self) -> Path:
-        return self.folder / "admin.sock"
+        self.socket = _free_socket(folder)
+        self.http = ""  # where the web pool is served
 
     def start(self) -> None:
         """Raises DemoError."""
-        arguments = ["--boxes", str(self.boxes), *["--etcd"] * self.etcd]
+        arguments = ["--boxes", str(self.boxes), "--web", str(WEB), *["--etcd"] * self.etcd]
         self.stage = self._child("rosedeal.standins", *arguments, log="stand-ins.log")
         assert self.stage.stdout is not None
         line = self.stage.stdout.readline()
@@ -85,12 +109,28 @@
         told = json.loads(line)
         if self.etcd:
             table = f"[etcd]\nendpoints = {json.dumps(told['etcd'])}\n"
-            site.write_text(SITE.format(discovery="", etcd=table))
+            text = SITE.format(admin=self.socket, discovery="", etcd=table)
         else:
-            site.write_text(SITE.format(discovery=f'discovery = "{told["registry"]}"', etcd=""))
+            discovery = f'discovery = "{told["registry"]}"'
+            text = SITE.format(admin=self.socket, discovery=discovery, etcd="")
+        site.write_text(text + "".join(BOX.format(name=n, address=a) for n, a in told["web"].items()))
         self._child("rosedeal.cli", "serve", str(site), "--until-stdin-ends", log="gateway.log")
         listen = self._await_gateway()
         self.tell(f"load {listen} {self.rate}")
+        served = [line for line in self._log().splitlines() if HTTP_LINE in line]
+        self.http = served[0].rpartition(HTTP_LINE)[2] if served else ""
+
+    def _log(self) -> str:
+        return (self.folder / "gateway.log").read_text()
+
+    def where(self) -> str:
+        """What to try from another terminal."""
+        page = f"A web page through the gateway: curl http://{self.http}/"
+        return f"{page}\nFrom another terminal: {self._status()}"
+
+    def _status(self) -> str:
+        default = self.socket == default_socket(os.environ)
+        return "badgergap status" if default else f"badgergap status --socket {self.socket}"
 
     def _child(self, module: str, *arguments: str, log: str) -> subprocess.Popen[str]:
         with (self.folder / log).open("w") as out:
@@ -117,10 +157,10 @@
             except (NoGateway, NoAnswer, ProtocolError):
                 time.sleep(0.05)
                 continue
-            if snapshot.boxes:
+            if any(not box.pool for box in snapshot.boxes) and HTTP_LINE in self._log():
                 return snapshot.listen
             time.sleep(0.05)
-        raise DemoError(f"the gateway did not start: {(self.folder / 'gateway.log').read_text()[-500:]}")
+        raise DemoError(f"the gateway did not start: {self._log()[-500:]}")
 
     def look(self) -> Snapshot:
         return call(self.socket, AskSnapshot(v=VERSION, id="1"), Snapshot, timeout_s=2.0)
@@ -156,7 +196,9 @@
         show = Demo(Path(name), boxes, rate, etcd)
         try:
             show.start()
+            print(show.where(), flush=True)
             if console:
+                time.sleep(SHOWN_S)
                 _console(show)
             else:
                 _lines(show, seconds)
@@ -172,6 +214,18 @@
     return 0
 
 
+def _free_socket(folder: Path) -> Path:
+    """Where `badgergap status` looks by itself, unless another gateway is there."""
+    path = default_socket(os.environ)
+    try:
+        call(path, AskSnapshot(v=VERSION, id="1"), Snapshot, timeout_s=1.0)
+    except NoGateway:
+        return path
+    except (NoAnswer, AdminError, ProtocolError):
+        pass
+    return folder / "admin.sock"
+
+
 def _console(show: Demo) -> None:
     from rosedeal.console.app import Console
 
--- a/tests/site/test_file.py
+++ b/tests/site/test_file.py
@@ -77,11 +77,15 @@
     """What it has commented out is what holds without it."""
     text = SHIPPED.read_text()
     plain = to_config(read_site(SHIPPED), 1)
-    no_default = ("admin", "zone", "discovery", "kind")
-    lines, in_etcd = [], False
+    no_default = (
+        *("admin", "zone", "discovery", "kind", "host", "pool", "spare", "take_off", "put_before"),
+        *("ca", "certificate_name"),
+    )
+    blocks = ("# [etcd]", "# [https]", "# [[pool]]")
+    lines, in_block = [], False
     for line in text.splitlines():
-        in_etcd = (line.startswith("# [etcd]") or in_etcd) and bool(line)
-        match = None if in_etcd else re.match(r"# (\w+) = ", line)
+        in_block = (line.startswith(blocks) or in_block) and bool(line)
+        match = None if in_block else re.match(r"# (\w+) = ", line)
         lines.append(line[2:] if match and match[1] not in no_default else line)
     assert sum(a != b for a, b in zip(lines, text.splitlines(), strict=True)) >= 15
     assert to_config(parse_site("\n".join(lines), "f"), 1) == plain
