--- a/rosedeal/gateway/streams.py
+++ b/rosedeal/gateway/streams.py
@@ -70,6 +70,7 @@
 
     def end(self, trailers: Headers) -> None:
         self.complete, self.trailers = True, trailers
+        self.flow(True)  # nothing more of it is to come that could be held back
         if self.taker is not None:
             self.taker.no_more(trailers)
         self._tell_ready()
@@ -79,19 +80,22 @@
             ready, self.on_ready = self.on_ready, None
             ready()
 
+    def pace(self, on: bool) -> None:
+        """The host's side takes no more for now, or takes it again."""
+        if not self.complete:
+            self.flow(on)
+
     def attach(self, taker: UploadTaker, on_drop: Callable[[], None]) -> bytes:
         """A host's side takes over: what is held, to be sent now. The rest comes by `more`."""
         self.taker, self.on_drop = taker, on_drop
-        if not self.complete:
-            self.flow(True)
+        self.flow(True)
         return b"".join(self.held)
 
     def detach(self, taker: UploadTaker) -> None:
         """That side takes no more. What is held stays, for another."""
         if self.taker is taker:
             self.taker = self.on_drop = None
-            if not self.complete:
-                self.flow(not self.is_held or self.size < HOLD)
+            self.flow(self.complete or not self.is_held or self.size < HOLD)
 
 
 @dataclass(slots=True, frozen=True)
--- a/rosedeal/routes/table.py
+++ b/rosedeal/routes/table.py
@@ -118,19 +118,20 @@
 
     def match(self, host: str, path: bytes, method: bytes, headers: Mapping[bytes, bytes]) -> Route | None:
         """`host` as `read_host` gives it, `path` as `read_target` does, headers by lower name."""
-        root = self.hosts.get(host) if host else None
+        hosts, segments = self.hosts, _split(path)
+        root = hosts.get(host) if host else None
         if root is not None:
-            found = _find(root, path, method, headers)
+            found = _find(root, segments, path, method, headers)
             if found is not None:
                 return found
         if self.suffixes:
             for suffix in _suffixes(host):
                 if suffix in self.suffixes:
-                    found = _find(self.hosts[suffix], path, method, headers)
+                    found = _find(hosts[suffix], segments, path, method, headers)
                     if found is not None:
                         return found
-        root = self.hosts.get(ANY_HOST)
-        return _find(root, path, method, headers) if root is not None else None
+        root = hosts.get(ANY_HOST)
+        return _find(root, segments, path, method, headers) if root is not None else None
 
     def methods(self, host: str, path: bytes) -> frozenset[bytes]:
         """Those of routes whose host and path fit: what 405 tells. Empty: there is none."""
@@ -211,40 +212,50 @@
         place = host.find(".", place + 1)
 
 
-def _walk(root: _Node, path: bytes) -> tuple[list[_Node], bool]:
-    """The nodes along a path, from the root, and whether the last one is the whole path's."""
-    nodes = [root]
-    node = root
+def _split(path: bytes) -> list[bytes]:
+    """A request's path as the trie's segments, with no parameters."""
     if path == b"/":
-        return nodes, True
-    bare = path.endswith(b"/")
-    for segment in (path[1:-1] if bare else path[1:]).split(b"/"):
-        if b";" in segment:
-            segment = segment.partition(b";")[0]
-        child = node.children.get(segment)
-        if child is None:
-            return nodes, False
-        nodes.append(child)
-        node = child
-    return nodes, True
+        return []
+    segments = path[1:].split(b"/")
+    if not segments[-1]:
+        del segments[-1]
+    if b";" in path:
+        segments = [segment.partition(b";")[0] for segment in segments]
+    return segments
 
 
 def _along(root: _Node, path: bytes) -> Iterator[Route]:
-    nodes, whole = _walk(root, path)
-    if whole:
+    """The routes whose path fits, the most exact first."""
+    nodes, segments = [root], _split(path)
+    for segment in segments:
+        child = nodes[-1].children.get(segment)
+        if child is None:
+            break
+        nodes.append(child)
+    if len(nodes) > len(segments):
         slash = path.endswith(b"/")
         yield from (r for r in nodes[-1].exact if r.path.endswith(b"/") == slash)
     for node in reversed(nodes):
         yield from node.below
 
 
-def _find(root: _Node, path: bytes, method: bytes, headers: Mapping[bytes, bytes]) -> Route | None:
-    nodes, whole = _walk(root, path)
-    if whole and nodes[-1].exact:
-        slash = path.endswith(b"/")
-        for route in nodes[-1].exact:
-            if route.path.endswith(b"/") == slash and route.holds(method, headers):
-                return route
+def _find(
+    root: _Node, segments: list[bytes], path: bytes, method: bytes, headers: Mapping[bytes, bytes]
+) -> Route | None:
+    """The first of `_along` that holds, without the steps of a generator: this is done for each request."""
+    node, nodes = root, [root]
+    for segment in segments:
+        child = node.children.get(segment)
+        if child is None:
+            break
+        nodes.append(child)
+        node = child
+    else:
+        if node.exact:
+            slash = path.endswith(b"/")
+            for route in node.exact:
+                if route.path.endswith(b"/") == slash and route.holds(method, headers):
+                    return route
     for node in reversed(nodes):
         for route in node.below:
             if route.holds(method, headers):
--- a/rosedeal/standins/app.py
+++ b/rosedeal/standins/app.py
@@ -110,7 +110,8 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             writer.transport.abort()
         except h11.RemoteProtocolError as error:
-            self.refused.append(str(error))
+            if not reader.at_eof():  # a request that is cut off is no malformed one
+                self.refused.append(str(error))
             writer.transport.abort()
         finally:
             self.writers.discard(writer)
--- a/rosedeal/web/back.py
+++ b/rosedeal/web/back.py
@@ -158,7 +158,8 @@
         self.size = 0
         self.interim = 0
         self.head_read = self.complete = self.keep_alive = False
-        self.until_close = self.tunnel = self.ended = False
+        self.until_close = self.tunnel = self.ended = self.direct = False
+        self.left = 0  # of a body whose length is known
         self.outcome = Outcome.OK
         self.answer: Answer | None = None  # held: it counts as the box's failure
         self.chunks: list[bytes] = []
@@ -191,7 +192,8 @@
         self.headers, self.fields, self.chunks = [], [], []
         self.size = 0
         self.head_read = self.complete = self.keep_alive = False
-        self.until_close = self.tunnel = False
+        self.until_close = self.tunnel = self.ended = self.direct = False
+        self.left = 0
         self.outcome, self.answer = Outcome.OK, None
 
     def send(self, data: bytes) -> None:
@@ -201,13 +203,13 @@
     def pause_writing(self) -> None:
         if self.carried is not None and self.exchange is not None:
             self.carried.stuck = True
-            self.carried.wanted.upload.flow(False)
+            self.carried.wanted.upload.pace(False)
 
     def resume_writing(self) -> None:
         if self.carried is not None and self.exchange is not None:
             self.carried.written, self.carried.stuck = True, False
             self.carried.last_at = self.carried.loop.time()
-            self.carried.wanted.upload.flow(True)
+            self.carried.wanted.upload.pace(True)
 
     def data_received(self, data: bytes) -> None:
         exchange = self.carried
@@ -219,6 +221,9 @@
         if self.tunnel:
             exchange.wanted.download.data(data)
             return
+        if self.direct:
+            self.pass_on(exchange, data)
+            return
         clean = True
         try:
             self.parser.feed_data(data)
@@ -237,6 +242,20 @@
             self.conclude(clean)
         elif not clean:
             self.fail()
+        elif self.left > 0 and exchange.begun:
+            # The rest of a body of known length needs no parser: it would copy every byte.
+            self.direct = True
+            self.parser = httptools.HttpResponseParser(self)
+
+    def pass_on(self, exchange: BoxExchange, data: bytes) -> None:
+        rest, clean = self.left - len(data), True
+        if rest < 0:
+            data, rest, clean = data[: self.left], 0, False
+        self.left = rest
+        exchange.wanted.download.data(data)
+        if not rest and self.exchange is exchange:
+            self.complete = True
+            self.conclude(clean)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.drop(self)
@@ -303,6 +322,7 @@
             self.switch(exchange, headers)
             return
         head = self.read_head(exchange, status, headers)
+        self.left = head.length or 0 if head.has_body else 0
         self.keep_alive = self.parser.should_keep_alive() and not self.until_close
         self.outcome = outcome_of(status, headers, exchange.wanted.failing)
         if self.outcome is Outcome.OK:
@@ -337,6 +357,7 @@
         exchange = self.carried
         if exchange is None or self.exchange is None or self.complete:
             return
+        self.left -= len(body)
         if exchange.begun:
             exchange.wanted.download.data(body)
             return
