--- a/rosedeal/cli/demo.py
+++ b/rosedeal/cli/demo.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import importlib.util
 import json
 import os
 import signal
@@ -18,8 +20,8 @@
 
 from rosedeal.admin import AdminError, NoAnswer, NoGateway, Snapshot, call, default_socket
 from rosedeal.admin.protocol import VERSION, AskSnapshot, ProtocolError
+from rosedeal.gateway.config import ConfigError
 from rosedeal.console.words import percent, summary
-import contextlib
 
 START_S = 15.0
 END_S = 6.0
@@ -190,6 +192,10 @@
 
 def demo(boxes: int, rate: float, seconds: float, console: bool, etcd: bool) -> int:
     """Run the demo; returns the exit code."""
+    for name in ("h11", "wsproto", *["grpclib"] * etcd):
+        if importlib.util.find_spec(name) is None:
+            why = f"{name} is missing: pip install 'badgergap[all]'"
+            raise ConfigError(f"the demo needs its extras, {why}")
     console = console and sys.stdin.isatty() and sys.stdout.isatty()
     signal.signal(signal.SIGTERM, _interrupt)
     with tempfile.TemporaryDirectory(prefix="badgergap-demo-") as name:
--- /dev/null
+++ b/tests/test_streaming.py
@@ -0,0 +1,102 @@
+"""What the decisions make of ordinary applications: owned attempts, work that varies, new classes."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from rosedeal.choice import OVERDUE, State
+from rosedeal.interface import AttemptEnded, Outcome, RequestGone, StreamStarted
+from tests.helpers import SAFE, SETTINGS, UNSAFE, Driver, finals, sends
+
+VARIED = replace(SETTINGS, varied_work=True, second_copies=False)
+
+
+def pass_time(driver: Driver) -> None:
+    driver.now_us += int(OVERDUE * SAFE.aim_us) * 10
+    driver.balancer.now_us = driver.now_us
+
+
+def begin(driver: Driver, klass: int = 0) -> tuple[str, int]:
+    name, actions = driver.arrive(klass)
+    return name, sends(actions)[0].server
+
+
+def test_an_attempt_that_its_client_owns_is_no_load_and_no_silence() -> None:
+    driver = Driver(servers=1)
+    names = [begin(driver) for _ in range(5)]
+    for name, _ in names:
+        driver.handle(StreamStarted(name, 0, latency_us=10_000))
+    balancer = driver.balancer
+    (server,) = balancer.servers.values()
+    assert balancer.out == 0 and server.streams == 5 and not server.out
+    driver.now_us += 3_600_000_000
+    assert not balancer.is_silent(server) and driver.arrive()[1]
+    for name, number in names:
+        driver.end(name, number, latency_us=3_600_000_000)
+    assert server.streams == 0 and server.weight == 1.0 and server.breakers[0].failures == 0
+    assert [name for name, _ in names if name in balancer.requests] == []
+
+
+@pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.TIMEOUT, Outcome.CANCELLED, Outcome.OK])
+def test_an_answer_that_breaks_off_was_no_good_one(outcome: Outcome) -> None:
+    driver = Driver(servers=1)
+    for _ in range(5):
+        name, number = begin(driver)
+        driver.handle(StreamStarted(name, 0))
+        driver.now_us += 1_000_000
+        ended = AttemptEnded(name, 0, number, outcome, 1_000_000, finished=True)
+        assert not finals(driver.handle(ended))  # its client has had what it gets
+    (server,) = driver.balancer.servers.values()
+    opened = server.breakers[0].state is State.OPEN
+    assert opened is (outcome in (Outcome.RESET, Outcome.TIMEOUT))
+
+
+def test_what_is_held_no_more_is_not_sent_again_and_counts_by_its_outcome() -> None:
+    driver = Driver(servers=3)
+    name, number = begin(driver)
+    driver.handle(StreamStarted(name, 0, answered=False))
+    assert driver.balancer.out == 0
+    actions = driver.end(name, number, Outcome.RESET)
+    assert not sends(actions) and len(finals(actions)) == 1
+    assert driver.balancer.servers[number].breakers[0].failures == 1
+    name, number = begin(driver)
+    driver.handle(StreamStarted(name, 0, answered=False))
+    assert [type(a).__name__ for a in driver.handle(RequestGone(name))] == ["Cancel"]
+
+
+def test_one_long_attempt_does_not_silence_a_server_whose_work_varies_and_two_do() -> None:
+    driver = Driver(VARIED, servers=1)
+    (server,) = driver.balancer.servers.values()
+    begin(driver)
+    pass_time(driver)
+    assert not driver.balancer.is_silent(server)
+    begin(driver)
+    pass_time(driver)
+    assert driver.balancer.is_silent(server)
+    server.answered_us = driver.now_us  # a sign of life
+    assert not driver.balancer.is_silent(server) and driver.balancer.is_able(driver.now_us, 0)
+
+
+def test_servers_that_work_on_many_at_once_are_not_crowded_by_them() -> None:
+    for at_once, shed in ((1, True), (1000, False)):
+        driver = Driver(replace(SETTINGS, at_once=at_once), servers=1)
+        begin(driver)
+        driver.balancer.out = 100
+        assert (driver.balancer.crowding() > 0.0) is shed
+
+
+def test_a_class_that_comes_later_learns_from_the_one_it_is_like_and_changes_no_other() -> None:
+    driver = Driver(servers=2)
+    balancer = driver.balancer
+    name, number = begin(driver)
+    driver.end(name, number, latency_us=7_000)
+    before = (balancer.smoothed[:], balancer.settings.classes)
+    balancer.add_classes((replace(SAFE, aim_us=999_000), UNSAFE), (0, None))
+    assert balancer.smoothed[:3] == before[0] and balancer.settings.classes[:3] == before[1]
+    assert balancer.smoothed[3] == before[0][0] and balancer.smoothed[4] == UNSAFE.aim_us / 4
+    for klass in (3, 4):
+        name, number = begin(driver, klass)
+        driver.end(name, number, Outcome.ERROR)
+        assert balancer.servers[number].breakers[klass + 1].failures == 1
