Let a route bound a request's whole time; hold chunked bodies against a strict reader

Change: whole_within of a route: a reset for an answer on its way, 504 before; no box is blamed. A seeded test sends 600 chunked bodies, many malformed: each is passed on as h11 reads it or refused.

--- a/rosedeal/cli/web.py
+++ b/rosedeal/cli/web.py
@@ -110,6 +110,7 @@
                 between_s=between_us / 1e6,
                 upload_limit=int(limit),
                 pools=tuple((str(name), float(weight)) for name, weight in pools.items()),
+                whole_s=table.whole_within / 1e6 if table.whole_within is not None else None,
                 needs_certificate=table.client_certificate == "required",
                 spare=str(table.spare) if table.spare is not None else None,
                 failing=failing(table.failing),
--- a/rosedeal/site/schema.py
+++ b/rosedeal/site/schema.py
@@ -226,6 +226,7 @@
     client_certificate: Literal["any", "required"] = "any"
     answer_within: Duration | None = None  # None: the class's given_up_after
     between_bytes: Duration | None = None  # None: that of [http]
+    whole_within: Duration | None = None  # for request and answer together; None: as long as both sides go on
     upload_limit: Size | None = None  # None: that of [http]
     failing: Annotated[list[Failing], msgspec.Meta(max_length=64)] = msgspec.field(
         default_factory=lambda: ["5xx"]
--- a/rosedeal/web/door.py
+++ b/rosedeal/web/door.py
@@ -46,6 +46,7 @@
     answer_us: int
     between_s: float
     failing: Callable[[int], bool]
+    whole_s: float | None = None
 
     @property
     def answer_s(self) -> float:
@@ -165,6 +166,7 @@
             to.answer_us,
             to.between_s,
             to.failing.__contains__,
+            to.whole_s,
         )
         return None
 
--- a/rosedeal/web/front.py
+++ b/rosedeal/web/front.py
@@ -459,6 +459,17 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def out_of_time(self, current: Incoming) -> None:
+        """The route's whole time is over: an answer on its way ends in a reset, and no box is to blame."""
+        if current.source is not None:
+            self.abandon()
+            self.reset()
+        else:
+            self.abandon()
+            self.current = current
+            current.keep_alive = False
+            self.answer(current, plain(504, "out of time"))
+
     def reset(self) -> None:
         """End with a reset: where only the connection's end tells, a close would tell of a whole body."""
         if self.transport is not None and not self.transport.is_closing():
@@ -476,6 +487,9 @@
         if current is not None and current.exchange is not None and current.way is not None:
             way = current.way
             current.exchange.check_time(now, limits.tunnel_s if self.tunnel else way.between_s, way.answer_s)
+            if way.whole_s is not None and now - current.began_at > way.whole_s:
+                self.out_of_time(current)
+                return
         if unsent and quiet_s > limits.unread_s:
             self.reset()  # it takes nothing: what it was promised cannot be kept in memory for ever
         elif self.tunnel or self.closing:
--- a/rosedeal/web/plan.py
+++ b/rosedeal/web/plan.py
@@ -41,6 +41,7 @@
     pools: tuple[tuple[str, float], ...] = ((MAIN, 1.0),)  # and the weight of each
     spare: str | None = None  # used while the one chosen has nothing able
     failing: frozenset[int] = DEFAULT_FAILING
+    whole_s: float | None = None  # from the head of the request to the end of the answer
     needs_certificate: bool = False  # of the client
 
 
--- a/tests/web/test_checks.py
+++ b/tests/web/test_checks.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import hashlib
+import random
 from pathlib import Path
 
 import h11
@@ -12,7 +15,7 @@
 from rosedeal.gateway.streams import Headers
 from rosedeal.web.heads import BadHead, Peer, RequestHead, answer_headers, request_lines, trailers
 from tests.sockets import run
-from tests.web.harness import request, site
+from tests.web.harness import Site, request, site
 
 H = "Host: a\r\n"
 CHUNK = "Transfer-Encoding: chunked\r\n"
@@ -87,6 +90,64 @@
     run(test())
 
 
+def chunked(draw: random.Random) -> bytes:
+    """A chunked body, often malformed in one of the ways that readers differ in."""
+    body = b""
+    for _ in range(draw.randrange(4)):
+        data = draw.randbytes(draw.choice((1, 2, 15, 16, 17, 300)))
+        size = draw.choice(
+            ("%x", "%X", "0%x", "00000%x", "%x;a=b", '%x;a="b;c"', "%x ", " %x", "+%x", "0x%x")
+        ) % len(data)
+        body += size.encode() + draw.choice((b"\r\n", b"\r\n", b"\r\n", b"\n", b"\r")) + data
+        body += draw.choice((b"\r\n", b"\r\n", b"\r\n", b"\n", b""))
+    body += draw.choice((b"0\r\n", b"0\r\n", b"000\r\n", b"0;x\r\n", b"0\n", b"-0\r\n"))
+    return body + draw.choice(
+        (b"\r\n", b"\r\n", b"X-T: 1\r\n\r\n", b"Content-Length: 9\r\n\r\n", b"X T: 1\r\n\r\n", b"\n")
+    )
+
+
+def strictly(raw: bytes) -> bytes | None:
+    """The body as h11 reads it; None if it takes it for malformed or not whole."""
+    strict, body = h11.Connection(h11.SERVER), b""
+    strict.receive_data(raw)
+    strict.receive_data(b"")
+    try:
+        while not isinstance(event := strict.next_event(), h11.EndOfMessage):
+            if isinstance(event, h11.Data):
+                body += event.data
+            elif not isinstance(event, h11.Request):
+                return None
+    except h11.RemoteProtocolError:
+        return None
+    return body
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_chunked_body_is_passed_on_as_a_strict_reader_reads_it_or_refused(
+    tmp_path: Path, seed: int
+) -> None:
+    print("seed", seed)
+    draw = random.Random(seed)
+
+    async def test() -> None:
+        async with site(tmp_path, http='between_bytes = "1s"') as it:
+            ends = await asyncio.gather(*(one(it, chunked(draw)) for _ in range(300)))
+            assert ends.count(200) > 20 and len(ends) - ends.count(200) > 20 and not it.apps[0].refused
+
+    async def one(it: Site, chunks: bytes) -> int:
+        raw = f"POST /upload HTTP/1.1\r\n{H}{CHUNK}\r\n".encode() + chunks
+        client, body = await it.client(), strictly(raw)
+        client.send(raw)
+        status, _, told = await client.answer()  # 408 where what is not whole never will be
+        if status == 200:
+            assert body is not None and f'"size": {len(body)},'.encode() in told, raw
+            assert hashlib.sha256(body).hexdigest().encode() in told, raw
+        client.writer.transport.abort()
+        return status
+
+    run(test(), 60)
+
+
 def read_head(method: bytes, headers: Headers, version: str = "1.1") -> RequestHead:
     head = RequestHead(method, b"/", version)
     for name, value in headers:
--- a/tests/web/test_streams.py
+++ b/tests/web/test_streams.py
@@ -9,7 +9,7 @@
 from rosedeal.gateway.streams import HOLD
 from rosedeal.standins.app import content
 from tests.sockets import run
-from tests.web.harness import ROUTE, Site, request, site
+from tests.web.harness import ROUTE, Raw, Site, request, site
 
 LARGE = 4_000_000
 BREAKS = (asyncio.IncompleteReadError, ConnectionError)
@@ -209,6 +209,29 @@
     run(test(), 60)
 
 
+def test_the_whole_time_of_a_route_ends_an_answer_on_its_way_and_blames_no_box(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path, routes=ROUTE + 'whole_within = "1s"\n') as it:
+            client = await it.client()
+            client.send(request("GET", "/events?n=1000&ms=50"))
+            status, head = await client.head()
+            assert status == 200 and await broken_off(client, status, head)
+            assert (await it.get("/wait?s=10"))[0] == 504
+            (server,) = it.proxy.balancer.servers.values()
+            assert server.breakers[0].failures == 0 and server.weight == 1.0
+            assert it.proxy.balancer.out == 0 and server.streams == 0
+
+    run(test())
+
+
+async def broken_off(client: Raw, status: int, head: dict[str, str]) -> bool:
+    try:
+        await client.body(status, head)
+    except BREAKS:
+        return True
+    return False
+
+
 def test_what_an_error_of_a_box_means_is_the_routes_to_say(tmp_path: Path) -> None:
     """A client gets the box's own page; only what the route calls failing counts against the box."""
 
