Ask the box whether it wants a body before its client sends it (100-continue)

Need: the gateway said 100 for itself, so a box that refuses an upload by its head alone was sent the upload all the same.

Change: with Expect and no body yet the head goes to the box first; its 100 or 1 s without one lets the client send, its refusal is the answer and no body is sent. From then on the attempt is the last one; before it another box may be tried.

Measured: tests with a box that agrees, refuses, and never says a word; clients that wait and that do not.

--- a/rosedeal/gateway/streams.py
+++ b/rosedeal/gateway/streams.py
@@ -3,8 +3,10 @@
 The rules, stated once. `Upload` is the body of a request on its way, `Download` what a client's side takes.
 
 1. A request may be tried elsewhere only while all of its body that has come is still held. `HOLD` bytes are,
-   and the read that goes beyond them; the next drops the hold, and the attempt then out is the last.
-2. Nothing is sent to a host before the body is whole or the hold is full: a slow client costs no host.
+   and the read that goes beyond them; the next drops the hold, and the attempt then out is the last. So does
+   a host's word to a client that waits for it (100-continue, RFC 9110 section 10.1.1).
+2. Nothing is sent to a host before the body is whole or the hold is full: a slow client costs no host. The
+   head alone goes first where the client waits to be told that its body is wanted.
 3. What a client sends is read no faster than the host takes it, beyond the hold; what a host sends is read no
    faster than the client takes it. Each side is paused by the other, and holds one write's worth at most.
 4. Once an answer's head is passed on the attempt is the last one. If it breaks, `broke` tells the client's
@@ -39,6 +41,7 @@
     held: list[bytes] = field(default_factory=list)
     is_held: bool = True  # all that has come: it can be sent again
     complete: bool = False
+    waits: bool = False  # its taker has yet to say that it wants the body (100-continue)
     trailers: Headers = field(default_factory=list)
     taker: UploadTaker | None = None
     on_ready: Callable[[], None] | None = None  # called once, when rule 2 is met
@@ -50,6 +53,11 @@
 
     def put(self, data: bytes) -> None:
         self.size += len(data)
+        if self.waits:
+            self.held.append(data)
+            if self.size >= HOLD:
+                self.flow(False)
+            return
         if not self.is_held:
             if self.taker is not None:
                 self.taker.more(data)
@@ -71,7 +79,7 @@
     def end(self, trailers: Headers) -> None:
         self.complete, self.trailers = True, trailers
         self.flow(True)  # nothing more of it is to come that could be held back
-        if self.taker is not None:
+        if self.taker is not None and not self.waits:
             self.taker.no_more(trailers)
         self._tell_ready()
 
@@ -91,10 +99,22 @@
         self.flow(True)
         return b"".join(self.held)
 
+    def release(self) -> None:
+        """The taker wants the body: what has come meanwhile goes to it, and nothing is held any more."""
+        self.waits = self.is_held = False
+        data = b"".join(self.held)
+        self.held.clear()
+        if self.taker is not None and data:
+            self.taker.more(data)
+        if self.taker is not None and self.complete:
+            self.taker.no_more(self.trailers)
+        self.flow(True)
+
     def detach(self, taker: UploadTaker) -> None:
         """That side takes no more. What is held stays, for another."""
         if self.taker is taker:
             self.taker = self.on_drop = None
+            self.waits = False
             self.flow(self.complete or not self.is_held or self.size < HOLD)
 
 
@@ -115,6 +135,9 @@
     def interim(self, status: int, headers: Headers) -> None:
         """An answer of the kind 1xx, ahead of the final one."""
 
+    def go_on(self) -> None:
+        """A client that waits to be told so may send its body."""
+
     def begin(self, head: AnswerHead, source: DownloadSource) -> None:
         """The final answer's head. Called once at the most."""
 
--- a/rosedeal/web/back.py
+++ b/rosedeal/web/back.py
@@ -35,6 +35,7 @@
 from rosedeal.web.heads import BadHead, answer_headers, trailers
 
 BUFFER = 64 * 1024  # bytes written to a box and not yet sent, beyond which the client is not read
+EXPECT_S = 1.0  # for a box to say 100; some never do (RFC 9110 section 10.1.1), and the client is told anyway
 LAST_READ = 256 * 1024  # bytes read of what stands in a broken connection
 NO_BODY = (204, 304)
 
@@ -50,6 +51,7 @@
     chunked: bool  # how the request's body is framed
     upgrade: bool  # the client would speak as it likes from 101 on
     failing: Callable[[int], bool]  # whether a status counts as the box's failure
+    expects: bool = False  # the client sends no body before it is told to
 
 
 class BoxExchange(Exchange):
@@ -59,6 +61,7 @@
         "began_at",
         "begun",
         "books",
+        "expecting",
         "last_at",
         "last_try",
         "loop",
@@ -78,6 +81,8 @@
         self.stuck = False  # the box takes no more of it
         self.began_at = self.last_at = loop.time()  # last: when the box last said or took something
 
+        self.expecting: asyncio.TimerHandle | None = None  # the box has yet to say that it wants the body
+
     @property
     def box(self) -> BoxConnection | None:
         return self.connection if isinstance(self.connection, BoxConnection) else None
@@ -86,6 +91,7 @@
         if self.done:
             return
         self.wanted.upload.detach(self)
+        self.expect_no_more()
         cut = self.begun and not self.whole
         super().end(outcome, answer)
         if cut:
@@ -107,6 +113,25 @@
 
     # The request's body
 
+    def expect(self) -> None:
+        """Nothing of the body goes to the box before it says 100, or has had its time for that."""
+        self.wanted.upload.waits = True
+        self.expecting = self.loop.call_later(EXPECT_S, self.go_on)
+
+    def expect_no_more(self) -> None:
+        if self.expecting is not None:
+            self.expecting.cancel()
+            self.expecting = None
+
+    def go_on(self) -> None:
+        """The client is told to send: to this box, and to no other after it."""
+        if self.expecting is None or self.done or self.begun:
+            return
+        self.expect_no_more()
+        self.committed()
+        self.wanted.upload.release()
+        self.wanted.download.go_on()
+
     def committed(self) -> None:
         """What has come is held no more: the time to the answer counts from the request's end."""
         if self.timer is not None:
@@ -179,7 +204,10 @@
             held = (b"%x\r\n%b\r\n" % (len(held), held) if held else b"") + (
                 last_chunk(wanted.upload.trailers) if wanted.upload.complete else b""
             )
-        payload = exchange.payload + b"\r\n" + held
+        expects = wanted.expects and not wanted.upload.size and not wanted.upload.complete
+        if expects:
+            exchange.expect()
+        payload = exchange.payload + (b"expect: 100-continue\r\n\r\n" if expects else b"\r\n") + held
         exchange.began_at = exchange.last_at = exchange.loop.time()
         exchange.written = True
         transport.write(payload)
@@ -314,7 +342,9 @@
             self.interim += 1
             if self.interim > INTERIM_LIMIT:
                 raise ValueError("too many interim answers")
-            if status != 100:  # this gateway has said it for itself
+            if status == 100:
+                exchange.go_on()
+            else:
                 exchange.wanted.download.interim(status, answer_headers(headers))
             return
         self.head_read = True
--- a/rosedeal/web/front.py
+++ b/rosedeal/web/front.py
@@ -316,9 +316,9 @@
     def start(self, incoming: Incoming) -> None:
         """The request has its way: it arrives once its body is whole, or as much of it as is held."""
         upload = incoming.upload
-        if incoming.expects and not upload.size and not upload.complete:
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if upload.ready:
+        if upload.ready or (
+            incoming.expects and not upload.size
+        ):  # the box is asked whether it wants the body
             self.arrive(incoming)
         else:
             upload.on_ready = partial(self.arrive, incoming)
@@ -350,6 +350,7 @@
             chunked=incoming.length is None,
             upgrade=incoming.upgrade,
             failing=way.failing,
+            expects=incoming.expects,
         )
         before, exchange = incoming.exchange, BoxExchange(wanted, books, self.loop)
         incoming.exchange = exchange
@@ -524,6 +525,10 @@
             lines += [b"%b: %b" % header for header in headers]
             self.front.write(b"\r\n".join(lines) + b"\r\n\r\n")
 
+    def go_on(self) -> None:
+        if self.open and self.incoming.source is None:
+            self.front.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def begin(self, head: AnswerHead, source: DownloadSource) -> None:
         front, incoming = self.front, self.incoming
         if not self.open or incoming.source is not None:
--- a/tests/web/test_streams.py
+++ b/tests/web/test_streams.py
@@ -139,13 +139,27 @@
             client.send(content(2 * HOLD))
             status, head, body = await client.answer()
             assert (status, body) == (413, b"too much") and head["connection"] == "close"
-            it.apps[0].fault = ""
             expects = {"Expect": "100-continue"}
+            waits = request("POST", "/upload", b"", **expects).replace(b"Length: 0", b"Length: 5")
+            client = await it.client()
+            assert (await client.ask(waits))[0] == 413  # the box will not have it, and no 100 was said
+            assert await client.ended()
+            it.forgive()
+            it.apps[0].fault = ""
             client = await it.client()
-            client.send(request("POST", "/upload", b"", **expects).replace(b"Length: 0", b"Length: 5"))
+            for part in (b"", b"he"):  # one that waits, and one that does not
+                client.send(waits + part)
+                assert (await client.head())[0] == 100
+                client.send(b"hello"[len(part) :])
+                assert b'"size": 5' in (await client.answer())[2]
+            it.apps[0].fault = "deaf"  # says no 100: the client is told to send after a while
+            client = await it.client()
+            client.send(waits)
             assert (await client.head())[0] == 100
-            client.send(b"hello")
-            assert b'"size": 5' in (await client.answer())[2]
+            client.writer.transport.abort()
+            while it.proxy.requests:
+                await asyncio.sleep(0.01)
+            it.apps[0].fault = ""
             runs = it.runs()
             for raw, refused in (
                 (request("POST", "/small/x", b"a" * 2000, **expects), 413),
