Test a gateway full of clients that stall: those that do not are served

Need: the issue's hard cases of slow readers and slow uploads by the thousand; bounds were measured, their effect on others not.

Change: a test for each kind of stalled client that fills every connection the gateway may have.

--- a/tests/web/test_streams.py
+++ b/tests/web/test_streams.py
@@ -6,6 +6,8 @@
 import hashlib
 from pathlib import Path
 
+import pytest
+
 from rosedeal.gateway.streams import HOLD
 from rosedeal.standins.app import content
 from tests.sockets import run
@@ -246,6 +248,46 @@
     return False
 
 
+@pytest.mark.parametrize(
+    "first",
+    [
+        request("GET", "/file?n=300000000"),  # and reads nothing of it
+        b"POST /upload HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\nabc",
+        b"POST /upload HTTP/1.1\r\nHost: a\r\nContent-Length: 5000000\r\n\r\n" + content(2 * HOLD),
+        b"GET / HTTP/1.1\r\nHos",
+        b"",
+    ],
+    ids=["reader", "small upload", "upload", "head", "silent"],
+)
+def test_a_gateway_full_of_clients_that_stall_serves_those_that_do_not(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, first: bytes
+) -> None:
+    monkeypatch.setattr("rosedeal.web.door.STALLED_S", 0.3)
+
+    async def test() -> None:
+        async with site(tmp_path, routes="[limits]\nsockets = 128\n" + ROUTE) as it:
+            door = it.web.door
+            assert door is not None
+            limit, stalled = door.plan.limits.connections, []
+            for _ in range(limit):
+                client = await it.client(small=True)
+                client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+                client.send(first)
+                stalled.append(client)
+            while len(door.connections) < limit:
+                await asyncio.sleep(0.02)
+            served = 0
+            while served < 3:  # at the first they hear 503: nobody has stalled for long yet
+                status, head, _ = await it.get("/")
+                assert status == 200 or (status == 503 and head["retry-after"])
+                served += status == 200
+                assert len(door.connections) <= limit + 1
+            for client in stalled:
+                client.writer.transport.abort()
+
+    run(test(), 60)
+
+
 def test_what_an_error_of_a_box_means_is_the_routes_to_say(tmp_path: Path) -> None:
     """A client gets the box's own page; only what the route calls failing counts against the box."""
 
