--- a/rosedeal/cli/web.py
+++ b/rosedeal/cli/web.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from rosedeal.cli.etcd import etcd_room
+from rosedeal.cli.setup import Setup
 from rosedeal.gateway.config import Config
 from rosedeal.gateway.pools import Feeder, PoolPlan
 from rosedeal.gateway.proxy import Observer
@@ -20,7 +22,6 @@
 from rosedeal.web.room import WebRoom
 
 if TYPE_CHECKING:
-    from rosedeal.cli.serve import Setup
     from rosedeal.cli.tls import ClientTls
 
 CONNECTIONS = 0.5  # of the descriptors that are not reserved: as many as for the platform's clients
@@ -44,8 +45,6 @@
         feeders: list[Feeder] = [SiteRoom(lambda: setup.site, None, str(pool.name))]
         if pool.etcd_prefix is not None and setup.site.etcd is not None:
             table = msgspec.structs.replace(setup.site.etcd, prefix=pool.etcd_prefix)
-            from rosedeal.cli.serve import etcd_room
-
             feeders.append(etcd_room(table, setup.path.parent, environ))
         return feeders + feed_tls(setup, pool)
 
--- a/tests/web/harness.py
+++ b/tests/web/harness.py
@@ -11,7 +11,8 @@
 
 from rosedeal.admin import Figures
 from rosedeal.choice import Breaker
-from rosedeal.cli.serve import Setup, fleet_tls
+from rosedeal.cli.serve import fleet_tls
+from rosedeal.cli.setup import Setup
 from rosedeal.cli.web import web_room
 from rosedeal.gateway.proxy import Proxy
 from rosedeal.gateway.run import Room
