Let routes name tenants and a spare pool take what the first has tried in vain

Until now the spare was chosen before the first try only, and an upload of known length went through the parser.

A route's tenant is told to the box in a header that no client can say, and counted apart in status. What a pool's decisions refuse goes to the spare where a repeat does no harm, unless it is shed by a pool that still works. The rest of a body of known length passes the parser by.

Four of the new tests were seen red with their mend taken out (length, what may have run, the client's own Tenant, numbers kept over a reload).

--- a/rosedeal/admin/figures.py
+++ b/rosedeal/admin/figures.py
@@ -1,6 +1,7 @@
 """What became of requests and attempts, counted over the last minutes. Pure: times are handed in.
 
-Memory is fixed: SPAN_S seconds for each class, BOX_SPAN_S for each box, at most BOX_LIMIT boxes.
+Memory is fixed: SPAN_S seconds for each class and each tenant that asked, BOX_SPAN_S for each box,
+at most BOX_LIMIT boxes.
 """
 
 from __future__ import annotations
@@ -8,7 +9,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from rosedeal.admin.protocol import ClassView, Window
+from rosedeal.admin.protocol import ClassView, TenantView, Window
 from rosedeal.interface import Outcome
 
 SPAN_S = 300
@@ -68,31 +69,41 @@
 class Figures:
     """An observer of the proxy: counts, and answers what the console shows."""
 
-    def __init__(self, classes: tuple[tuple[str, int], ...]) -> None:
-        """`classes`: name and wanted time in microseconds, in the balancer's order."""
+    def __init__(self, classes: tuple[tuple[str, int], ...], tenants: tuple[str, ...] = ()) -> None:
+        """`classes`: name and wanted time in microseconds, in the balancer's order. Tenants: "" is none."""
         self.classes = classes
         self.seconds = [Seconds(SPAN_S + 1, KINDS) for _ in classes]
         self.usual_us = [0.0] * len(classes)
         self.boxes: dict[int, BoxFigures] = {}
+        self.tenants = tenants
+        self.by_tenant: dict[int, Seconds] = {}
 
-    def follow(self, classes: tuple[tuple[str, int], ...]) -> None:
-        """The classes there are now: those of before under their numbers, and further ones."""
+    def follow(self, classes: tuple[tuple[str, int], ...], tenants: tuple[str, ...] = ()) -> None:
+        """The classes and tenants there are now: those of before under their numbers, and further ones."""
         more = len(classes) - len(self.classes)
-        self.classes = classes
+        self.classes, self.tenants = classes, tenants
         self.seconds += [Seconds(SPAN_S + 1, KINDS) for _ in range(more)]
         self.usual_us += [0.0] * more
 
-    def answered(self, now_us: int, klass: int, status: int, took_us: int) -> None:
+    def answered(self, now_us: int, klass: int, status: int, took_us: int, tenant: int = 0) -> None:
         if status < 500 and status != 429:
             kind = IN_TIME if took_us <= self.classes[klass][1] else LATE
             usual_us = self.usual_us[klass]
             self.usual_us[klass] = usual_us + SMOOTHING * (took_us - usual_us) if usual_us else took_us
         else:
             kind = REFUSED if status in (429, 503) else FAILED
-        self.seconds[klass].add(now_us // 1_000_000, kind)
+        self._count(now_us, klass, tenant, kind)
+
+    def left(self, now_us: int, klass: int, tenant: int = 0) -> None:
+        self._count(now_us, klass, tenant, LEFT)
 
-    def left(self, now_us: int, klass: int) -> None:
-        self.seconds[klass].add(now_us // 1_000_000, LEFT)
+    def _count(self, now_us: int, klass: int, tenant: int, kind: int) -> None:
+        self.seconds[klass].add(now_us // 1_000_000, kind)
+        if tenant < len(self.tenants) and self.tenants[tenant]:
+            seconds = self.by_tenant.get(tenant)
+            if seconds is None:
+                seconds = self.by_tenant[tenant] = Seconds(SPAN_S + 1, KINDS)
+            seconds.add(now_us // 1_000_000, kind)
 
     def attempted(self, now_us: int, server: int, outcome: Outcome, latency_us: int) -> None:
         if outcome in (Outcome.MOOT, Outcome.CANCELLED):
@@ -120,24 +131,19 @@
                 name=name,
                 wanted_us=wanted_us,
                 usual_us=round(self.usual_us[number]),
-                windows=[self._window(number, second, span) for span in WINDOWS_S],
+                windows=_windows(self.seconds[number], second),
                 plot=self._plot(number, second),
             )
             for number, (name, wanted_us) in enumerate(self.classes)
             if "~" not in name  # of a file before: nothing new comes under it
         ]
 
-    def _window(self, klass: int, second: int, span: int) -> Window:
-        in_time, late, refused, failed, left = sums = self.seconds[klass].sums(second, span)
-        return Window(
-            span_s=span,
-            asked=sum(sums),
-            in_time=in_time,
-            late=late,
-            refused=refused,
-            failed=failed,
-            left=left,
-        )
+    def of_tenants(self, now_us: int) -> list[TenantView]:
+        second = now_us // 1_000_000 - 1
+        return [
+            TenantView(name=self.tenants[number], windows=_windows(seconds, second))
+            for number, seconds in sorted(self.by_tenant.items())
+        ]
 
     def _plot(self, klass: int, second: int) -> list[int]:
         """Steps lie on multiples of PLOT_STEP_S, so that a step once past does not change any more."""
@@ -148,3 +154,21 @@
             asked = sum(sums)
             points.append(round(100 * sums[IN_TIME] / asked) if asked else -1)
         return points
+
+
+def _windows(seconds: Seconds, last: int) -> list[Window]:
+    windows = []
+    for span in WINDOWS_S:
+        in_time, late, refused, failed, left = sums = seconds.sums(last, span)
+        windows.append(
+            Window(
+                span_s=span,
+                asked=sum(sums),
+                in_time=in_time,
+                late=late,
+                refused=refused,
+                failed=failed,
+                left=left,
+            )
+        )
+    return windows
--- a/rosedeal/admin/protocol.py
+++ b/rosedeal/admin/protocol.py
@@ -106,6 +106,13 @@
     plot: list[int]  # per cent answered in time, for each 5 s of the last 5 min, oldest first; -1: none asked
 
 
+class TenantView(msgspec.Struct, kw_only=True, frozen=True):
+    """A tenant that routes name, once it has asked."""
+
+    name: str
+    windows: list[Window]
+
+
 class Said(msgspec.Struct, kw_only=True, frozen=True):
     """What one source said last of a box: ready, draining or gone, and when."""
 
@@ -169,6 +176,7 @@
     classes: list[ClassView]
     sources: list[SourceView]
     log: list[LogLine]
+    tenants: list[TenantView] = []
     problems: list[str] = []  # what the operator should mend, in sentences
 
 
--- a/rosedeal/admin/room.py
+++ b/rosedeal/admin/room.py
@@ -104,7 +104,7 @@
     def reload(self, config: Config) -> None:
         if config.grows:
             aims = (klass.aim_us for klass in config.settings.classes)
-            self.figures.follow(tuple(zip(config.names.classes, aims, strict=True)))
+            self.figures.follow(tuple(zip(config.names.classes, aims, strict=True)), config.names.tenants)
         self.story.tell(self._now_us(), "The configuration was read again")
         self.refresh()
 
@@ -223,6 +223,7 @@
             boxes=boxes,
             not_shown=max(0, self._hosts() - sum(box.state != "gone" for box in boxes)),
             classes=self.figures.service(now_us),
+            tenants=self.figures.of_tenants(now_us),
             sources=self.sources(),
             log=list(self.story.lines),
             problems=self.problems(boxes),
--- a/rosedeal/cli/route.py
+++ b/rosedeal/cli/route.py
@@ -64,4 +64,5 @@
         pools = table.pool or MAIN
     spare = f", else {table.spare}" if table.spare is not None else ""
     within_us = table.answer_within or klass.given_up_after
-    return f"class {table.klass}, pool {pools}{spare}, answered within {within_us / 1e6:g} s"
+    tenant = f", tenant {table.tenant}" if table.tenant is not None else ""
+    return f"class {table.klass}, pool {pools}{spare}{tenant}, answered within {within_us / 1e6:g} s"
--- a/rosedeal/cli/web.py
+++ b/rosedeal/cli/web.py
@@ -89,6 +89,7 @@
     assert site.http is not None
     http, numbers = site.http, {name: number for number, name in enumerate(config.names.classes)}
     classes = {str(klass.name): klass for klass in site.classes}
+    tenants = {name: number for number, name in enumerate(config.names.tenants)}
     plans = []
     for table in site.routes:
         klass = classes[table.klass]
@@ -110,6 +111,7 @@
                 needs_certificate=table.client_certificate == "required",
                 spare=str(table.spare) if table.spare is not None else None,
                 failing=failing(table.failing),
+                tenant=(tenants[table.tenant or ""], (table.tenant or "").encode()),
             )
         )
     limits = Limits(
--- a/rosedeal/console/words.py
+++ b/rosedeal/console/words.py
@@ -265,6 +265,9 @@
     lines += ["", "Service:"]
     for view in snapshot.classes:
         lines += [f"  {line}" for line in class_lines(view)]
+    if snapshot.tenants:
+        lines += ["", f"Tenants, last {span_words(snapshot.tenants[0].windows[1].span_s)}:"]
+        lines += [f"  {clean(each.name)}: {window_words(each.windows[1])}" for each in snapshot.tenants]
     lines += ["", "Where the boxes come from:"]
     lines += [f"  {source_words(snapshot, n)}" for n in range(len(snapshot.sources))]
     lines += ["", "Lately:", *(f"  {clock(line.at_us)} {clean(line.text)}" for line in snapshot.log[-10:])]
--- a/rosedeal/gateway/intake.py
+++ b/rosedeal/gateway/intake.py
@@ -101,7 +101,8 @@
     def __init__(self, config: Config) -> None:
         self.settings = config.settings
         self.classes = {name.encode(): number for number, name in enumerate(config.names.classes)}
-        self.tenants = {name.encode(): number for number, name in enumerate(config.names.tenants)}
+        tenants = config.names.tenants if config.settings.tenants else ()  # else they are the routes' affair
+        self.tenants = {name.encode(): number for number, name in enumerate(tenants)}
         self.open_ids: set[bytes] = set()  # of the requests in hand, as their clients call them
 
     def open_id(self, head: Head) -> bytes:
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -77,6 +77,10 @@
         """Always comes. An answer goes with it if it is whole and has not been passed on."""
 
 
+# Offered a request that is refused here and of which no host's answer is left: True if another pool takes it
+# over. It is told whether a host was tried, and whether one may have run it.
+Elsewhere = Callable[[bool, bool], bool]
+
 # Sends one attempt of a request that is no whole payload: to this host, which has so many seconds to begin.
 Launch = Callable[[Upstream, int, float, Books], Exchange]
 
@@ -84,10 +88,10 @@
 class Observer(Protocol):
     """Hears what became of requests and attempts; called in the midst of serving, so it only counts."""
 
-    def answered(self, now_us: int, klass: int, status: int, took_us: int) -> None:
+    def answered(self, now_us: int, klass: int, status: int, took_us: int, tenant: int) -> None:
         """A request had its final answer, `took_us` after its last byte came."""
 
-    def left(self, now_us: int, klass: int) -> None:
+    def left(self, now_us: int, klass: int, tenant: int) -> None:
         """A client left before its answer."""
 
     def attempted(self, now_us: int, server: int, outcome: Outcome, latency_us: int) -> None:
@@ -121,6 +125,7 @@
     tenant: int = 0
     is_write: bool = False
     launch: Launch | None = None  # None: headers and body go out as one payload, the answer comes whole
+    elsewhere: Elsewhere | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -320,7 +325,8 @@
                 delay_us = action.due_us - self.clock.now_us()
                 self.loop.call_later(max(0, delay_us) / 1e6, self.feed, TimerFired(action.token))
             case Refuse():
-                self.finish(action.request, refused("trying again is harmless", action.retry_after_us))
+                if not self.hand_over(action.request):
+                    self.finish(action.request, refused("trying again is harmless", action.retry_after_us))
             case Fail():
                 self.finish(action.request, plain(502, "failed"))
             case Cancel():
@@ -350,7 +356,7 @@
         if not self.has_room():
             reply(refused("too many requests"))
             if self.observer is not None:
-                self.observer.answered(self.clock.now_us(), asked.klass, 503, 0)
+                self.observer.answered(self.clock.now_us(), asked.klass, 503, 0, asked.tenant)
             return None
         self.taken += 1
         patience_us = max(0, asked.timeout_us - asked.waited_us - TRANSIT_US)
@@ -388,7 +394,7 @@
         if request.reply is not None:
             self.close_account(request)
             if self.observer is not None:
-                self.observer.left(self.clock.now_us(), request.asked.klass)
+                self.observer.left(self.clock.now_us(), request.asked.klass, request.asked.tenant)
             self.feed(RequestGone(request.id))
             self.forget_if_over(request)
 
@@ -407,6 +413,21 @@
             self.settle(request, answer if request.kept is None else request.kept)
             self.forget_if_over(request)
 
+    def hand_over(self, number: str) -> bool:
+        """A refused request goes to another pool, if one takes it: its final answer is that pool's."""
+        request = self.requests.get(number)
+        if request is None or request.reply is None or request.kept is not None:
+            return False
+        elsewhere = request.asked.elsewhere
+        tried = [exchange for exchange in request.attempts if exchange is not None]
+        if elsewhere is None or not elsewhere(bool(tried), any(exchange.written for exchange in tried)):
+            return False
+        self.close_account(request)
+        for exchange in tried:
+            exchange.give_up(Outcome.CANCELLED)  # its answer would come beside the other pool's
+        self.forget_if_over(request)
+        return True
+
     def settle(self, request: Request, answer: Answer) -> None:
         """Give the final answer, if it is still owed."""
         reply = request.reply
@@ -421,7 +442,7 @@
             if self.observer is not None:
                 now_us = self.clock.now_us()
                 took_us = now_us - request.came_us + request.asked.waited_us
-                self.observer.answered(now_us, request.asked.klass, status, took_us)
+                self.observer.answered(now_us, request.asked.klass, status, took_us, request.asked.tenant)
 
     def close_account(self, request: Request) -> None:
         request.reply = None
--- a/rosedeal/site/convert.py
+++ b/rosedeal/site/convert.py
@@ -18,6 +18,7 @@
 LISTEN = Address("127.0.0.1:8080")
 LATE_WORTH = 0.5  # of a page: one that comes late is still read
 SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE}
+TENANTS_EVER = 256  # of one process: each has its counts
 CLASSES_EVER = 512  # of one process: the decisions never forget a class while they run
 CROSSING = 0.08  # price of a request that leaves its zone, where the own zone is preferred
 
@@ -28,7 +29,7 @@
         raise ConfigError("the operator file names no class: add a [[class]] table")
     if not site.boxes and site.site.discovery is None and site.etcd is None and not site.pools:
         raise ConfigError("the operator file names no box: add a [[box]] table, site.discovery or [etcd]")
-    zones, kinds = _zones(site), _kinds(site)
+    zones, kinds, tenants = _zones(site), _kinds(site), _tenants(site)
     classes = [entry for table in site.classes for entry in _entries(table, site.http is not None)]
     # The entries that stand under the file's own names come first: their numbers are those of before.
     classes.sort(key=lambda entry: "+" in entry[0])
@@ -67,7 +68,7 @@
         seed=seed,
         sockets=site.limits.sockets,
         settings=settings,
-        names=Names(tuple(name for name, _ in classes), (), zones, kinds),
+        names=Names(tuple(name for name, _ in classes), tenants, zones, kinds),
         known={},
         filed_discovery=str(discovery) if discovery is not None else None,
         grows=True,
@@ -95,12 +96,14 @@
 
 
 def carry_names(new: Config, old: Config) -> Config:
-    """Zones, kinds and classes keep the numbers they have: a reloaded file may name them in another order.
+    """Zones, kinds, tenants and classes keep their numbers: a reloaded file may name them in another order.
 
-    Raises ConfigError once the file has changed classes too often.
+    Raises ConfigError once the file has changed classes or tenants too often.
     """
     classes = _carry_classes(new, old)
-    names = Names(tuple(name for name, _ in classes), (), old.names.zones, old.names.kinds)
+    tenants = tuple(dict.fromkeys(old.names.tenants + new.names.tenants))
+    _check_tenants(tenants)
+    names = Names(tuple(name for name, _ in classes), tenants, old.names.zones, old.names.kinds)
     settings = replace(
         new.settings,
         classes=tuple(klass for _, klass in classes),
@@ -156,5 +159,18 @@
     return tuple(dict.fromkeys(str(zone) for zone in named if zone is not None))
 
 
+def _tenants(site: Site) -> tuple[str, ...]:
+    """The first stands for no tenant."""
+    named = (str(route.tenant) for route in site.routes if route.tenant is not None)
+    tenants = ("", *dict.fromkeys(named))
+    _check_tenants(tenants)
+    return tenants
+
+
+def _check_tenants(tenants: tuple[str, ...]) -> None:
+    if len(tenants) > TENANTS_EVER:
+        raise ConfigError(f"routes name more than {TENANTS_EVER - 1} tenants (since the start)")
+
+
 def _kinds(site: Site) -> tuple[str, ...]:
     return tuple(dict.fromkeys(str(box.kind) for box in site.boxes if box.kind is not None))
--- a/rosedeal/site/schema.py
+++ b/rosedeal/site/schema.py
@@ -221,6 +221,7 @@
     pool: Name | None = None
     pools: dict[str, Weight] | None = None  # several, each with its weight
     spare: Name | None = None
+    tenant: Name | None = None  # whose requests these are: told to the box, counted apart
     take_off: Path | None = None
     put_before: Path | None = None
     client_certificate: Literal["any", "required"] = "any"
--- a/rosedeal/web/door.py
+++ b/rosedeal/web/door.py
@@ -9,17 +9,18 @@
 import socket
 import ssl
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from rosedeal.gateway.config import Address
 from rosedeal.gateway.pools import Pools
 from rosedeal.gateway.proxy import Asked, Launch, Proxy, plain, refused
 from rosedeal.gateway.upstream import Answer
+from rosedeal.interface import Effect
 from rosedeal.routes import BadPath, read_host, read_target
 from rosedeal.web.front import Front, Incoming
 from rosedeal.web.heads import Peer, is_trusted, request_id
-from rosedeal.web.plan import Limits, WebPlan, choose
+from rosedeal.web.plan import Limits, WebPlan, choose, turns_to_spare
 
 log = logging.getLogger(__name__)
 
@@ -47,6 +48,9 @@
     between_s: float
     failing: Callable[[int], bool]
     whole_s: float | None = None
+    tenant: tuple[int, bytes] = (0, b"")
+    spare: Proxy | None = None  # for what `proxy` refuses
+    began_at: float = 0.0  # when the request arrived at its first pool; loop time
 
     @property
     def answer_s(self) -> float:
@@ -154,7 +158,7 @@
         if incoming.length is not None and incoming.length > to.upload_limit:
             return plain(413, f"body over {to.upload_limit} bytes")
         klass = to.variants.of(incoming)
-        proxy = self.pool_for(to.pools, to.spare, klass)
+        proxy, spare = self.pool_for(to.pools, to.spare, klass)
         if proxy is None:
             return refused("no pool serves this")
         incoming.way = Way(
@@ -167,6 +171,8 @@
             to.between_s,
             to.failing.__contains__,
             to.whole_s,
+            to.tenant,
+            spare,
         )
         return None
 
@@ -176,27 +182,48 @@
             return plain(405, "no route takes this method here", (b"allow", b", ".join(sorted(methods))))
         return plain(404, "no route leads here")
 
-    def pool_for(self, pools: tuple[tuple[str, float], ...], spare: str | None, klass: int) -> Proxy | None:
+    def pool_for(
+        self, pools: tuple[tuple[str, float], ...], spare: str | None, klass: int
+    ) -> tuple[Proxy | None, Proxy | None]:
+        """The pool that a request goes to, and the one for what that refuses."""
         name = pools[0][0] if len(pools) == 1 else choose(pools, self.random.random())
         proxy = self.pools.proxy(name)
         if spare is not None and (proxy is None or not proxy.is_able(klass)):
             other = self.pools.proxy(spare)
             if other is not None and (proxy is None or other.is_able(klass)):
-                return other
-        return proxy
+                return other, None
+            return proxy, other
+        return proxy, self.pools.proxy(spare) if spare is not None else None
 
-    def asked(self, incoming: Incoming, launch: Launch) -> Asked:
+    def asked(self, incoming: Incoming, launch: Launch, again: Callable[[], None]) -> Asked:
+        """What the proxy is asked. `again` is called, later, once the way leads to the spare pool."""
         way = incoming.way
         assert way is not None
+        now = self.loop.time()
+        way.began_at = way.began_at or now
+
+        def elsewhere(tried: bool, may_have_run: bool) -> bool:
+            spare, able = way.spare, way.proxy.is_able(way.klass)
+            effect = way.proxy.settings.classes[way.klass].effect
+            if spare is None or spare is way.proxy or not incoming.upload.is_held:
+                return False
+            if not turns_to_spare(able, tried, may_have_run, effect is Effect.SAFE):
+                return False
+            incoming.way = replace(way, proxy=spare, spare=None)
+            self.loop.call_soon(again)
+            return True
+
         return Asked(
             klass=way.klass,
             timeout_us=way.answer_us,
-            waited_us=0,
+            waited_us=int((now - way.began_at) * 1e6),
             method=incoming.method,
             target=way.path,
             headers=b"",
             body=b"",
+            tenant=way.tenant[0],
             launch=launch,
+            elsewhere=elsewhere if way.spare is not None else None,
         )
 
     # Connections
--- a/rosedeal/web/front.py
+++ b/rosedeal/web/front.py
@@ -75,6 +75,7 @@
         self.closing = False  # nothing more is read
         self.refusing = False  # over the limit
         self.rest = b""  # what came behind a request that may end in a tunnel
+        self.left = 0  # of a body of known length, which is read without the parser
         self.tunnel = False
         self.blocked = False  # the client takes no more for now
         self.paused = False  # not read
@@ -110,6 +111,9 @@
 
     def read(self, data: bytes) -> None:
         while data and not self.closing:
+            if self.left:
+                data = self.pass_on(data)
+                continue
             if not self.reading:
                 self.begin()
             rest = b""
@@ -127,10 +131,27 @@
                 incoming.raw += len(data)
                 if incoming.raw > HEAD_LIMIT:
                     self.lose_framing(plain(431, "head too long"))
+            self.go_direct()
             data = rest
         self.next()
         self.check_flow()
 
+    def go_direct(self) -> None:
+        """The rest of a body of known length needs no parser, which would read every byte of it."""
+        incoming = self.incoming
+        if self.reading and incoming.head_read and incoming.length is not None and not self.closing:
+            self.left = incoming.length - incoming.upload.size
+            self.parser = httptools.HttpRequestParser(self)
+
+    def pass_on(self, data: bytes) -> bytes:
+        """What of a read belongs to the body goes on; what lies behind it is returned."""
+        body, rest = data[: self.left], data[self.left :]
+        self.left -= len(body)
+        self.on_body(body)
+        if not self.left:
+            self.on_message_complete()
+        return rest
+
     def begin(self) -> None:
         self.incoming = Incoming()
         self.incoming.upload.flow = partial(self.upload_flow, self.incoming)
@@ -324,7 +345,9 @@
     def arrive(self, incoming: Incoming) -> None:
         way = incoming.way
         assert way is not None
-        asked = self.door.asked(incoming, partial(self.launch, incoming))
+        if incoming is not self.current:  # the client has gone meanwhile
+            return
+        asked = self.door.asked(incoming, partial(self.launch, incoming), partial(self.arrive, incoming))
         try:
             request = way.proxy.arrive(asked, partial(self.answer, incoming))
         except Exception:
@@ -339,7 +362,9 @@
     ) -> Exchange:
         way = incoming.way
         assert way is not None
-        lines = request_lines(incoming, way.path, way.query, way.host, self.peer, incoming.number)
+        lines = request_lines(
+            incoming, way.path, way.query, way.host, self.peer, incoming.number, way.tenant[1]
+        )
         wanted = Wanted(
             head=lines,
             upload=incoming.upload,
--- a/rosedeal/web/heads.py
+++ b/rosedeal/web/heads.py
@@ -167,9 +167,18 @@
 
 
 def request_lines(
-    head: RequestHead, path: bytes, query: bytes, host: bytes, peer: Peer, number: bytes
+    head: RequestHead,
+    path: bytes,
+    query: bytes,
+    host: bytes,
+    peer: Peer,
+    number: bytes,
+    tenant: bytes = b"",
 ) -> bytes:
-    """The head for a box, without the final empty line. `host`: as the client named it; `number`: the id."""
+    """The head for a box, without the final empty line.
+
+    `host`: as the client named it; `number`: the id; `tenant`: the route's word, which nobody else can say.
+    """
     listed = connection_list(head.by_name) - KEPT
     lines = [b"%b %b%b HTTP/1.1" % (head.method, path, query), b"Host: " + host]
     cookies = []
@@ -180,12 +189,16 @@
             continue
         if name in (b"x-forwarded-for", b"forwarded"):
             continue  # they grow, below
+        if tenant and name == b"tenant":
+            continue
         if name == b"cookie":
             cookies.append(value)  # one field for the box (RFC 6265 section 5.4)
             continue
         lines.append(b"%b: %b" % (name, value))
     if cookies:
         lines.append(b"cookie: " + b"; ".join(cookies))
+    if tenant:
+        lines.append(b"tenant: " + tenant)
     lines += _forwarded(head, host, peer)
     via = head.by_name.get(b"via")
     lines.append(b"via: %b%b %b" % (via + b", " if via else b"", head.version.encode(), NAME))
--- a/rosedeal/web/plan.py
+++ b/rosedeal/web/plan.py
@@ -39,7 +39,8 @@
     between_s: float  # until the next byte of a body
     upload_limit: int  # bytes of a request's body
     pools: tuple[tuple[str, float], ...] = ((MAIN, 1.0),)  # and the weight of each
-    spare: str | None = None  # used while the one chosen has nothing able
+    spare: str | None = None  # used while the one chosen has nothing able, and by what it has failed
+    tenant: tuple[int, bytes] = (0, b"")  # its number among the configuration's, and its name for the box
     failing: frozenset[int] = DEFAULT_FAILING
     whole_s: float | None = None  # from the head of the request to the end of the answer
     needs_certificate: bool = False  # of the client
@@ -75,6 +76,16 @@
         object.__setattr__(self, "by_name", {plan.route.name: plan for plan in self.routes})
 
 
+def turns_to_spare(able: bool, tried: bool, may_have_run: bool, repeatable: bool) -> bool:
+    """Whether a request that its pool has refused goes to the spare one.
+
+    `able`: the pool could serve others like it. What it sheds because it is full does not go on: that would
+    push the spare over as well. What may have run goes on only if any box may run it again: boxes that drop
+    repeats of a key remember those of their own pool.
+    """
+    return (tried or not able) and (repeatable or not may_have_run)
+
+
 def choose(pools: Sequence[tuple[str, float]], point: float) -> str:
     """The pool at a point from 0 to 1, each as wide as its weight; one of no weight is never chosen."""
     point *= sum(weight for _, weight in pools)
--- a/tests/web/harness.py
+++ b/tests/web/harness.py
@@ -145,7 +145,8 @@
         self.setup.path.write_text(text)
         config = self.setup.read_again(self.proxy.filed)
         self.proxy.take_over(config)
-        self.figures.follow(tuple((name, 20_000_000) for name in config.names.classes))
+        classes = tuple((name, 20_000_000) for name in config.names.classes)
+        self.figures.follow(classes, config.names.tenants)
         for room in self.rooms:
             room.reload(config)
         assert self.web.reloading is not None
--- a/tests/web/test_checks.py
+++ b/tests/web/test_checks.py
@@ -87,6 +87,38 @@
     run(test())
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_body_of_known_length_ends_where_it_says_however_it_is_cut(tmp_path: Path, seed: int) -> None:
+    """It is read without the parser; what lies behind it is the next request."""
+    print("seed", seed)
+    draw = random.Random(seed)
+
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            client = await it.client()
+            sizes = [draw.choice((1, 2, 700, 65_535, 65_536, 65_537, 300_000)) for _ in range(12)]
+            bodies = [draw.randbytes(size) for size in sizes]
+            stream = b"".join(request("PUT", "/upload", body) + request("GET", "/") for body in bodies)
+
+            async def send() -> None:
+                at = 0
+                while at < len(stream):
+                    size = draw.choice((1, 50, 3_000, 100_000))
+                    client.send(stream[at : at + size])
+                    await client.writer.drain()
+                    await asyncio.sleep(0)
+                    at += size
+
+            sending = asyncio.create_task(send())
+            for body in bodies:
+                status, _, told = await client.answer()
+                assert status == 200 and hashlib.sha256(body).hexdigest().encode() in told
+                assert (await client.answer())[0] == 200
+            await sending
+
+    run(test(), 60)
+
+
 def chunked(draw: random.Random) -> bytes:
     """A chunked body, often malformed in one of the ways that readers differ in."""
     body = b""
--- a/tests/web/test_clients.py
+++ b/tests/web/test_clients.py
@@ -10,11 +10,13 @@
 
 import aiohttp
 import httpx
+import pytest
 import requests
 import websockets
 from websockets.exceptions import ConnectionClosed
 
 from rosedeal.standins.app import PAGE, content
+from rosedeal.web.plan import turns_to_spare
 from tests.sockets import run
 from tests.web.harness import ROUTE, request, site
 
@@ -195,3 +197,84 @@
             assert proxy.roster.hosts == 1
 
     run(test(), 60)
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "box", "status", "spare_ran"),
+    [
+        ("GET", "/", "refuses", 200, 1),
+        ("POST", "/upload", "refuses", 200, 1),  # nothing has left for the box that cannot be reached
+        ("GET", "/", "dies", 200, 1),
+        ("POST", "/upload", "dies", 502, 0),  # it may have run there
+        ("GET", "/status/500", "answers", 500, 0),  # the box's own word stands
+        ("GET", "/", "dies, client leaves", 0, 0),
+    ],
+)
+def test_a_spare_pool_takes_what_the_first_has_tried_in_vain(
+    tmp_path: Path, method: str, target: str, box: str, status: int, spare_ran: int
+) -> None:
+    """At the first request: the first pool still counts as able, no breaker has opened."""
+
+    async def test() -> None:
+        route = '[[route]]\nname = "all"\nclass = "pages"\npool = "side"\nspare = "main"\n'
+        async with site(tmp_path, routes=route, pools="side") as it:
+            main, side = it.apps
+            side.silent = box.startswith("dies")
+            if box == "refuses":
+                side.die()
+            client = await it.client()
+            client.send(request(method, target, b"x" * 1000 if method == "POST" else None))
+            if side.silent:
+                while not side.runs:
+                    await asyncio.sleep(0.01)
+                if "leaves" in box:
+                    client.writer.transport.abort()
+                    while it.web.door is not None and it.web.door.connections:
+                        await asyncio.sleep(0.01)
+                side.die()
+            if status:
+                answer = await client.answer()
+                assert answer[0] == status
+            for proxy in it.web.proxies().values():
+                while proxy.requests:
+                    await asyncio.sleep(0.01)
+                assert proxy.open == 0
+            assert len(main.runs) == spare_ran
+            seconds = [sum(map(sum, each.counts)) for each in it.figures.seconds]
+            assert sum(seconds) == 1  # one end, in whichever pool
+
+    run(test())
+
+
+def test_what_goes_to_the_spare_and_what_a_full_pool_sheds() -> None:
+    table = {
+        # able, tried, may have run, repeatable
+        (False, False, False, False): True,
+        (True, False, False, True): False,  # shed by a pool that works: the spare is not to be pushed over
+        (True, True, False, False): True,
+        (True, True, True, False): False,
+        (True, True, True, True): True,
+    }
+    assert {case: turns_to_spare(*case) for case in table} == table
+
+
+def test_a_route_says_whose_a_request_is_and_a_client_cannot(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = '[[route]]\nname = "{0}"\nprefix = "/{0}"\nclass = "pages"\ntenant = "{0}"\n'
+        async with site(tmp_path, routes=ROUTE + store.format("north")) as it:
+            it.figures.follow(it.figures.classes, it.setup.config.names.tenants)
+            client = await it.client()
+            for target in ("/north/a", "/elsewhere", "/north/b"):
+                client.send(request("GET", target, Tenant="south"))
+                assert (await client.answer())[0] == 404
+            assert [app.headers.get("tenant") for app in it.apps[0].runs] == ["north", "south", "north"]
+            # Another one comes before it in the file: numbers of those there are stay.
+            text = it.setup.path.read_text()
+            await it.reload(text.replace(ROUTE, ROUTE + store.format("east")))
+            client.send(request("GET", "/east/") + request("GET", "/north/c"))
+            assert [(await client.answer())[0] for _ in range(2)] == [404, 404]
+            now_us = it.proxy.clock.now_us() + 1_000_000
+            asked = {each.name: each.windows[0].asked for each in it.figures.of_tenants(now_us)}
+            assert asked == {"north": 3, "east": 1}
+
+    run(test())
