--- a/benchmarks/http.py
+++ b/benchmarks/http.py
@@ -3,7 +3,7 @@
     python -m benchmarks.http [routes | small | stream | tls | slow ...] [--rounds 3] [--seconds 2]
 
 routes  a match at 10 and 1,000 routes                   small   requests a second: platform's mode, ordinary
-stream  one large answer, against a bare relay           tls     handshakes a second, whole and resumed
+stream  1 GB down and up, against a bare relay           tls     handshakes a second, whole and resumed
 slow    memory with 1,000 slow readers, 1,000 slow uploads, against as many idle connections
 
 Boxes and clients are protocols on uvloop in processes of their own: they must not be the limit.
@@ -42,14 +42,20 @@
     def data_received(self, data):
         if self.need:
             self.need -= len(data)
+            if not self.need:
+                self.answer(0)
             return
         self.seen += data
         head, end, rest = self.seen.partition(b"\\r\\n\\r\\n")
         if not end:
             return
         self.seen = b""
-        target = head.split(b" ", 2)[1].decode()
-        size = int(target.rpartition("/")[2] or 0)
+        method, target, _ = head.split(b" ", 2)
+        if method == b"POST":
+            self.need = int(head.lower().partition(b"content-length: ")[2].split(b"\\r")[0]) - len(rest)
+            return
+        self.answer(int(target.decode().rpartition("/")[2] or 0))
+    def answer(self, size):
         self.transport.write(b"HTTP/1.1 200 OK\\r\\nContent-Length: %d\\r\\n\\r\\n" % size)
         self.left = size
         self.pump()
@@ -77,11 +83,10 @@
         self.transport = transport
         if self.other is None:
             asyncio.ensure_future(self.connect())
-        elif self.other.held:
-            transport.write(self.other.held)
     async def connect(self):
         loop = asyncio.get_running_loop()
         _, self.other = await loop.create_connection(lambda: Side(self), "127.0.0.1", int(sys.argv[1]))
+        self.other.transport.write(self.held)
     def data_received(self, data):
         if self.other is None or not hasattr(self.other, "transport"):
             self.held += data
@@ -122,6 +127,7 @@
 name = "all"
 class = "pages"
 upload_limit = "1GB"
+between_bytes = "60s"
 """
 HTTP = "serves HTTP on"
 GET = b"GET /%d HTTP/1.1\r\nHost: bench\r\n\r\n"
@@ -194,6 +200,45 @@
     return total[0]
 
 
+class Sender(asyncio.Protocol):
+    """Sends one large body and waits for the answer."""
+
+    def __init__(self, size: int) -> None:
+        self.left, self.open = size, True
+        self.done = asyncio.get_running_loop().create_future()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+        transport.write(b"POST /0 HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % self.left)  # type: ignore[attr-defined]
+        self.pump()
+
+    def pump(self) -> None:
+        piece = b"x" * 65536
+        while self.left > 0 and self.open:
+            self.transport.write(piece[: self.left])  # type: ignore[attr-defined]
+            self.left -= min(len(piece), self.left)
+
+    def pause_writing(self) -> None:
+        self.open = False
+
+    def resume_writing(self) -> None:
+        self.open = True
+        self.pump()
+
+    def data_received(self, data: bytes) -> None:
+        assert data.startswith(b"HTTP/1.1 200"), data
+        if not self.done.done():
+            self.done.set_result(None)
+
+
+async def send(port: int, size: int) -> None:
+    transport, sender = await asyncio.get_running_loop().create_connection(
+        lambda: Sender(size), "127.0.0.1", port
+    )
+    await sender.done
+    transport.close()
+
+
 async def fetch(port: int, size: int) -> None:
     total = [0, 0]
     transport, reader = await asyncio.get_running_loop().create_connection(
@@ -258,22 +303,23 @@
 
 def stream(rounds: int, seconds: float) -> None:
     size = 1_000_000_000
-    rows: dict[str, list[tuple[float, float]]] = {"bare relay": [], "gateway": []}
-    with (
-        box() as address,
-        child("-c", RELAY, address.rpartition(":")[2], ready="relay") as (relay, line, _),
-        gateway([address]) as (pid, port),
-    ):
-        for _ in range(rounds):
-            for name, of, at in (("bare relay", relay.pid, int(line.split()[1])), ("gateway", pid, port)):
-                before, began = cpu_s(of), time.monotonic()
-                run(fetch(at, size))
-                rows[name].append((size / (time.monotonic() - began) / 1e6, cpu_s(of) - before))
-    print(f"one answer of 1 GB    MB/s   ratio   CPU s/GB   ({rounds} rounds)")
-    base = statistics.median(rate for rate, _ in rows["bare relay"])
-    for name, measured in rows.items():
-        rate, cpu = (statistics.median(column) for column in zip(*measured, strict=True))
-        print(f"{name:16}  {rate:8.0f}  {rate / base:6.2f}  {cpu:9.2f}")
+    for what, work in (("answer", fetch), ("upload", send)):
+        rows: dict[str, list[tuple[float, float]]] = {"bare relay": [], "gateway": []}
+        with (
+            box() as address,
+            child("-c", RELAY, address.rpartition(":")[2], ready="relay") as (relay, line, _),
+            gateway([address]) as (pid, port),
+        ):
+            for _ in range(rounds):
+                for name, of, at in (("bare relay", relay.pid, int(line.split()[1])), ("gateway", pid, port)):
+                    before, began = cpu_s(of), time.monotonic()
+                    run(work(at, size))
+                    rows[name].append((size / (time.monotonic() - began) / 1e6, cpu_s(of) - before))
+        print(f"one {what} of 1 GB    MB/s   ratio   CPU s/GB   ({rounds} rounds)")
+        base = statistics.median(rate for rate, _ in rows["bare relay"])
+        for name, measured in rows.items():
+            rate, cpu = (statistics.median(column) for column in zip(*measured, strict=True))
+            print(f"{name:16}  {rate:8.0f}  {rate / base:6.2f}  {cpu:9.2f}")
 
 
 def tls(rounds: int, seconds: float) -> None:
