Part what ordinary HTTP means from HTTP/1.1, so that a further transport can share it

HTTP/3 is to take the same way in, and a room must not import another's inside. Heads, plan, the way of a request and its turn from head to end are now rosedeal/ordinary/; web/ keeps what is HTTP/1.1. A transport makes a Turn, has it taken, and is its Client; what carries it to a box is handed in.

--- a/rosedeal/cli/web.py
+++ b/rosedeal/cli/web.py
@@ -18,7 +18,7 @@
 from rosedeal.site.convert import pool_config
 from rosedeal.site.schema import PoolTable
 from rosedeal.site.web import MAIN, REPEATABLE, UNSAFE, to_route
-from rosedeal.web.plan import Limits, RoutePlan, Variants, WebPlan
+from rosedeal.ordinary.plan import Limits, RoutePlan, Variants, WebPlan
 from rosedeal.web.room import WebRoom
 
 if TYPE_CHECKING:
--- a/rosedeal/web/heads.py
+++ b/rosedeal/ordinary/heads.py
@@ -39,6 +39,7 @@
         b"upgrade",
     )
 )
+STREAM_NEVER = (b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding", b"upgrade")
 # Said anew by this gateway, whatever came.
 OWN = frozenset((b"host", b"content-length", b"expect", b"via", b"x-request-id"))
 FORWARDED = frozenset(
@@ -106,7 +107,7 @@
             self.by_name[name] = value
 
     def read(self) -> None:
-        """What the head says of the message itself. Raises BadHead."""
+        """What an HTTP/1.x head says of the message itself. Raises BadHead."""
         named = self.by_name
         if self.version not in ("1.0", "1.1"):
             raise BadHead("neither HTTP/1.0 nor HTTP/1.1", 505)
@@ -127,6 +128,7 @@
             self.length = int(length)
         else:
             self.length = 0
+        self._read_expectation()
         listed = connection_list(named)
         upgrade = named.get(b"upgrade", b"").lower()
         self.upgrade = (
@@ -136,10 +138,33 @@
             and self.version == "1.1"
             and self.length == 0
         )
-        expect = named.get(b"expect", b"").lower()
+
+    def read_stream(self, authority: bytes, ended: bool) -> None:
+        """The same of a message that is a stream, whose end tells the length (RFC 9114 sections 4.2, 4.3).
+
+        `ended`: the stream ends with its head. Raises BadHead.
+        """
+        named = self.by_name
+        if any(name in named for name in STREAM_NEVER) or named.get(b"te", b"trailers") != b"trailers":
+            raise BadHead("a header that is for one connection")
+        host = named.get(b"host", authority)
+        if not host or (authority and host != authority):
+            raise BadHead("Host is missing, or another than :authority")
+        self.host = host
+        length = named.get(b"content-length")
+        if length is None:
+            self.length = 0 if ended else None
+        elif not length.isdigit() or len(length) > 18 or (ended and int(length)):
+            raise BadHead("Content-Length is no number, or not the stream's")
+        else:
+            self.length = int(length)
+        self._read_expectation()
+
+    def _read_expectation(self) -> None:
+        expect = self.by_name.get(b"expect", b"").lower()
         if expect and expect != b"100-continue":
             raise BadHead("an expectation that nobody meets", 417)
-        self.expects = bool(expect) and self.version == "1.1" and self.length != 0
+        self.expects = bool(expect) and self.version != "1.0" and self.length != 0
 
 
 def connection_list(named: dict[bytes, bytes]) -> set[bytes]:
@@ -268,3 +293,12 @@
             continue
         kept.append((name, value))
     return kept
+
+
+def whole_seconds(value: bytes) -> bytes:
+    """RFC 9110 section 10.2.3 knows whole seconds only; those that are no number stay as they are."""
+    try:
+        seconds = float(value)
+    except ValueError:
+        return value
+    return b"%d" % max(1, -int(-seconds // 1))
--- a/rosedeal/web/plan.py
+++ b/rosedeal/ordinary/plan.py
@@ -8,7 +8,7 @@
 from rosedeal.gateway.config import Address
 from rosedeal.gateway.pools import MAIN
 from rosedeal.routes import Route, Table
-from rosedeal.web.heads import Network, RequestHead
+from rosedeal.ordinary.heads import Network, RequestHead
 
 # RFC 9110 section 9.2.2: what a client, and so a gateway, may repeat by itself. TRACE is refused.
 REPEATABLE = frozenset((b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE"))
--- /dev/null
+++ b/rosedeal/ordinary/turn.py
@@ -0,0 +1,151 @@
+"""One request from its head to its end, whatever transport it came by and whatever carries it to a box.
+
+The rules, stated once. A transport makes a `Turn`, has it taken, and starts it; then:
+
+1. Exactly one of these ends it: `Client.answer` (a whole answer, of this gateway or held of a box), the end
+   of a `Download` that has begun (`end` or `broke`), or `abandon` (nobody waits for it any more).
+2. It arrives at its pool once its body is whole, as much of it as is held, or its client waits to send it.
+3. There is one body: beside a first copy that is still out and not whole, no second goes.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+from rosedeal.gateway.proxy import Books, Request, plain
+from rosedeal.gateway.streams import Download, DownloadSource, Upload
+from rosedeal.gateway.upstream import Answer, Exchange, Upstream
+from rosedeal.ordinary.heads import Peer, RequestHead, request_lines
+
+if TYPE_CHECKING:
+    from rosedeal.ordinary.ways import Way, Ways
+
+log = logging.getLogger(__name__)
+
+NOBODY = Peer("")
+
+
+class Client(Download, Protocol):
+    """A transport's side of one request."""
+
+    @property
+    def open(self) -> bool:
+        """Whether an answer would still be taken."""
+
+    def answer(self, answer: Answer) -> None:
+        """The final answer, whole."""
+
+
+@dataclass(slots=True, frozen=True)
+class Wanted:
+    """What an exchange with a box is for."""
+
+    head: bytes  # lines for the box, without the final empty one
+    upload: Upload
+    download: Download
+    is_head: bool  # the method is HEAD: the answer has no body
+    chunked: bool  # the length of the request's body is not known
+    upgrade: bool  # the client would speak as it likes from 101 on
+    failing: Callable[[int], bool]  # whether a status counts as the box's failure
+    expects: bool = False  # the client sends no body before it is told to
+
+
+class Tried(Exchange):
+    """One try of a request at a box, as a stream."""
+
+    def check_time(self, now: float, between_s: float, answer_s: float) -> None:
+        """Give it up if the box says or takes nothing for too long."""
+        raise NotImplementedError
+
+
+class Carry(Protocol):
+    """Has a request carried to a host, which has so many seconds to begin its answer."""
+
+    def __call__(
+        self, upstream: Upstream, server: int, timeout_s: float, wanted: Wanted, books: Books
+    ) -> Tried: ...
+
+
+@dataclass(slots=True, eq=False)
+class Turn(RequestHead):
+    """A request as it is read, and what becomes of it."""
+
+    keep_alive: bool = True  # False: no trust in what follows it
+    upload: Upload = field(default_factory=lambda: Upload(lambda on: None))
+    number: bytes = b""
+    way: Way | None = None
+    peer: Peer = NOBODY
+    began_at: float = 0.0  # of its body
+    request: Request | None = None
+    source: DownloadSource | None = None  # once an answer is passed on
+    exchange: Tried | None = None  # the newest
+    client: Client | None = None
+    ways: Ways | None = None
+
+    def start(self, ways: Ways, client: Client) -> None:
+        """The request has its way: it arrives once its body is whole, or as much of it as is held."""
+        self.ways, self.client = ways, client
+        if self.upload.ready or (self.expects and not self.upload.size):  # the box is asked if it wants it
+            self.arrive()
+        else:
+            self.upload.on_ready = self.arrive
+
+    def arrive(self) -> None:
+        way, ways, client = self.way, self.ways, self.client
+        assert way is not None and ways is not None and client is not None
+        if not client.open:  # it has gone meanwhile
+            return
+        asked = ways.asked(self, self.launch, self.arrive)
+        try:
+            request = way.proxy.arrive(asked, client.answer)
+        except Exception:
+            log.exception("failed on a request")
+            client.answer(plain(500, "internal error"))
+            return
+        if request is not None and client.open:
+            self.request = request
+
+    def launch(self, upstream: Upstream, server: int, timeout_s: float, books: Books) -> Exchange:
+        way, ways, client = self.way, self.ways, self.client
+        assert way is not None and ways is not None and client is not None
+        lines = request_lines(self, way.path, way.query, way.host, self.peer, self.number, way.tenant[1])
+        wanted = Wanted(
+            head=lines,
+            upload=self.upload,
+            download=client,
+            is_head=self.method == b"HEAD",
+            chunked=self.length is None,
+            upgrade=self.upgrade,
+            failing=way.failing,
+            expects=self.expects,
+        )
+        before = self.exchange
+        if before is not None and not before.done and not self.upload.complete:
+            second = Exchange(b"", books.ended)
+            ways.loop.call_soon(second.never_sent)
+            return second
+        self.exchange = ways.carry(upstream, server, timeout_s, wanted, books)
+        return self.exchange
+
+    def abandon(self) -> None:
+        """Nobody waits for it any more."""
+        self.upload.on_ready = None
+        if self.source is not None:
+            source, self.source = self.source, None
+            source.client_left()
+        elif self.request is not None and self.way is not None:
+            self.way.proxy.leave(self.request)
+
+    def is_out_of_time(self, now: float, quiet_s: float | None = None) -> bool:
+        """Look at the box's times, and whether the route's time for the whole is over.
+
+        `quiet_s`: for which a box may say nothing, where that is not the route's to say (tunnels).
+        """
+        way, exchange = self.way, self.exchange
+        if exchange is None or way is None:
+            return False
+        exchange.check_time(now, way.between_s if quiet_s is None else quiet_s, way.answer_s)
+        return way.whole_s is not None and now - self.began_at > way.whole_s
--- /dev/null
+++ b/rosedeal/ordinary/ways.py
@@ -0,0 +1,149 @@
+"""The way of each request: its route, its pool, what the proxy is asked. One for all listeners of a site."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from rosedeal.gateway.pools import Pools
+from rosedeal.gateway.proxy import Asked, Launch, Proxy, plain, refused
+from rosedeal.gateway.upstream import Answer
+from rosedeal.interface import Effect
+from rosedeal.ordinary.heads import request_id
+from rosedeal.ordinary.plan import WebPlan, choose, turns_to_spare
+from rosedeal.routes import BadPath, read_host, read_target
+
+if TYPE_CHECKING:
+    from rosedeal.ordinary.turn import Carry, Turn
+
+
+@dataclass(slots=True)
+class Way:
+    """What was decided of a request when it came; it stands whatever is read again meanwhile."""
+
+    proxy: Proxy
+    klass: int
+    path: bytes
+    query: bytes
+    host: bytes
+    answer_us: int
+    between_s: float
+    failing: Callable[[int], bool]
+    whole_s: float | None = None
+    tenant: tuple[int, bytes] = (0, b"")
+    spare: Proxy | None = None  # for what `proxy` refuses
+    began_at: float = 0.0  # when the request arrived at its first pool; loop time
+
+    @property
+    def answer_s(self) -> float:
+        return self.answer_us / 1e6
+
+
+class Ways:
+    def __init__(
+        self, plan: WebPlan, pools: Pools, loop: asyncio.AbstractEventLoop, seed: int, carry: Carry
+    ) -> None:
+        """`carry` has an exchange carried to a host."""
+        self.plan, self.pools, self.loop, self.carry = plan, pools, loop, carry
+        self.random = random.Random(seed)
+        self.alt_svc = b""  # where else the site is served, for those who come over TLS (RFC 7838)
+        self.id_base, self.ids = secrets.token_hex(6).encode(), 0
+
+    def take(self, turn: Turn) -> Answer | None:
+        """Find the request's way, or the answer that it gets at once."""
+        self.ids += 1
+        turn.number = request_id(turn, b"%b%x" % (self.id_base, self.ids))
+        if turn.method in (b"CONNECT", b"TRACE"):
+            turn.keep_alive = False
+            return plain(405, f"{turn.method.decode()} is not served here")
+        if turn.target == b"*" and turn.method == b"OPTIONS":
+            return Answer(204, [])
+        try:
+            target = read_target(turn.target)
+            host_as_said = target.authority or turn.host
+            host = read_host(host_as_said) if host_as_said else ""
+        except BadPath as bad:
+            turn.keep_alive = False  # what it asks cannot be read: no trust in what follows either
+            return plain(400, str(bad))
+        plan = self.plan
+        route = plan.table.match(host, target.path, turn.method, turn.by_name)
+        if route is None:
+            return self._unrouted(host, target.path, turn.method)
+        to = plan.by_name[route.name]
+        if to.needs_certificate and turn.peer.certificate is None:
+            return plain(403, "this needs a client certificate")
+        turn.upload.limit = to.upload_limit
+        if turn.length is not None and turn.length > to.upload_limit:
+            return plain(413, f"body over {to.upload_limit} bytes")
+        klass = to.variants.of(turn)
+        proxy, spare = self._pool_for(to.pools, to.spare, klass)
+        if proxy is None:
+            return refused("no pool serves this")
+        turn.way = Way(
+            proxy,
+            klass,
+            route.rewritten(target.path),
+            target.query,
+            host_as_said,
+            to.answer_us,
+            to.between_s,
+            to.failing.__contains__,
+            to.whole_s,
+            to.tenant,
+            spare,
+        )
+        return None
+
+    def _unrouted(self, host: str, path: bytes, method: bytes) -> Answer:
+        methods = self.plan.table.methods(host, path)
+        if methods and method not in methods:
+            return plain(405, "no route takes this method here", (b"allow", b", ".join(sorted(methods))))
+        return plain(404, "no route leads here")
+
+    def _pool_for(
+        self, pools: tuple[tuple[str, float], ...], spare: str | None, klass: int
+    ) -> tuple[Proxy | None, Proxy | None]:
+        """The pool that a request goes to, and the one for what that refuses."""
+        name = pools[0][0] if len(pools) == 1 else choose(pools, self.random.random())
+        proxy = self.pools.proxy(name)
+        if spare is not None and (proxy is None or not proxy.is_able(klass)):
+            other = self.pools.proxy(spare)
+            if other is not None and (proxy is None or other.is_able(klass)):
+                return other, None
+            return proxy, other
+        return proxy, self.pools.proxy(spare) if spare is not None else None
+
+    def asked(self, turn: Turn, launch: Launch, again: Callable[[], None]) -> Asked:
+        """What the proxy is asked. `again` is called, later, once the way leads to the spare pool."""
+        way = turn.way
+        assert way is not None
+        now = self.loop.time()
+        way.began_at = way.began_at or now
+
+        def elsewhere(tried: bool, may_have_run: bool) -> bool:
+            spare, able = way.spare, way.proxy.is_able(way.klass)
+            effect = way.proxy.settings.classes[way.klass].effect
+            if spare is None or spare is way.proxy or not turn.upload.is_held:
+                return False
+            if not turns_to_spare(able, tried, may_have_run, effect is Effect.SAFE):
+                return False
+            turn.way = replace(way, proxy=spare, spare=None)
+            self.loop.call_soon(again)
+            return True
+
+        return Asked(
+            klass=way.klass,
+            timeout_us=way.answer_us,
+            waited_us=int((now - way.began_at) * 1e6),
+            method=turn.method,
+            target=way.path,
+            headers=b"",
+            body=b"",
+            tenant=way.tenant[0],
+            launch=launch,
+            elsewhere=elsewhere if way.spare is not None else None,
+        )
--- a/rosedeal/web/back.py
+++ b/rosedeal/web/back.py
@@ -16,12 +16,11 @@
 import os
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import httptools
 
 from rosedeal.gateway.proxy import Books
-from rosedeal.gateway.streams import HOLD, AnswerHead, Download, Headers, Upload
+from rosedeal.gateway.streams import HOLD, AnswerHead, Headers
 from rosedeal.gateway.upstream import (
     HEAD_LIMIT,
     INTERIM_LIMIT,
@@ -32,7 +31,8 @@
     Upstream,
 )
 from rosedeal.interface import Outcome
-from rosedeal.web.heads import BadHead, answer_headers, trailers
+from rosedeal.ordinary.heads import BadHead, answer_headers, trailers
+from rosedeal.ordinary.turn import Tried, Wanted
 
 BUFFER = 64 * 1024  # bytes written to a box and not yet sent, beyond which the client is not read
 EXPECT_S = 1.0  # for a box to say 100; some never do (RFC 9110 section 10.1.1), and the client is told anyway
@@ -40,21 +40,7 @@
 NO_BODY = (204, 304)
 
 
-@dataclass(slots=True, frozen=True)
-class Wanted:
-    """What an exchange is for."""
-
-    head: bytes  # lines for the box, without the final empty one
-    upload: Upload
-    download: Download
-    is_head: bool  # the method is HEAD: the answer has no body
-    chunked: bool  # how the request's body is framed
-    upgrade: bool  # the client would speak as it likes from 101 on
-    failing: Callable[[int], bool]  # whether a status counts as the box's failure
-    expects: bool = False  # the client sends no body before it is told to
-
-
-class BoxExchange(Exchange):
+class BoxExchange(Tried):
     """One try of a request at a box."""
 
     __slots__ = (
@@ -173,6 +159,12 @@
         self.give_up(Outcome.CANCELLED)
 
 
+def carry(upstream: Upstream, server: int, timeout_s: float, wanted: Wanted, books: Books) -> BoxExchange:
+    exchange = BoxExchange(wanted, books, upstream.loop)
+    upstream.carry(server, exchange, timeout_s, BoxConnection)
+    return exchange
+
+
 class BoxConnection(PooledConnection):
     def __init__(self, pool: Upstream, host: Host) -> None:
         super().__init__(pool, host)
--- a/rosedeal/web/door.py
+++ b/rosedeal/web/door.py
@@ -4,23 +4,16 @@
 
 import asyncio
 import logging
-import random
-import secrets
 import socket
 import ssl
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, replace
+from collections.abc import Coroutine
 from typing import Any
 
 from rosedeal.gateway.config import Address
-from rosedeal.gateway.pools import Pools
-from rosedeal.gateway.proxy import Asked, Launch, Proxy, plain, refused
-from rosedeal.gateway.upstream import Answer
-from rosedeal.interface import Effect
-from rosedeal.routes import BadPath, read_host, read_target
-from rosedeal.web.front import Front, Incoming
-from rosedeal.web.heads import Peer, is_trusted, request_id
-from rosedeal.web.plan import Limits, WebPlan, choose, turns_to_spare
+from rosedeal.ordinary.ways import Ways
+from rosedeal.web.front import Front
+from rosedeal.ordinary.heads import Peer, is_trusted
+from rosedeal.ordinary.plan import Limits, WebPlan
 
 log = logging.getLogger(__name__)
 
@@ -35,33 +28,9 @@
 LAST_ACCEPT_S = 0.5  # new connections go on coming for a moment after an end has begun
 
 
-@dataclass(slots=True)
-class Way:
-    """What was decided of a request when it came; it stands whatever is read again meanwhile."""
-
-    proxy: Proxy
-    klass: int
-    path: bytes
-    query: bytes
-    host: bytes
-    answer_us: int
-    between_s: float
-    failing: Callable[[int], bool]
-    whole_s: float | None = None
-    tenant: tuple[int, bytes] = (0, b"")
-    spare: Proxy | None = None  # for what `proxy` refuses
-    began_at: float = 0.0  # when the request arrived at its first pool; loop time
-
-    @property
-    def answer_s(self) -> float:
-        return self.answer_us / 1e6
-
-
 class Door:
-    def __init__(self, plan: WebPlan, pools: Pools, loop: asyncio.AbstractEventLoop, seed: int) -> None:
-        self.plan, self.pools, self.loop = plan, pools, loop
-        self.random = random.Random(seed)
-        self.id_base, self.ids = secrets.token_hex(6).encode(), 0
+    def __init__(self, ways: Ways, loop: asyncio.AbstractEventLoop) -> None:
+        self.ways, self.loop = ways, loop
         self.connections: set[Front] = set()
         self.resting: dict[Front, None] = {}  # between requests, the one used last comes last
         self.draining = False
@@ -73,6 +42,10 @@
         self.handshakes: dict[Handshake, None] = {}  # oldest first
         self.tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def plan(self) -> WebPlan:
+        return self.ways.plan
+
     @property
     def limits(self) -> Limits:
         return self.plan.limits
@@ -127,105 +100,6 @@
             return Peer(address, b"http", trusted)
         return Peer(address, b"https", trusted, conn.getpeercert(binary_form=True))
 
-    # Requests
-
-    def take(self, front: Front, incoming: Incoming) -> Answer | None:
-        """Find the request's way, or the answer that it gets at once."""
-        self.ids += 1
-        incoming.number = request_id(incoming, b"%b%x" % (self.id_base, self.ids))
-        if front.refusing:
-            return refused("too many connections")
-        if incoming.method in (b"CONNECT", b"TRACE"):
-            incoming.keep_alive = False
-            return plain(405, f"{incoming.method.decode()} is not served here")
-        if incoming.target == b"*" and incoming.method == b"OPTIONS":
-            return Answer(204, [])
-        try:
-            target = read_target(incoming.target)
-            host_as_said = target.authority or incoming.host
-            host = read_host(host_as_said) if host_as_said else ""
-        except BadPath as bad:
-            incoming.keep_alive = False  # what it asks cannot be read: no trust in what follows either
-            return plain(400, str(bad))
-        plan = self.plan
-        route = plan.table.match(host, target.path, incoming.method, incoming.by_name)
-        if route is None:
-            return self.unrouted(host, target.path, incoming)
-        to = plan.by_name[route.name]
-        if to.needs_certificate and front.peer.certificate is None:
-            return plain(403, "this needs a client certificate")
-        incoming.upload.limit = to.upload_limit
-        if incoming.length is not None and incoming.length > to.upload_limit:
-            return plain(413, f"body over {to.upload_limit} bytes")
-        klass = to.variants.of(incoming)
-        proxy, spare = self.pool_for(to.pools, to.spare, klass)
-        if proxy is None:
-            return refused("no pool serves this")
-        incoming.way = Way(
-            proxy,
-            klass,
-            route.rewritten(target.path),
-            target.query,
-            host_as_said,
-            to.answer_us,
-            to.between_s,
-            to.failing.__contains__,
-            to.whole_s,
-            to.tenant,
-            spare,
-        )
-        return None
-
-    def unrouted(self, host: str, path: bytes, incoming: Incoming) -> Answer:
-        methods = self.plan.table.methods(host, path)
-        if methods and incoming.method not in methods:
-            return plain(405, "no route takes this method here", (b"allow", b", ".join(sorted(methods))))
-        return plain(404, "no route leads here")
-
-    def pool_for(
-        self, pools: tuple[tuple[str, float], ...], spare: str | None, klass: int
-    ) -> tuple[Proxy | None, Proxy | None]:
-        """The pool that a request goes to, and the one for what that refuses."""
-        name = pools[0][0] if len(pools) == 1 else choose(pools, self.random.random())
-        proxy = self.pools.proxy(name)
-        if spare is not None and (proxy is None or not proxy.is_able(klass)):
-            other = self.pools.proxy(spare)
-            if other is not None and (proxy is None or other.is_able(klass)):
-                return other, None
-            return proxy, other
-        return proxy, self.pools.proxy(spare) if spare is not None else None
-
-    def asked(self, incoming: Incoming, launch: Launch, again: Callable[[], None]) -> Asked:
-        """What the proxy is asked. `again` is called, later, once the way leads to the spare pool."""
-        way = incoming.way
-        assert way is not None
-        now = self.loop.time()
-        way.began_at = way.began_at or now
-
-        def elsewhere(tried: bool, may_have_run: bool) -> bool:
-            spare, able = way.spare, way.proxy.is_able(way.klass)
-            effect = way.proxy.settings.classes[way.klass].effect
-            if spare is None or spare is way.proxy or not incoming.upload.is_held:
-                return False
-            if not turns_to_spare(able, tried, may_have_run, effect is Effect.SAFE):
-                return False
-            incoming.way = replace(way, proxy=spare, spare=None)
-            self.loop.call_soon(again)
-            return True
-
-        return Asked(
-            klass=way.klass,
-            timeout_us=way.answer_us,
-            waited_us=int((now - way.began_at) * 1e6),
-            method=incoming.method,
-            target=way.path,
-            headers=b"",
-            body=b"",
-            tenant=way.tenant[0],
-            launch=launch,
-            elsewhere=elsewhere if way.spare is not None else None,
-        )
-
     # Connections
 
     @property
--- a/rosedeal/web/front.py
+++ b/rosedeal/web/front.py
@@ -20,14 +20,15 @@
 
 from rosedeal.gateway.downstream import LINGER_S, REASONS
 from rosedeal.gateway.intake import HEAD_LIMIT
-from rosedeal.gateway.proxy import Books, Request, plain
-from rosedeal.gateway.streams import AnswerHead, DownloadSource, Headers, Upload
-from rosedeal.gateway.upstream import Answer, Exchange, Upstream
-from rosedeal.web.back import BoxConnection, BoxExchange, Wanted, last_chunk
-from rosedeal.web.heads import BadHead, Peer, RequestHead, request_lines, trailers
+from rosedeal.gateway.proxy import plain, refused
+from rosedeal.gateway.streams import AnswerHead, DownloadSource, Headers
+from rosedeal.gateway.upstream import Answer
+from rosedeal.ordinary.heads import BadHead, Peer, trailers, whole_seconds
+from rosedeal.ordinary.turn import Turn
+from rosedeal.web.back import last_chunk
 
 if TYPE_CHECKING:
-    from rosedeal.web.door import Door, Way
+    from rosedeal.web.door import Door
 
 log = logging.getLogger(__name__)
 
@@ -38,23 +39,15 @@
 
 
 @dataclass(slots=True, eq=False)
-class Incoming(RequestHead):
-    """A request as it is read, and its answer as it is written."""
+class Incoming(Turn):
+    """A request of this connection, and its answer as it is written."""
 
     raw: int = 0  # bytes read while its head is not whole
     size: int = 0  # of its header fields, or of its trailers
     head_read: bool = False
-    keep_alive: bool = True
     refusal: Answer | None = None  # what it is answered in its turn, without a look at the rest
-    upload: Upload = field(default_factory=lambda: Upload(lambda on: None))
     fields: Headers = field(default_factory=list)  # trailers
-    number: bytes = b""
-    way: Way | None = None
-    began_at: float = 0.0  # of its body
-    request: Request | None = None
-    source: DownloadSource | None = None  # once an answer is passed on
     chunked: bool = False  # how that is framed
-    exchange: BoxExchange | None = None  # the newest
     last: bool = False  # the client was told that the connection ends with this answer
 
 
@@ -153,7 +146,7 @@
         return rest
 
     def begin(self) -> None:
-        self.incoming = Incoming()
+        self.incoming = Incoming(peer=self.peer)
         self.incoming.upload.flow = partial(self.upload_flow, self.incoming)
         self.reading = True
         self.door.resting.pop(self, None)
@@ -209,12 +202,7 @@
         current, self.current = self.current, None
         if current is None:
             return
-        current.upload.on_ready = None
-        if current.source is not None:
-            source, current.source = current.source, None
-            source.client_left()
-        elif current.request is not None and current.way is not None:
-            current.way.proxy.leave(current.request)
+        current.abandon()
 
     def lose_framing(self, answer: Answer) -> None:
         """Where the next request begins is unknown: answer this one in its turn, then close."""
@@ -323,67 +311,14 @@
                 continue
             self.asked = True
             try:
-                refusal = self.door.take(self, incoming)
+                refusal = refused("too many connections") if self.refusing else self.door.ways.take(incoming)
             except Exception:
                 log.exception("failed on a request")
                 refusal = plain(500, "internal error")
             if refusal is not None:
                 self.answer(incoming, refusal)
             else:
-                self.start(incoming)
-
-    def start(self, incoming: Incoming) -> None:
-        """The request has its way: it arrives once its body is whole, or as much of it as is held."""
-        upload = incoming.upload
-        if upload.ready or (
-            incoming.expects and not upload.size
-        ):  # the box is asked whether it wants the body
-            self.arrive(incoming)
-        else:
-            upload.on_ready = partial(self.arrive, incoming)
-
-    def arrive(self, incoming: Incoming) -> None:
-        way = incoming.way
-        assert way is not None
-        if incoming is not self.current:  # the client has gone meanwhile
-            return
-        asked = self.door.asked(incoming, partial(self.launch, incoming), partial(self.arrive, incoming))
-        try:
-            request = way.proxy.arrive(asked, partial(self.answer, incoming))
-        except Exception:
-            log.exception("failed on a request")
-            self.answer(incoming, plain(500, "internal error"))
-            return
-        if request is not None and incoming is self.current:
-            incoming.request = request
-
-    def launch(
-        self, incoming: Incoming, upstream: Upstream, server: int, timeout_s: float, books: Books
-    ) -> Exchange:
-        way = incoming.way
-        assert way is not None
-        lines = request_lines(
-            incoming, way.path, way.query, way.host, self.peer, incoming.number, way.tenant[1]
-        )
-        wanted = Wanted(
-            head=lines,
-            upload=incoming.upload,
-            download=Downward(self, incoming),
-            is_head=incoming.method == b"HEAD",
-            chunked=incoming.length is None,
-            upgrade=incoming.upgrade,
-            failing=way.failing,
-            expects=incoming.expects,
-        )
-        before, exchange = incoming.exchange, BoxExchange(wanted, books, self.loop)
-        incoming.exchange = exchange
-        if before is not None and not before.done and not incoming.upload.complete:
-            # A second copy beside the first: there is one body yet to come, and it cannot go two ways.
-            self.loop.call_soon(exchange.never_sent)
-            incoming.exchange = before
-            return exchange
-        upstream.carry(server, exchange, timeout_s, BoxConnection)
-        return exchange
+                incoming.start(self.door.ways, Downward(self, incoming))
 
     # Answers
 
@@ -420,6 +355,8 @@
             lines.append(b"content-length: %d" % head.length)
         elif incoming.chunked:
             lines.append(b"transfer-encoding: chunked")
+        if self.door.ways.alt_svc and self.peer.scheme == b"https":
+            lines.append(b"alt-svc: " + self.door.ways.alt_svc)
         if incoming.last and not head.upgraded:
             lines.append(b"connection: close")
         elif incoming.version == "1.0" and not head.upgraded:
@@ -508,12 +445,9 @@
             self.progress_at = now
         self.unsent = unsent
         quiet_s = now - self.progress_at
-        if current is not None and current.exchange is not None and current.way is not None:
-            way = current.way
-            current.exchange.check_time(now, limits.tunnel_s if self.tunnel else way.between_s, way.answer_s)
-            if way.whole_s is not None and now - current.began_at > way.whole_s:
-                self.out_of_time(current)
-                return
+        if current is not None and current.is_out_of_time(now, limits.tunnel_s if self.tunnel else None):
+            self.out_of_time(current)
+            return
         if unsent and quiet_s > limits.unread_s:
             self.reset()  # it takes nothing: what it was promised cannot be kept in memory for ever
         elif self.tunnel or self.closing:
@@ -542,6 +476,9 @@
     def open(self) -> bool:
         return self.front.current is self.incoming
 
+    def answer(self, answer: Answer) -> None:
+        self.front.answer(self.incoming, answer)
+
     def interim(self, status: int, headers: Headers) -> None:
         if self.open and self.incoming.version == "1.1":
             lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b""))]
@@ -592,12 +529,3 @@
             self.incoming.source = None
             self.front.current = None
             self.front.reset()
-
-
-def whole_seconds(value: bytes) -> bytes:
-    """RFC 9110 section 10.2.3 knows whole seconds only; those that are no number stay as they are."""
-    try:
-        seconds = float(value)
-    except ValueError:
-        return value
-    return b"%d" % max(1, -int(-seconds // 1))
--- a/rosedeal/web/room.py
+++ b/rosedeal/web/room.py
@@ -10,8 +10,10 @@
 from rosedeal.gateway.config import Address, Config
 from rosedeal.gateway.pools import PoolPlan, Pools
 from rosedeal.gateway.proxy import Observer, Proxy
+from rosedeal.ordinary.ways import Ways
+from rosedeal.web.back import carry
 from rosedeal.web.door import Door
-from rosedeal.web.plan import WebPlan
+from rosedeal.ordinary.plan import WebPlan
 
 log = logging.getLogger(__name__)
 
@@ -28,6 +30,7 @@
         self.read, self.observer, self.certificates = read, observer, certificates
         self.listens_tls: Address | None = None
         self.pools: Pools | None = None
+        self.ways: Ways | None = None
         self.door: Door | None = None
         self.listens: Address | None = None
         self.reloading: asyncio.Task[None] | None = None  # the newest
@@ -44,7 +47,8 @@
         plan, pools = self.read()
         proxy = self.pools.main
         await self.pools.apply(pools, proxy.config)
-        self.door = Door(plan, self.pools, proxy.loop, proxy.config.seed)
+        self.ways = Ways(plan, self.pools, proxy.loop, proxy.config.seed, carry)
+        self.door = Door(self.ways, proxy.loop)
         self.listens = await self.door.start()
         if proxy.listens is None:
             proxy.listens = self.listens
@@ -69,11 +73,11 @@
             self._follow(plan, pools)
 
     def _follow(self, plan: WebPlan, pools: Sequence[PoolPlan]) -> None:
-        assert self.door is not None
-        before = self.door.plan
+        assert self.ways is not None
+        before = self.ways.plan
         if (plan.listen, plan.listen_tls) != (before.listen, before.listen_tls):
             log.warning("the operator file changes where HTTP is served: that needs a restart")
-        self.door.plan = plan
+        self.ways.plan = plan
         log.info("%d routes and %d pools are in force", len(plan.routes), len(pools) + 1)
 
     async def drain(self) -> None:
--- a/tests/web/harness.py
+++ b/tests/web/harness.py
@@ -13,6 +13,7 @@
 from rosedeal.choice import Breaker
 from rosedeal.cli.serve import fleet_tls
 from rosedeal.cli.setup import Setup
+from rosedeal.cli.tls import ClientTls
 from rosedeal.cli.web import web_room
 from rosedeal.gateway.proxy import Proxy
 from rosedeal.gateway.run import Room
@@ -109,6 +110,7 @@
     figures: Figures
     rooms: list[Room]
     apps: list[App]
+    tls: ClientTls | None = None
 
     @property
     def web(self) -> WebRoom:
@@ -195,11 +197,11 @@
     setup = Setup(path, {})
     figures = Figures(tuple((name, 20_000_000) for name in setup.config.names.classes))
     proxy = Proxy(setup.config, asyncio.get_running_loop(), figures)
-    web, _ = web_room(setup, {}, figures)
+    web, tls_files = web_room(setup, {}, figures)
     rooms: list[Room] = [SiteRoom(lambda: setup.site, None), web]
     if setup.site.fleet.ca is not None:
         rooms.insert(0, fleet_tls(setup))
-    it = Site(setup, proxy, figures, rooms, apps)
+    it = Site(setup, proxy, figures, rooms, apps, tls_files)
     for room in it.rooms:
         room.join(proxy)
     await proxy.start()
--- a/tests/web/test_checks.py
+++ b/tests/web/test_checks.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from rosedeal.gateway.streams import Headers
-from rosedeal.web.heads import BadHead, Peer, RequestHead, answer_headers, request_lines, trailers
+from rosedeal.ordinary.heads import BadHead, Peer, RequestHead, answer_headers, request_lines, trailers
 from tests.sockets import run
 from tests.web.harness import Site, request, site
 
--- a/tests/web/test_clients.py
+++ b/tests/web/test_clients.py
@@ -16,7 +16,7 @@
 from websockets.exceptions import ConnectionClosed
 
 from rosedeal.standins.app import PAGE, content
-from rosedeal.web.plan import turns_to_spare
+from rosedeal.ordinary.plan import turns_to_spare
 from tests.sockets import run
 from tests.web.harness import ROUTE, request, site
 
