Serve HTTP/3 to clients: streams through the same ways, pools and decisions as HTTP/1.1

Phones on shaky Wi-Fi lose TCP connections; QUIC's survive a change of address. A UDP listener ([http3], off by default, extra http3 with aioquic) shares heads, routes, turns and certificates with HTTP/1.1.

What the library leaves open is closed in h3/library.py: windows that follow what is passed on, reset tokens by a key that outlives the process, certificates by name, malformed requests that end one stream, no dynamic table, GOAWAY. Pure rules (h3/rules.py) say who may open a connection and when giving up streams is an attack.

--- /dev/null
+++ b/rosedeal/cli/h3.py
@@ -0,0 +1,58 @@
+"""HTTP/3 as an operator file sets it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from rosedeal.cli.setup import Setup
+from rosedeal.cli.tls import ClientTls
+from rosedeal.gateway.config import ConfigError
+from rosedeal.web.room import WebRoom
+
+if TYPE_CHECKING:
+    from rosedeal.h3.library import Shown
+    from rosedeal.h3.room import Http3Plan, Http3Room
+    from rosedeal.ordinary.ways import Ways
+    from rosedeal.tls.store import Certificates, Loaded
+
+
+def http3_room(setup: Setup, web: WebRoom, tls: ClientTls) -> Http3Room:
+    """Raises ConfigError."""
+    try:
+        from rosedeal.h3.room import Http3Plan, Http3Room
+    except ModuleNotFoundError as error:
+        why = f"{error.name} is missing: pip install 'badgergap[http3]'"
+        raise ConfigError(f"[http3] needs its extra, {why}") from None
+
+    def read() -> Http3Plan | None:
+        table = setup.site.http3
+        if table is None:
+            return None
+        return Http3Plan(table.listen.pair, table.connections, table.streams, table.early_data == "safe")
+
+    def ways() -> Ways:
+        assert web.ways is not None
+        return web.ways
+
+    return Http3Room(read, ways, shown_by(tls.certificates))
+
+
+def shown_by(certificates: Certificates) -> Callable[[str | None], Shown]:
+    """What handshakes show, by the certificates read last. Raises ConfigError for a key of no use here."""
+    from rosedeal.h3.library import Shown
+
+    parsed: tuple[tuple[Loaded, ...], list[Shown]] = ((), [])
+
+    def choose(asked: str | None) -> Shown:
+        nonlocal parsed
+        loaded = certificates.loaded
+        if parsed[0] is not loaded:
+            parsed = loaded, [Shown.read(each.chain_pem, each.key_pem) for each in loaded]
+        return parsed[1][certificates.names.of(asked)]
+
+    try:
+        choose(None)
+    except ValueError as error:
+        raise ConfigError(f"[http3]: a certificate or its key cannot be used: {error}") from None
+    return choose
--- a/rosedeal/cli/serve.py
+++ b/rosedeal/cli/serve.py
@@ -43,6 +43,10 @@
         admin.further = web.proxies
         if tls is not None:
             admin.notices.append(tls.certificates.problems)
+            if setup.site.http3 is not None:
+                from rosedeal.cli.h3 import http3_room
+
+                rooms.append(http3_room(setup, web, tls))
     if setup.site.fleet.ca is not None:
         rooms.append(fleet_tls(setup))
     if until_stdin_ends:
@@ -72,13 +76,18 @@
     if site.http is not None:
         from rosedeal.cli.web import web_room
 
-        _, tls = web_room(setup, environ, None)
+        web, tls = web_room(setup, environ, None)
+        if site.http3 is not None and tls is not None:
+            from rosedeal.cli.h3 import http3_room
+
+            http3_room(setup, web, tls)
         notices = tls.certificates.problems() if tls is not None else []
     if site.fleet.ca is not None:
         fleet_tls(setup)
     listens = [config.listen] if config.listen is not None else []
     listens += [site.http.listen.pair] if site.http is not None else []
     listens += [site.https.listen.pair] if site.https is not None else []
+    listens += [site.http3.listen.pair] if site.http3 is not None else []
     where = " and ".join(f"{host}:{port}" for host, port in listens)
     words = [
         f"{path}: good. {config.name} would listen on {where}",
--- /dev/null
+++ b/rosedeal/h3/endpoint.py
@@ -0,0 +1,363 @@
+"""The UDP side: which packet is whose, who may open a connection, and each connection's timer.
+
+Bounds: connections `limit`, of them HALF_OPEN before their handshake is over. A packet that
+belongs to none is answered with at most one packet, smaller than it, and nothing is kept of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+from collections.abc import Callable
+from typing import Any, TypeAlias, cast
+
+from aioquic._buffer import Buffer
+from aioquic.quic.configuration import SMALLEST_MAX_DATAGRAM_SIZE
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import (
+    ConnectionIdIssued,
+    ConnectionIdRetired,
+    ConnectionTerminated,
+    HandshakeCompleted,
+    QuicEvent,
+)
+from aioquic.quic.packet import (
+    QuicHeader,
+    QuicPacketType,
+    QuicProtocolVersion,
+    encode_quic_retry,
+    encode_quic_version_negotiation,
+    pull_quic_header,
+)
+from aioquic.quic.retry import QuicRetryTokenHandler
+
+from rosedeal.gateway.config import Address
+from rosedeal.h3.library import (
+    CID_LENGTH,
+    Connection,
+    Shown,
+    Tickets,
+    configuration,
+    refusal,
+    stateless_reset,
+)
+from rosedeal.h3.rules import RESETS, Budget, Opening, admit
+
+log = logging.getLogger(__name__)
+
+VERSIONS = [QuicProtocolVersion.VERSION_1, QuicProtocolVersion.VERSION_2]
+BUFFER = 2 * 1024 * 1024  # bytes asked for the socket's own buffers: packets of one turn of the loop
+
+Sender: TypeAlias = Any  # a socket's address, as the loop has it
+
+
+class Link:
+    """One connection: the library's part, its timer, what goes out at the end of this turn of the loop."""
+
+    def __init__(self, endpoint: Endpoint, quic: Connection) -> None:
+        self.endpoint, self.quic = endpoint, quic
+        self.loop = endpoint.loop
+        self.born = self.loop.time()
+        self.shaken = False  # the handshake is over
+        self.ids: set[bytes] = set()
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_at: float | None = None
+        self.flushing: asyncio.Handle | None = None
+        self.gone = False
+        self.user = endpoint.user(self)
+
+    def receive(self, data: bytes, sender: Sender) -> None:
+        try:
+            self.quic.receive_datagram(data, sender, self.loop.time())
+        except Exception:
+            # Guards against one packet that the library trips over: its connection ends, the others do not.
+            log.exception("a connection ends by a fault")
+            self.drop()
+            return
+        self.process()
+
+    def process(self) -> None:
+        while not self.gone and (event := self.quic.next_event()) is not None:
+            self.handle(event)
+        self.soon()
+
+    def handle(self, event: QuicEvent) -> None:
+        if isinstance(event, ConnectionIdIssued):
+            self.endpoint.name(self, event.connection_id)
+        elif isinstance(event, ConnectionIdRetired):
+            self.endpoint.unname(self, event.connection_id)
+        elif isinstance(event, ConnectionTerminated):
+            self.drop()
+        else:
+            if isinstance(event, HandshakeCompleted):
+                self.shaken = True
+                self.endpoint.half_open.pop(self, None)
+            try:
+                self.user.heard(event)
+            except Exception:
+                log.exception("a connection ends by a fault")
+                self.user.fault()
+
+    def soon(self) -> None:
+        """Send what there is once all of this turn has been heard."""
+        if self.flushing is None and not self.gone:
+            self.flushing = self.loop.call_soon(self.flush)
+
+    def flush(self) -> None:
+        self.flushing = None
+        if self.gone:
+            return
+        now = self.loop.time()
+        transport = self.endpoint.transport
+        for data, to in self.quic.datagrams_to_send(now):
+            if transport is not None and not transport.is_closing():
+                transport.sendto(data, to)
+        at = self.quic.get_timer()
+        if at != self.timer_at:
+            if self.timer is not None:
+                self.timer.cancel()
+            self.timer_at = at
+            self.timer = self.loop.call_at(max(at, now), self.tick) if at is not None else None
+        self.user.sent()
+
+    def tick(self) -> None:
+        self.timer = self.timer_at = None
+        self.quic.handle_timer(self.loop.time())
+        self.process()
+
+    def drop(self) -> None:
+        """The connection is over; nothing more is sent."""
+        if self.gone:
+            return
+        self.gone = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.endpoint.forget(self)
+        self.user.lost()
+
+    def close(self, code: int, why: str = "") -> None:
+        """Tell the client that it is over, once."""
+        if self.gone:
+            return
+        self.quic.close(error_code=code, reason_phrase=why)
+        self.flush()
+        self.drop()
+
+
+class User:
+    """Whoever speaks over a connection."""
+
+    resting = True  # nothing is in work on it
+
+    def heard(self, event: QuicEvent) -> None: ...
+
+    def sent(self) -> None:
+        """What could be sent has been."""
+
+    def check_time(self, now: float) -> None:
+        """Called now and then. `now`: loop time."""
+
+    def fault(self) -> None:
+        """What was heard could not be handled, for a fault of ours."""
+
+    def lost(self) -> None:
+        """The connection is over."""
+
+
+class Endpoint(asyncio.DatagramProtocol):
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        user: Callable[[Link], User],
+        choose: Callable[[str | None], Shown],
+        *,
+        limit: int,
+        streams: int,
+        idle_s: float,
+        tickets: Tickets | None = None,
+    ) -> None:
+        """`tickets`: where clients may resume, with early data; None: they may not."""
+        self.tickets = tickets
+        self.loop, self.user, self.choose = loop, user, choose
+        self.limit, self.streams, self.idle_s = limit, streams, idle_s
+        self.reset_key = choose(None).reset_key()
+        self.retry = QuicRetryTokenHandler()
+        self.resets = Budget(RESETS, RESETS)
+        self.by_id: dict[bytes, Link] = {}
+        self.links: dict[Link, None] = {}  # oldest first
+        self.half_open: dict[Link, None] = {}
+        self.transport: asyncio.DatagramTransport | None = None
+        self.ending = False
+
+    async def start(self, listen: Address) -> Address:
+        host, port = listen
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_DGRAM)
+        try:
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                sock.setsockopt(socket.SOL_SOCKET, option, BUFFER)
+            sock.setblocking(False)
+            sock.bind((host, port))
+            await self.loop.create_datagram_endpoint(lambda: self, sock=sock)
+        except BaseException:
+            sock.close()
+            raise
+        bound: Address = sock.getsockname()[:2]
+        return bound
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def error_received(self, exc: Exception) -> None:
+        """A client's port is closed, or its network is gone: its connection will find out by its timers."""
+
+    def datagram_received(self, data: bytes, addr: Sender) -> None:
+        try:
+            header = pull_quic_header(Buffer(data=data), host_cid_length=CID_LENGTH)
+        except ValueError:
+            return
+        link = self.by_id.get(header.destination_cid)
+        if link is None:
+            link = self.opening(header, data, addr)
+        if link is not None:
+            link.receive(data, addr)
+
+    # Packets of no connection
+
+    def send(self, data: bytes, to: Sender) -> None:
+        if self.transport is not None:
+            self.transport.sendto(data, to)
+
+    def opening(self, header: QuicHeader, data: bytes, addr: Sender) -> Link | None:
+        kind, version = header.packet_type, header.version
+        if kind is QuicPacketType.ONE_RTT:
+            self.disown(header.destination_cid, data, addr)
+            return None
+        if len(data) < SMALLEST_MAX_DATAGRAM_SIZE or kind is QuicPacketType.VERSION_NEGOTIATION:
+            return None
+        if version not in VERSIONS or version is None:
+            answer = encode_quic_version_negotiation(
+                source_cid=header.destination_cid,
+                destination_cid=header.source_cid,
+                supported_versions=[int(known) for known in VERSIONS],
+            )
+            self.send(answer, addr)
+            return None
+        if kind is not QuicPacketType.INITIAL:
+            return None
+        original, retried = header.destination_cid, None
+        if header.token:
+            try:
+                original = self.retry.validate_token(
+                    address=addr,
+                    destination_cid=header.destination_cid,
+                    token=header.token,
+                    now=self.loop.time(),
+                )
+            except ValueError:
+                pass  # of a gateway before this one, or forged: as good as none (RFC 9000 section 8.1.3)
+            else:
+                retried = header.destination_cid
+        resting = self.oldest_resting()
+        verdict = admit(
+            validated=retried is not None,
+            half_open=len(self.half_open),
+            held=len(self.links),
+            limit=self.limit,
+            resting=resting is not None,
+            ending=self.ending,
+        )
+        if verdict is Opening.RETRY:
+            self.ask_again(header, addr)
+            return None
+        if verdict is Opening.REFUSE:
+            self.send(refusal(version, header.destination_cid, header.source_cid), addr)
+            return None
+        if verdict is Opening.MAKE_ROOM and resting is not None:
+            resting.close(NO_ERROR)
+        return self.open(header.destination_cid, original, retried)
+
+    def oldest_resting(self) -> Link | None:
+        if len(self.links) < self.limit:
+            return None
+        return next((link for link in self.links if link.shaken and link.user.resting), None)
+
+    def ask_again(self, header: QuicHeader, addr: Sender) -> None:
+        source = os.urandom(CID_LENGTH)
+        token = self.retry.create_token(
+            address=addr,
+            original_destination_connection_id=header.destination_cid,
+            retry_source_connection_id=source,
+            now=self.loop.time(),
+        )
+        packet = encode_quic_retry(
+            version=cast(int, header.version),
+            source_cid=source,
+            destination_cid=header.source_cid,
+            original_destination_cid=header.destination_cid,
+            retry_token=token,
+        )
+        self.send(packet, addr)
+
+    def disown(self, connection_id: bytes, data: bytes, addr: Sender) -> None:
+        """Tell a client of a gateway before this one that its connection is no more."""
+        answer = stateless_reset(self.reset_key, connection_id, len(data))
+        if answer is not None and self.resets.take(self.loop.time()):
+            self.send(answer, addr)
+
+    def open(self, cid: bytes, original: bytes, retried: bytes | None) -> Link:
+        quic = Connection(
+            configuration=configuration(self.choose(None), self.idle_s),
+            original_destination_connection_id=original,
+            retry_source_connection_id=retried,
+            reset_key=self.reset_key,
+            streams=self.streams,
+            choose=self.choose,
+            tickets=self.tickets,
+        )
+        link = Link(self, quic)
+        self.links[link] = self.half_open[link] = None
+        self.name(link, cid)
+        self.name(link, quic.host_cid)
+        return link
+
+    # Connections
+
+    def name(self, link: Link, connection_id: bytes) -> None:
+        self.by_id[connection_id] = link
+        link.ids.add(connection_id)
+
+    def unname(self, link: Link, connection_id: bytes) -> None:
+        link.ids.discard(connection_id)
+        self.by_id.pop(connection_id, None)
+
+    def forget(self, link: Link) -> None:
+        for connection_id in link.ids:
+            self.by_id.pop(connection_id, None)
+        self.links.pop(link, None)
+        self.half_open.pop(link, None)
+
+    def sweep(self, now: float, handshake_s: float) -> None:
+        """Handshakes that stop half way are forgotten; everybody else looks at the time."""
+        for link in list(self.half_open):
+            if now - link.born > handshake_s:
+                link.drop()
+        for link in list(self.links):
+            link.user.check_time(now)
+
+    def close(self) -> None:
+        for link in list(self.links):
+            link.close(NO_ERROR)
+        if self.transport is not None:
+            self.transport.close()
+
+
+NO_ERROR = 0x100  # H3_NO_ERROR
+
+
+def address_of(quic: QuicConnection) -> str:
+    """The client's address as it is now: it may change while a connection lasts."""
+    peer = quic.get_peer_address()
+    return str(peer[0]) if peer else "unknown"
--- a/rosedeal/site/schema.py
+++ b/rosedeal/site/schema.py
@@ -196,6 +196,15 @@
     handshake_within: Duration = Duration(10_000_000)
 
 
+class Http3Table(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """The same over QUIC (UDP), with the certificates of [https]. Needs the extra `http3`."""
+
+    listen: Address
+    connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 256
+    streams: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 64  # requests at a time on a connection
+    early_data: Literal["never", "safe"] = "never"  # "safe": what may be repeated, in a client's first flight
+
+
 class CertificateTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """A chain and its key, PEM; for the names that the certificate says."""
 
@@ -270,6 +279,7 @@
     etcd: EtcdTable | None = None
     http: HttpTable | None = None
     https: HttpsTable | None = None
+    http3: Http3Table | None = None
     certificates: Annotated[list[CertificateTable], msgspec.Meta(max_length=256)] = msgspec.field(
         name="certificate", default_factory=list
     )
--- a/rosedeal/site/web.py
+++ b/rosedeal/site/web.py
@@ -13,7 +13,12 @@
     """What no single key shows: (path, what is wrong)."""
     found: list[tuple[str, str]] = []
     if site.http is None:
-        tables = (("route[0]", site.routes), ("pool[0]", site.pools), ("https", site.https is not None))
+        tables = (
+            ("route[0]", site.routes),
+            ("pool[0]", site.pools),
+            ("https", site.https is not None),
+            ("http3", site.http3 is not None),
+        )
         for key, there in tables:
             if there:
                 found.append((key, "means nothing without [http], the listener that follows routes"))
@@ -54,6 +59,8 @@
     found: list[tuple[str, str]] = []
     if site.https is not None and not site.certificates:
         found.append(("https", "shows no certificate: add a [[certificate]]"))
+    if site.http3 is not None and site.https is None:
+        found.append(("http3", "needs [https], whose certificates it shows"))
     if site.https is None and site.certificates:
         found.append(("certificate[0]", "means nothing without [https]"))
     if site.https is not None and site.http is not None and _same(site.https.listen, site.http.listen):
--- a/rosedeal/tls/store.py
+++ b/rosedeal/tls/store.py
@@ -9,7 +9,7 @@
 import ssl
 import stat
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from cryptography import x509
@@ -39,6 +39,8 @@
     context: ssl.SSLContext
     names: tuple[str, ...]
     ends_at: float  # Unix time
+    chain_pem: bytes = field(default=b"", repr=False)
+    key_pem: bytes = field(default=b"", repr=False)
 
 
 class Certificates:
@@ -99,13 +101,15 @@
         mode = pair.key.stat().st_mode
         if mode & (stat.S_IRGRP | stat.S_IROTH | stat.S_IWGRP | stat.S_IWOTH):
             raise ConfigError(f"the key {pair.key} can be read by others: chmod 600 it")
-        certificate = x509.load_pem_x509_certificate(pair.certificate.read_bytes())
+        chain, key = pair.certificate.read_bytes(), pair.key.read_bytes()
+        certificate = x509.load_pem_x509_certificate(chain)
         context.load_cert_chain(pair.certificate, pair.key, password=_no_password)
     except (OSError, ssl.SSLError, ValueError) as error:
         if isinstance(error, ConfigError):
             raise
         raise ConfigError(f"the certificate {pair.certificate} or its key cannot be used: {error}") from None
-    return Loaded(context, _names(certificate), certificate.not_valid_after_utc.timestamp())
+    ends_at = certificate.not_valid_after_utc.timestamp()
+    return Loaded(context, _names(certificate), ends_at, chain, key)
 
 
 def _no_password() -> str:
