Share what a try at a box is between host transports, and give it a head that is not lines

HTTP/3 to boxes needs the same books, times and holding of uploads, and a head without HTTP/1.1's framing. Tried (ordinary/turn.py) now holds what BoxExchange had of that; ForBox is a request's head as data, which HTTP/1.1 renders. No behaviour changes.

--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
@@ -56,6 +56,13 @@
     return Outcome.ERROR
 
 
+class Carrier(Protocol):
+    """What an exchange is out on."""
+
+    def abort(self) -> None:
+        """It is not wanted any more: end it in a way that the host can tell."""
+
+
 class Exchange:
     """One request to one host."""
 
@@ -64,7 +71,7 @@
     def __init__(self, payload: bytes, ended: Ended) -> None:
         self.payload = payload
         self._ended = ended
-        self.connection: PooledConnection | None = None
+        self.connection: Carrier | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # the last byte has left the process: from here on it may have run
         self.done = False
--- a/rosedeal/ordinary/heads.py
+++ b/rosedeal/ordinary/heads.py
@@ -191,7 +191,35 @@
     return any(ip in network for network in networks)
 
 
-def request_lines(
+@dataclass(frozen=True, slots=True)
+class ForBox:
+    """A request's head as a box is to hear it, whatever it is carried by."""
+
+    method: bytes
+    target: bytes
+    host: bytes
+    fields: Headers  # in lower case; none that frames the message
+    length: int | None  # of the body; None: its end will tell
+    says_length: bool  # a length of 0 is said too
+    upgrade: bool = False
+    takes_trailers: bool = False
+
+    def lines(self) -> bytes:
+        """As HTTP/1.1, without the final empty line."""
+        lines = [b"%b %b HTTP/1.1" % (self.method, self.target), b"Host: " + self.host]
+        lines += [b"%b: %b" % each for each in self.fields]
+        if self.length is None:
+            lines.append(b"transfer-encoding: chunked")
+        elif self.says_length:
+            lines.append(b"content-length: %d" % self.length)
+        if self.upgrade:
+            lines.append(b"connection: Upgrade\r\nupgrade: websocket")
+        elif self.length is None and self.takes_trailers:
+            lines.append(b"connection: TE\r\nte: trailers")
+        return b"\r\n".join(lines) + b"\r\n"
+
+
+def request_for_box(
     head: RequestHead,
     path: bytes,
     query: bytes,
@@ -199,13 +227,10 @@
     peer: Peer,
     number: bytes,
     tenant: bytes = b"",
-) -> bytes:
-    """The head for a box, without the final empty line.
-
-    `host`: as the client named it; `number`: the id; `tenant`: the route's word, which nobody else can say.
-    """
+) -> ForBox:
+    """`host`: as the client named it; `number`: the id; `tenant`: the route's, which nobody else can say."""
     listed = connection_list(head.by_name) - KEPT
-    lines = [b"%b %b%b HTTP/1.1" % (head.method, path, query), b"Host: " + host]
+    fields: Headers = []
     cookies = []
     for name, value in head.headers:
         if name in HOP or name in OWN or name in listed:
@@ -219,27 +244,30 @@
         if name == b"cookie":
             cookies.append(value)  # one field for the box (RFC 6265 section 5.4)
             continue
-        lines.append(b"%b: %b" % (name, value))
+        fields.append((name, value))
     if cookies:
-        lines.append(b"cookie: " + b"; ".join(cookies))
+        fields.append((b"cookie", b"; ".join(cookies)))
     if tenant:
-        lines.append(b"tenant: " + tenant)
-    lines += _forwarded(head, host, peer)
+        fields.append((b"tenant", tenant))
+    fields += _forwarded(head, host, peer)
     via = head.by_name.get(b"via")
-    lines.append(b"via: %b%b %b" % (via + b", " if via else b"", head.version.encode(), NAME))
-    lines.append(b"x-request-id: " + number)
-    if head.length is None:
-        lines.append(b"transfer-encoding: chunked")
-    elif head.length or b"content-length" in head.by_name or head.method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"content-length: %d" % head.length)
-    if head.upgrade:
-        lines.append(b"connection: Upgrade\r\nupgrade: websocket")
-    elif head.length is None and b"trailers" in head.by_name.get(b"te", b"").lower():
-        lines.append(b"connection: TE\r\nte: trailers")
-    return b"\r\n".join(lines) + b"\r\n"
-
-
-def _forwarded(head: RequestHead, host: bytes, peer: Peer) -> list[bytes]:
+    via_before = via + b", " if via else b""
+    fields.append((b"via", b"%b%b %b" % (via_before, head.version.encode(), NAME)))
+    fields.append((b"x-request-id", number))
+    says_length = b"content-length" in head.by_name or head.method in (b"POST", b"PUT", b"PATCH")
+    return ForBox(
+        head.method,
+        path + query,
+        host,
+        fields,
+        head.length,
+        bool(head.length) or says_length,
+        head.upgrade,
+        b"trailers" in head.by_name.get(b"te", b"").lower(),
+    )
+
+
+def _forwarded(head: RequestHead, host: bytes, peer: Peer) -> Headers:
     named = head.by_name if peer.trusted else {}
     address = peer.address.encode()
     node = b'"[%b]"' % address if b":" in address else address
@@ -248,17 +276,17 @@
         element += b";host=%b" % (b'"%b"' % host if b":" in host else host)
     before = named.get(b"forwarded")
     chain = named.get(b"x-forwarded-for")
-    lines = [
-        b"forwarded: " + (before + b", " + element if before else element),
-        b"x-forwarded-for: " + (chain + b", " + address if chain else address),
+    fields = [
+        (b"forwarded", before + b", " + element if before else element),
+        (b"x-forwarded-for", chain + b", " + address if chain else address),
     ]
     if peer.certificate is not None and b"client-cert" not in named:
-        lines.append(b"client-cert: :%b:" % base64.b64encode(peer.certificate))  # RFC 9440 section 2.2
+        fields.append((b"client-cert", b":%b:" % base64.b64encode(peer.certificate)))  # RFC 9440 section 2.2
     if b"x-forwarded-proto" not in named:
-        lines.append(b"x-forwarded-proto: " + peer.scheme)
+        fields.append((b"x-forwarded-proto", peer.scheme))
     if b"x-forwarded-host" not in named and host:
-        lines.append(b"x-forwarded-host: " + host)
-    return lines
+        fields.append((b"x-forwarded-host", host))
+    return fields
 
 
 def request_id(head: RequestHead, made: bytes) -> bytes:
--- a/rosedeal/ordinary/turn.py
+++ b/rosedeal/ordinary/turn.py
@@ -10,15 +10,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 from rosedeal.gateway.proxy import Books, Request, plain
-from rosedeal.gateway.streams import Download, DownloadSource, Upload
+from rosedeal.gateway.streams import AnswerHead, Download, DownloadSource, Headers, Upload
 from rosedeal.gateway.upstream import Answer, Exchange, Upstream
-from rosedeal.ordinary.heads import Peer, RequestHead, request_lines
+from rosedeal.interface import Outcome
+from rosedeal.ordinary.heads import ForBox, Peer, RequestHead, request_for_box
 
 if TYPE_CHECKING:
     from rosedeal.ordinary.ways import Way, Ways
@@ -26,6 +28,8 @@
 log = logging.getLogger(__name__)
 
 NOBODY = Peer("")
+EXPECT_S = 1.0  # for a box to say 100; some never do (RFC 9110 section 10.1.1), and the client is told anyway
+NO_BODY = (204, 304)
 
 
 class Client(Download, Protocol):
@@ -43,7 +47,7 @@
 class Wanted:
     """What an exchange with a box is for."""
 
-    head: bytes  # lines for the box, without the final empty one
+    head: ForBox
     upload: Upload
     download: Download
     is_head: bool  # the method is HEAD: the answer has no body
@@ -54,12 +58,124 @@
 
 
 class Tried(Exchange):
-    """One try of a request at a box, as a stream."""
+    """One try of a request at a box, as a stream; what carries it says how.
 
-    def check_time(self, now: float, between_s: float, answer_s: float) -> None:
-        """Give it up if the box says or takes nothing for too long."""
+    What an outcome says of a box that may have run the request: nothing of it has left this process, never
+    ran. Else it may have, whatever became of the rest. Once the head of an answer is passed on the outcome is
+    that of the stream: whole, broken off by the box, or no longer wanted by the client.
+    """
+
+    __slots__ = (
+        "began_at",
+        "begun",
+        "books",
+        "expecting",
+        "last_at",
+        "last_try",
+        "loop",
+        "paused",
+        "stuck",
+        "wanted",
+        "whole",
+    )
+
+    def __init__(self, wanted: Wanted, books: Books, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(b"", books.ended)
+        self.wanted, self.books, self.loop = wanted, books, loop
+        self.begun = False  # the answer's head is passed on
+        self.whole = False  # and so is its end
+        self.paused = False  # by the client, which takes no more
+        self.last_try = False  # the request's body is not held any more
+        self.stuck = False  # the box takes no more of it
+        self.began_at = self.last_at = loop.time()  # last: when the box last said or took something
+        self.expecting: asyncio.TimerHandle | None = None  # the box has yet to say that it wants the body
+
+    # What carries it
+
+    def more(self, data: bytes) -> None:
+        """Of the request's body, or of a tunnel."""
+        raise NotImplementedError
+
+    def no_more(self, fields: Headers) -> None:
+        """The request's body is whole."""
         raise NotImplementedError
 
+    def flow(self, on: bool) -> None:
+        """The client takes no more of the answer, or takes it again."""
+        raise NotImplementedError
+
+    def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
+        if self.done:
+            return
+        self.wanted.upload.detach(self)
+        self.expect_no_more()
+        cut = self.begun and not self.whole
+        super().end(outcome, answer)
+        if cut:
+            self.wanted.download.broke()
+
+    def check_time(self, now: float, between_s: float, answer_s: float) -> None:
+        """The box says or takes nothing for too long, where the decisions' own time is over."""
+        if self.done or not (self.begun or self.last_try):
+            return
+        quiet_s, upload = now - self.last_at, self.wanted.upload
+        if self.begun:
+            late = not self.paused and quiet_s > between_s
+        elif upload.complete:
+            late = quiet_s > answer_s
+        else:
+            late = self.stuck and quiet_s > between_s
+        if late:
+            self.give_up(Outcome.TIMEOUT)
+
+    # The request's body
+
+    def expect(self) -> None:
+        """Nothing of the body goes to the box before it says 100, or has had its time for that."""
+        self.wanted.upload.waits = True
+        self.expecting = self.loop.call_later(EXPECT_S, self.go_on)
+
+    def expect_no_more(self) -> None:
+        if self.expecting is not None:
+            self.expecting.cancel()
+            self.expecting = None
+
+    def go_on(self) -> None:
+        """The client is told to send: to this box, and to no other after it."""
+        if self.expecting is None or self.done or self.begun:
+            return
+        self.expect_no_more()
+        self.committed()
+        self.wanted.upload.release()
+        self.wanted.download.go_on()
+
+    def committed(self) -> None:
+        """What has come is held no more: the time to the answer counts from the request's end."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.last_try = True
+        self.books.committed()
+
+    # The answer
+
+    def begin(self, head: AnswerHead) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.begun = True
+        self.last_at = self.loop.time()
+        self.books.began(head.status, self.last_at - self.began_at)
+        self.wanted.download.begin(head, self)
+
+    def client_left(self) -> None:
+        self.whole = True  # nobody is to be told of a break
+        self.give_up(Outcome.CANCELLED)
+
+
+def outcome_of(status: int, headers: Headers, failing: Callable[[int], bool]) -> Outcome:
+    if status in (503, 504) and (b"not-started", b"1") in headers:
+        return Outcome.FULL
+    return Outcome.ERROR if failing(status) else Outcome.OK
+
 
 class Carry(Protocol):
     """Has a request carried to a host, which has so many seconds to begin its answer."""
@@ -111,9 +227,9 @@
     def launch(self, upstream: Upstream, server: int, timeout_s: float, books: Books) -> Exchange:
         way, ways, client = self.way, self.ways, self.client
         assert way is not None and ways is not None and client is not None
-        lines = request_lines(self, way.path, way.query, way.host, self.peer, self.number, way.tenant[1])
+        head = request_for_box(self, way.path, way.query, way.host, self.peer, self.number, way.tenant[1])
         wanted = Wanted(
-            head=lines,
+            head=head,
             upload=self.upload,
             download=client,
             is_head=self.method == b"HEAD",
--- a/rosedeal/web/back.py
+++ b/rosedeal/web/back.py
@@ -1,21 +1,15 @@
 """HTTP/1.1 to boxes as streams: one exchange at a time on a connection, each with exactly one outcome.
 
-What an outcome says of a box that may have run the request:
-
-- Nothing of it has left this process: never ran. Else it may have, whatever became of the rest.
-- Once the head of an answer is passed on the outcome is that of the stream: whole, broken off by the box, or
-  no longer wanted by the client.
-- An answer that counts as the box's failure is held, up to HOLD bytes, so that another box may be asked; a
-  longer one is passed on as it comes, and counts as a failure all the same.
+What an outcome says of what may have run stands at `Tried`. An answer that counts as the box's failure is
+held, up to HOLD bytes, so that another box may be asked; a longer one is passed on as it comes, and counts as
+a failure all the same.
 """
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import os
 import socket
-from collections.abc import Callable
 
 import httptools
 
@@ -32,99 +26,21 @@
 )
 from rosedeal.interface import Outcome
 from rosedeal.ordinary.heads import BadHead, answer_headers, trailers
-from rosedeal.ordinary.turn import Tried, Wanted
+from rosedeal.ordinary.turn import NO_BODY, Tried, Wanted, outcome_of
 
 BUFFER = 64 * 1024  # bytes written to a box and not yet sent, beyond which the client is not read
-EXPECT_S = 1.0  # for a box to say 100; some never do (RFC 9110 section 10.1.1), and the client is told anyway
 LAST_READ = 256 * 1024  # bytes read of what stands in a broken connection
-NO_BODY = (204, 304)
 
 
 class BoxExchange(Tried):
-    """One try of a request at a box."""
-
-    __slots__ = (
-        "began_at",
-        "begun",
-        "books",
-        "expecting",
-        "last_at",
-        "last_try",
-        "loop",
-        "paused",
-        "stuck",
-        "wanted",
-        "whole",
-    )
-
-    def __init__(self, wanted: Wanted, books: Books, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(wanted.head, books.ended)
-        self.wanted, self.books, self.loop = wanted, books, loop
-        self.begun = False  # the answer's head is passed on
-        self.whole = False  # and so is its end
-        self.paused = False  # by the client, which takes no more
-        self.last_try = False  # the request's body is not held any more
-        self.stuck = False  # the box takes no more of it
-        self.began_at = self.last_at = loop.time()  # last: when the box last said or took something
-
-        self.expecting: asyncio.TimerHandle | None = None  # the box has yet to say that it wants the body
+    """One try of a request, over HTTP/1.1."""
+
+    __slots__ = ()
 
     @property
     def box(self) -> BoxConnection | None:
         return self.connection if isinstance(self.connection, BoxConnection) else None
 
-    def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
-        if self.done:
-            return
-        self.wanted.upload.detach(self)
-        self.expect_no_more()
-        cut = self.begun and not self.whole
-        super().end(outcome, answer)
-        if cut:
-            self.wanted.download.broke()
-
-    def check_time(self, now: float, between_s: float, answer_s: float) -> None:
-        """The box says or takes nothing for too long, where the decisions' own time is over."""
-        if self.done or not (self.begun or self.last_try):
-            return
-        quiet_s, upload = now - self.last_at, self.wanted.upload
-        if self.begun:
-            late = not self.paused and quiet_s > between_s
-        elif upload.complete:
-            late = quiet_s > answer_s
-        else:
-            late = self.stuck and quiet_s > between_s
-        if late:
-            self.give_up(Outcome.TIMEOUT)
-
-    # The request's body
-
-    def expect(self) -> None:
-        """Nothing of the body goes to the box before it says 100, or has had its time for that."""
-        self.wanted.upload.waits = True
-        self.expecting = self.loop.call_later(EXPECT_S, self.go_on)
-
-    def expect_no_more(self) -> None:
-        if self.expecting is not None:
-            self.expecting.cancel()
-            self.expecting = None
-
-    def go_on(self) -> None:
-        """The client is told to send: to this box, and to no other after it."""
-        if self.expecting is None or self.done or self.begun:
-            return
-        self.expect_no_more()
-        self.committed()
-        self.wanted.upload.release()
-        self.wanted.download.go_on()
-
-    def committed(self) -> None:
-        """What has come is held no more: the time to the answer counts from the request's end."""
-        if self.timer is not None:
-            self.timer.cancel()
-        self.last_try = True
-        self.books.committed()
-
     def more(self, data: bytes) -> None:
         box = self.box
         if box is not None:
@@ -137,16 +53,6 @@
             box.send(last_chunk(fields))
         self.began_at = self.last_at = self.loop.time()
 
-    # The answer
-
-    def begin(self, head: AnswerHead) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-        self.begun = True
-        self.last_at = self.loop.time()
-        self.books.began(head.status, self.last_at - self.began_at)
-        self.wanted.download.begin(head, self)
-
     def flow(self, on: bool) -> None:
         self.paused = not on
         self.last_at = self.loop.time()
@@ -154,10 +60,6 @@
         if box is not None and box.transport is not None and not box.transport.is_closing():
             (box.transport.resume_reading if on else box.transport.pause_reading)()
 
-    def client_left(self) -> None:
-        self.whole = True  # nobody is to be told of a break
-        self.give_up(Outcome.CANCELLED)
-
 
 def carry(upstream: Upstream, server: int, timeout_s: float, wanted: Wanted, books: Books) -> BoxExchange:
     exchange = BoxExchange(wanted, books, upstream.loop)
@@ -199,7 +101,7 @@
         expects = wanted.expects and not wanted.upload.size and not wanted.upload.complete
         if expects:
             exchange.expect()
-        payload = exchange.payload + (b"expect: 100-continue\r\n\r\n" if expects else b"\r\n") + held
+        payload = wanted.head.lines() + (b"expect: 100-continue\r\n\r\n" if expects else b"\r\n") + held
         exchange.began_at = exchange.last_at = exchange.loop.time()
         exchange.written = True
         transport.write(payload)
@@ -421,11 +323,5 @@
             exchange.end(outcome, answer)
 
 
-def outcome_of(status: int, headers: Headers, failing: Callable[[int], bool]) -> Outcome:
-    if status in (503, 504) and (b"not-started", b"1") in headers:
-        return Outcome.FULL
-    return Outcome.ERROR if failing(status) else Outcome.OK
-
-
 def last_chunk(fields: Headers) -> bytes:
     return b"0\r\n" + b"".join(b"%b: %b\r\n" % field for field in fields) + b"\r\n"
--- a/tests/web/test_checks.py
+++ b/tests/web/test_checks.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from rosedeal.gateway.streams import Headers
-from rosedeal.ordinary.heads import BadHead, Peer, RequestHead, answer_headers, request_lines, trailers
+from rosedeal.ordinary.heads import BadHead, Peer, RequestHead, answer_headers, request_for_box, trailers
 from tests.sockets import run
 from tests.web.harness import Site, request, site
 
@@ -190,7 +190,7 @@
 
 def sent(headers: Headers, peer: Peer = PEER, method: bytes = b"GET") -> list[tuple[bytes, bytes]]:
     head = read_head(method, [(b"Host", b"a"), *headers])
-    lines = request_lines(head, b"/", b"", b"a", peer, b"id")
+    lines = request_for_box(head, b"/", b"", b"a", peer, b"id").lines()
     return [
         (name, value) for name, _, value in (line.partition(b": ") for line in lines.split(b"\r\n")[1:-1])
     ]
@@ -264,7 +264,8 @@
         head = read_head(method, [(b"Host", b"a"), *headers])
     except BadHead:
         return
-    lines = request_lines(head, b"/p", b"?q", b"a", Peer("::1", trusted=trusted), b"id") + b"\r\n"
+    peer = Peer("::1", trusted=trusted)
+    lines = request_for_box(head, b"/p", b"?q", b"a", peer, b"id").lines() + b"\r\n"
     strict = h11.Connection(h11.SERVER)
     body = b"" if not head.length else b"x" * min(head.length, 50)
     strict.receive_data(lines + (b"1\r\nx\r\n0\r\n\r\n" if head.length is None else body))
