Speak HTTP/3 to boxes: many tries on few connections, each with one outcome

Tourney boxes are to be reached over HTTP/3 (protocol = "h3" of a box or of its roster entry, fleet.http3). Carrier3 hands tries at such boxes to h3/back.py: connections by host, the box's own limit on streams, cancel by reset, GOAWAY, stateless resets (the library looks for neither), certificates by the pool's authority.

--- a/rosedeal/cli/h3.py
+++ b/rosedeal/cli/h3.py
@@ -8,6 +8,8 @@
 from rosedeal.cli.setup import Setup
 from rosedeal.cli.tls import ClientTls
 from rosedeal.gateway.config import ConfigError
+from rosedeal.ordinary.turn import Carry
+from rosedeal.web.back import carry
 from rosedeal.web.room import WebRoom
 
 if TYPE_CHECKING:
@@ -17,13 +19,26 @@
     from rosedeal.tls.store import Certificates, Loaded
 
 
+def _missing(what: str, error: ModuleNotFoundError) -> ConfigError:
+    why = f"{error.name} is missing: pip install 'badgergap[http3]'"
+    return ConfigError(f"{what} needs its extra, {why}")
+
+
+def boxes_over_http3() -> Carry:
+    """What carries requests to boxes, where some of them may speak HTTP/3. Raises ConfigError."""
+    try:
+        from rosedeal.h3.back import Carrier3
+    except ModuleNotFoundError as error:
+        raise _missing("fleet.http3", error) from None
+    return Carrier3(carry)
+
+
 def http3_room(setup: Setup, web: WebRoom, tls: ClientTls) -> Http3Room:
     """Raises ConfigError."""
     try:
         from rosedeal.h3.room import Http3Plan, Http3Room
     except ModuleNotFoundError as error:
-        why = f"{error.name} is missing: pip install 'badgergap[http3]'"
-        raise ConfigError(f"[http3] needs its extra, {why}") from None
+        raise _missing("[http3]", error) from None
 
     def read() -> Http3Plan | None:
         table = setup.site.http3
--- a/rosedeal/cli/tls.py
+++ b/rosedeal/cli/tls.py
@@ -64,6 +64,7 @@
         """`read` gives the authority's file and the name that certificates must have. Raises ConfigError."""
         self.read = read
         self.context: ssl.SSLContext = _store().box_context(read()[0])
+        self.authority = read()[0].read_bytes()
         self.proxy: Proxy | None = None
 
     def join(self, proxy: Proxy) -> None:
@@ -74,6 +75,7 @@
         assert self.proxy is not None
         self.proxy.upstream.tls = self.context
         self.proxy.upstream.tls_name = self.read()[1]
+        self.proxy.upstream.authority = self.authority
 
     async def start(self) -> None:
         """Connections are made as they are needed."""
@@ -82,7 +84,8 @@
         """The authority anew, for connections to come."""
         try:
             self.context = _store().box_context(self.read()[0])
-        except ConfigError as error:
+            self.authority = self.read()[0].read_bytes()
+        except (ConfigError, OSError) as error:
             log.error("boxes are believed by the old authority: %s", error)
         self._set()
 
--- a/rosedeal/cli/web.py
+++ b/rosedeal/cli/web.py
@@ -62,6 +62,10 @@
         return to_plan(site, config), plans
 
     context = (lambda: tls.certificates.base) if tls is not None else None
+    if setup.site.fleet.http3:
+        from rosedeal.cli.h3 import boxes_over_http3
+
+        return WebRoom(read, observer, context, boxes_over_http3()), tls
     return WebRoom(read, observer, context), tls
 
 
--- a/rosedeal/etcd/values.py
+++ b/rosedeal/etcd/values.py
@@ -103,7 +103,10 @@
         kind=places.kind(_text(fields, "type")),
         started_us=int(since_ms) * 1000,
     )
-    return Entry(server, address, name)
+    protocol = _text(fields, "protocol")
+    if protocol not in ("", "http/1.1", "h3"):
+        raise ValueProblem("protocol is none of http/1.1, h3")
+    return Entry(server, address, name, "" if protocol == "http/1.1" else protocol)
 
 
 def _address(text: Any) -> Address:
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -542,7 +542,8 @@
         if news.kind in (ListKind.FULL, ListKind.DISK):
             self.upstream.drain_others(entry.server.server for entry in news.entries)
         for entry in news.entries:
-            self.upstream.list_host(entry.server.server, entry.address, entry.server.status)
+            server = entry.server
+            self.upstream.list_host(server.server, entry.address, server.status, entry.protocol)
         self.feed(news.event())
 
     def tell_peers(self, action: TellPeers) -> None:
--- a/rosedeal/gateway/sources.py
+++ b/rosedeal/gateway/sources.py
@@ -22,6 +22,7 @@
     server: ListedServer
     address: Address
     name: str
+    protocol: str = ""  # in which it is spoken to; "" is HTTP/1.1
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -271,6 +271,7 @@
 @dataclass(slots=True, eq=False)
 class Host:
     address: Address
+    protocol: str = ""  # in which it is spoken to; "" is HTTP/1.1
     stop_at: float | None = None  # loop time from which nothing new may be written, once it drains or is gone
     idle: list[PooledConnection] = field(default_factory=list)  # the one used last comes last
 
@@ -294,18 +295,20 @@
         self.drain_grace_s = drain_grace_us / 1e6
         self.tls: ssl.SSLContext | None = None  # to all hosts; a certificate that does not fit: no connection
         self.tls_name: str | None = None  # whom certificates must name; None: the address
+        self.authority: bytes | None = None  # PEM, for transports with a TLS of their own
+        self.on_close: list[Callable[[], None]] = []  # of what carries exchanges without a connection here
         self.hosts: dict[HostId, Host] = {}
         self.connections: set[PooledConnection] = set()
 
     # Hosts
 
-    def list_host(self, number: HostId, address: Address, status: ServerStatus) -> None:
-        host = self.hosts.setdefault(number, Host(address))
-        if host.address != address:
+    def list_host(self, number: HostId, address: Address, status: ServerStatus, protocol: str = "") -> None:
+        host = self.hosts.setdefault(number, Host(address, protocol))
+        if host.address != address or host.protocol != protocol:
             # Another machine. Guards against a connection to the one before that is busy now and rests later.
             self.close_idle(number)
             host.stop_at = self.loop.time()
-            host = self.hosts[number] = Host(address)
+            host = self.hosts[number] = Host(address, protocol)
         if status is ServerStatus.READY:
             host.stop_at = None
         else:
@@ -421,5 +424,7 @@
                 del self.hosts[number]
 
     def close(self) -> None:
+        for end in self.on_close:
+            end()
         for connection in list(self.connections):
             connection.abort()
--- a/rosedeal/h3/library.py
+++ b/rosedeal/h3/library.py
@@ -22,19 +22,21 @@
 from typing import Any
 
 import pylsqpack
-from aioquic._buffer import Buffer
+from aioquic._buffer import Buffer, BufferReadError
 from aioquic.buffer import encode_uint_var
 from aioquic.h3.connection import (
     ErrorCode,
+    FrameError,
     FrameType,
     H3Connection,
     MessageError,
     Setting,
+    StreamType,
     encode_frame,
 )
 from aioquic.h3.events import H3Event
 from aioquic.quic.configuration import SMALLEST_MAX_DATAGRAM_SIZE, QuicConfiguration
-from aioquic.quic.connection import QuicConnection, QuicConnectionId, QuicConnectionState
+from aioquic.quic.connection import QuicConnection, QuicConnectionId
 from aioquic.quic.crypto import CryptoPair
 from aioquic.quic.events import StreamDataReceived
 from aioquic.quic.packet import QuicErrorCode, QuicFrameType, QuicPacketType
@@ -57,11 +59,6 @@
 TOKEN_SIZE = 16
 LEAST_RESET = 21  # bytes of a stateless reset; shorter ones cannot pass for a packet (RFC 9000 section 10.3)
 BLOCK_LIMIT = HEAD_LIMIT  # bytes of a header block as it comes
-END_STATES = (
-    QuicConnectionState.CLOSING,
-    QuicConnectionState.DRAINING,
-    QuicConnectionState.TERMINATED,
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +130,51 @@
     )
 
 
+class Paced(QuicConnection):
+    """A connection whose windows follow what is passed on.
+
+    `may_widen`: whether a stream's window may grow; None: the whole's.
+    """
+
+    may_widen: Callable[[int | None], bool] = staticmethod(lambda stream: True)
+
+    def _write_connection_limits(self, builder: QuicPacketBuilder, space: Any) -> None:
+        limit = self._local_max_data
+        if limit.value - limit.used < CONNECTION_WINDOW // 2 and self.may_widen(None):
+            limit.value = limit.used + CONNECTION_WINDOW
+        used, limit.used = limit.used, 0  # it would double the window once half is used, whoever takes it
+        try:
+            super()._write_connection_limits(builder, space)
+        finally:
+            limit.used = used
+
+    def _write_stream_limits(self, builder: QuicPacketBuilder, space: Any, stream: Any) -> None:
+        receiver = stream.receiver
+        if stream.max_stream_data_local and not receiver.is_finished:
+            left = stream.max_stream_data_local - receiver.highest_offset
+            if left < WINDOW // 2 and self.may_widen(stream.stream_id):
+                stream.max_stream_data_local = receiver.highest_offset + WINDOW
+        highest, receiver.highest_offset = receiver.highest_offset, 0  # for the same reason
+        try:
+            super()._write_stream_limits(builder, space, stream)
+        finally:
+            receiver.highest_offset = highest
+
+    def unsent(self, stream_id: int) -> int:
+        """Bytes of a stream that are kept because the client has not acknowledged them."""
+        stream = self._streams.get(stream_id)
+        if stream is None:
+            return 0
+        sender = stream.sender
+        return int(sender._buffer_stop - sender._buffer_start)
+
+    def stop(self, stream_id: int, code: int) -> None:
+        """Ask the client to send no more of a stream, if it may still do so."""
+        stream = self._streams.get(stream_id)
+        if stream is not None and not stream.receiver.is_finished:
+            self.stop_stream(stream_id, code)
+
+
 class Tickets:
     """Sessions that clients may resume, each once: a replayed first flight is refused (RFC 8446 section 8.1).
 
@@ -152,8 +194,8 @@
         return self.kept.pop(label, None)
 
 
-class Connection(QuicConnection):
-    """One connection from a client. `may_widen`: whether a stream's window may grow; None: the whole's."""
+class Connection(Paced):
+    """One connection from a client."""
 
     def __init__(
         self,
@@ -174,16 +216,11 @@
             retry_source_connection_id=retry_source_connection_id,
         )
         self.reset_key, self.choose = reset_key, choose
-        self.may_widen: Callable[[int | None], bool] = lambda stream: True
         first = self._host_cids[0]
         first.stateless_reset_token = reset_token(reset_key, first.cid)
         self._local_max_streams_bidi.value = self._local_max_streams_bidi.sent = streams
         self._local_max_streams_uni.value = self._local_max_streams_uni.sent = 8
 
-    @property
-    def ended(self) -> bool:
-        return self._state in END_STATES
-
     def _initialize(self, peer_cid: bytes) -> None:
         super()._initialize(peer_cid)
         context: Context = self.tls
@@ -211,42 +248,6 @@
             )
             self._host_cid_seq += 1
 
-    def _write_connection_limits(self, builder: QuicPacketBuilder, space: Any) -> None:
-        limit = self._local_max_data
-        if limit.value - limit.used < CONNECTION_WINDOW // 2 and self.may_widen(None):
-            limit.value = limit.used + CONNECTION_WINDOW
-        used, limit.used = limit.used, 0  # it would double the window once half is used, whoever takes it
-        try:
-            super()._write_connection_limits(builder, space)
-        finally:
-            limit.used = used
-
-    def _write_stream_limits(self, builder: QuicPacketBuilder, space: Any, stream: Any) -> None:
-        receiver = stream.receiver
-        if stream.max_stream_data_local and not receiver.is_finished:
-            left = stream.max_stream_data_local - receiver.highest_offset
-            if left < WINDOW // 2 and self.may_widen(stream.stream_id):
-                stream.max_stream_data_local = receiver.highest_offset + WINDOW
-        highest, receiver.highest_offset = receiver.highest_offset, 0  # for the same reason
-        try:
-            super()._write_stream_limits(builder, space, stream)
-        finally:
-            receiver.highest_offset = highest
-
-    def unsent(self, stream_id: int) -> int:
-        """Bytes of a stream that are kept because the client has not acknowledged them."""
-        stream = self._streams.get(stream_id)
-        if stream is None:
-            return 0
-        sender = stream.sender
-        return int(sender._buffer_stop - sender._buffer_start)
-
-    def stop(self, stream_id: int, code: int) -> None:
-        """Ask the client to send no more of a stream, if it may still do so."""
-        stream = self._streams.get(stream_id)
-        if stream is not None and not stream.receiver.is_finished:
-            self.stop_stream(stream_id, code)
-
 
 @dataclass
 class Malformed(H3Event):
@@ -256,7 +257,7 @@
 
 
 class Http(H3Connection):
-    def __init__(self, quic: Connection) -> None:
+    def __init__(self, quic: Paced) -> None:
         self.quic = quic
         super().__init__(quic)
 
@@ -303,3 +304,105 @@
         self.quic.send_stream_data(
             self._local_control_stream_id, encode_frame(FrameType.GOAWAY, encode_uint_var(stream_id))
         )
+
+
+# To boxes
+
+
+def client_configuration(authority: bytes, name: str, idle_s: float) -> QuicConfiguration:
+    """`authority`: PEM; `name`: whom the box's certificate must name."""
+    return QuicConfiguration(
+        is_client=True,
+        alpn_protocols=["h3"],
+        connection_id_length=CID_LENGTH,
+        idle_timeout=idle_s,
+        max_data=CONNECTION_WINDOW,
+        max_stream_data=WINDOW,
+        server_name=name,
+        cadata=authority,
+    )
+
+
+class ClientConnection(Paced):
+    """One connection to a box."""
+
+    @property
+    def streams_left(self) -> int:
+        """How many more streams the box lets us open."""
+        return self._remote_max_streams_bidi - self._local_next_stream_id_bidi // 4
+
+    def has_sent(self, stream_id: int) -> bool:
+        """Whether anything of a stream has left."""
+        stream = self._streams.get(stream_id)
+        return stream is None or stream.sender.highest_offset > 0
+
+    def is_stateless_reset(self, data: bytes) -> bool:
+        """RFC 9000 section 10.3.1; the library keeps the tokens and never looks for them."""
+        if len(data) < LEAST_RESET or data[0] & 0xC0 != 0x40:
+            return False
+        known = [self._peer_cid, *self._peer_cid_available]
+        token = data[-TOKEN_SIZE:]
+        return any(
+            each.stateless_reset_token and hmac.compare_digest(each.stateless_reset_token, token)
+            for each in known
+        )
+
+
+class ClientHttp(Http):
+    """`on_goaway` hears the first stream that the box does not take."""
+
+    def __init__(self, quic: ClientConnection, on_goaway: Callable[[int], None]) -> None:
+        self.on_goaway = on_goaway
+        self.goaways = Goaways()
+        super().__init__(quic)
+
+    def _check_content_length(self, stream: Any) -> None:
+        """Whoever reads the answer knows whether it has a body: the library does not know of HEAD and 304."""
+
+    def _receive_stream_data_uni(self, stream: Any, data: bytes, stream_ended: bool) -> list[H3Event]:
+        events = super()._receive_stream_data_uni(stream, data, stream_ended)
+        if stream.stream_type != StreamType.CONTROL:
+            return events
+        try:
+            self.goaways.feed(data)
+        except ValueError:
+            raise FrameError("no stream in a GOAWAY frame") from None
+        while self.goaways.found:
+            self.on_goaway(self.goaways.found.pop(0))
+        return events
+
+
+class Goaways:
+    """Finds GOAWAY frames (RFC 9114 section 7.2.6) in a control stream, whose others the library reads."""
+
+    def __init__(self) -> None:
+        self.found: list[int] = []
+        self.rest = b""
+        self.skip = 0
+        self.typed = False  # the stream's type is read
+
+    def feed(self, data: bytes) -> None:
+        """Raises ValueError for one that holds no stream."""
+        self.rest += data
+        while self.rest:
+            if self.skip:
+                gone = min(self.skip, len(self.rest))
+                self.rest, self.skip = self.rest[gone:], self.skip - gone
+                continue
+            buf = Buffer(data=self.rest)
+            try:
+                if not self.typed:
+                    buf.pull_uint_var()
+                    self.typed, self.rest = True, self.rest[buf.tell() :]
+                    continue
+                kind, size = buf.pull_uint_var(), buf.pull_uint_var()
+                if kind == FrameType.GOAWAY:
+                    if not 0 < size <= 8:
+                        raise ValueError
+                    payload = buf.pull_bytes(size)
+                    self.found.append(Buffer(data=payload).pull_uint_var())
+            except BufferReadError:
+                return  # the rest of it is to come
+            self.rest = self.rest[buf.tell() :]
+            if kind != FrameType.GOAWAY:
+                self.skip = size
--- a/rosedeal/site/schema.py
+++ b/rosedeal/site/schema.py
@@ -147,6 +147,7 @@
     certificate_name: Annotated[str, msgspec.Meta(min_length=1, max_length=255)] | None = (
         None  # None: their address
     )
+    http3: bool = False  # boxes may be spoken to over HTTP/3: those with `protocol = "h3"`
     at_once: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 1  # requests that a box works on at a time
 
 
@@ -167,6 +168,7 @@
     zone: Name | None = None
     kind: Name | None = None
     pool: Name | None = None  # None: the main one
+    protocol: Literal["http/1.1", "h3"] = "http/1.1"
     weight: Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)] = 1.0
 
 
--- a/rosedeal/site/source.py
+++ b/rosedeal/site/source.py
@@ -45,7 +45,9 @@
         zone = self.own_zone if box.zone is None else self.zones.setdefault(box.zone, len(self.zones))
         kind = 0 if box.kind is None else self.kinds.setdefault(box.kind, len(self.kinds))
         server = ListedServer(host_id(box.name), weight=box.weight, zone=zone, kind=kind)
-        return Entry(server, box.address.pair, str(box.name))
+        return Entry(
+            server, box.address.pair, str(box.name), "" if box.protocol == "http/1.1" else box.protocol
+        )
 
     def watch(self, on: bool) -> None:
         """Nothing to do: what the file says is told without being asked for."""
--- a/rosedeal/site/web.py
+++ b/rosedeal/site/web.py
@@ -18,6 +18,7 @@
             ("pool[0]", site.pools),
             ("https", site.https is not None),
             ("http3", site.http3 is not None),
+            ("fleet.http3", site.fleet.http3),
         )
         for key, there in tables:
             if there:
@@ -43,6 +44,14 @@
     for number, box in enumerate(site.boxes):
         if box.pool is not None and box.pool not in pools:
             found.append((f"box[{number}].pool", f'found "{box.pool}"; allowed: {_listed(pools)}'))
+    authorities = {MAIN: site.fleet.ca, **{str(pool.name): pool.ca for pool in site.pools}}
+    for number, box in enumerate(site.boxes):
+        if box.protocol == "h3" and not site.fleet.http3:
+            found.append((f"box[{number}].protocol", 'found "h3"; allowed only with fleet.http3 = true'))
+        elif box.protocol == "h3" and authorities.get(str(box.pool or MAIN)) is None:
+            found.append(
+                (f"box[{number}].protocol", "needs `ca`, of its pool or of [fleet]: this is always TLS")
+            )
     classes = {str(klass.name) for klass in site.classes}
     routes: list[Route] = []
     for number, table in enumerate(site.routes):
--- a/rosedeal/standins/h3.py
+++ b/rosedeal/standins/h3.py
@@ -1,31 +1,48 @@
-"""A client that speaks HTTP/3, with faults on command. Needs aioquic.
+"""A client and a box that speak HTTP/3, with faults on command. Needs aioquic.
 
 `rebind` goes on from another port, as behind a NAT that forgets; `credit = False` gives no more flow-control
 credit; `quiet = True` sends nothing more, as a phone out of reach; `raw` sends any bytes.
+
+The box serves /file?n=, /upload, /wait?ms= and /status/N, and keeps a ledger. `die` says no word, `revive`
+starts anew at the same port and knows of no connection, `forget` tells clients so; `silent` answers nothing,
+`reject` takes nothing (`leave` says so by GOAWAY), `fault` "cut" resets an answer in its midst, "short" ends
+it before its length.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import hashlib
+import json
+import os
 import ssl
+import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
+from urllib.parse import parse_qs
 
-from aioquic.h3.connection import H3Connection
+from aioquic.asyncio.protocol import QuicConnectionProtocol
+from aioquic.asyncio.server import QuicServer, serve
+from aioquic.buffer import encode_uint_var
+from aioquic.h3.connection import ErrorCode, FrameType, H3Connection, encode_frame
 from aioquic.h3.events import DataReceived, HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import (
     ConnectionTerminated,
     HandshakeCompleted,
+    ProtocolNegotiated,
     QuicEvent,
     StopSendingReceived,
     StreamReset,
 )
 from aioquic.tls import SessionTicket
 
+from rosedeal.standins.app import content
+
 Fields = list[tuple[bytes, bytes]]
 CANCELLED = 0x10C
 
@@ -309,3 +326,146 @@
             self.timer.cancel()
         for exchange in self.exchanges.values():
             exchange.end(Broken(None))
+
+
+@dataclass(slots=True)
+class Ran:
+    """A request as it came; `whole` once its body was read to the end. `at`: time.monotonic()."""
+
+    at: float
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytearray
+    whole: bool = False
+
+
+class Box3:
+    def __init__(self, certificate: tuple[Path, Path], name: str = "box", port: int = 0) -> None:
+        self.certificate, self.name, self.port = certificate, name, port
+        self.silent = self.reject = self.leave = False
+        self.fault = ""
+        self.runs: list[Ran] = []
+        self.server: QuicServer | None = None
+        self.connections: set[BoxEnd] = set()
+        self.opened = self.rejected = 0
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self) -> None:
+        config = QuicConfiguration(is_client=False, alpn_protocols=["h3"], idle_timeout=10.0)
+        config.load_cert_chain(*map(str, self.certificate))
+        self.server = await serve(
+            "127.0.0.1",
+            self.port,
+            configuration=config,
+            create_protocol=lambda quic, stream_handler=None: BoxEnd(quic, self),
+        )
+        assert self.server._transport is not None
+        self.port = self.server._transport.get_extra_info("sockname")[1]
+
+    def die(self) -> None:
+        server, self.server = self.server, None
+        if server is not None and server._transport is not None:
+            server._transport.abort()
+        for each in list(self.connections):
+            each.dead = True
+        self.connections.clear()
+
+    def forget(self) -> None:
+        """As a box that has started anew within the moment: it tells its clients by stateless resets."""
+        for each in list(self.connections):
+            each.dead = True
+            token = each._quic._host_cids[0].stateless_reset_token
+            packet = b"\x40" + os.urandom(24) + (token or b"")
+            if each._transport is not None:
+                each._transport.sendto(packet, each._quic._network_paths[0].addr)
+        self.connections.clear()
+
+    async def revive(self) -> None:
+        if self.server is None:
+            await self.start()
+
+
+class BoxEnd(QuicConnectionProtocol):
+    """The box's side of one connection."""
+
+    def __init__(self, quic: QuicConnection, box: Box3) -> None:
+        super().__init__(quic)
+        self.box = box
+        self.http: H3Connection | None = None
+        self.asked: dict[int, Ran] = {}
+        self.dead = False
+        self.tasks: set[asyncio.Task[None]] = set()
+        box.connections.add(self)
+        box.opened += 1
+
+    def quic_event_received(self, event: QuicEvent) -> None:
+        if isinstance(event, ProtocolNegotiated):
+            self.http = H3Connection(self._quic)
+        if self.http is None or self.dead:
+            return
+        for what in self.http.handle_event(event):
+            if isinstance(what, HeadersReceived) and what.stream_id not in self.asked:
+                self._begin(what)
+            if not isinstance(what, HeadersReceived) and not isinstance(what, DataReceived):
+                continue
+            run = self.asked.get(what.stream_id)
+            if run is not None:
+                if isinstance(what, DataReceived):
+                    run.body += what.data
+                if getattr(what, "stream_ended", False):
+                    run.whole = True
+                    task = asyncio.ensure_future(self._answer(int(getattr(what, "stream_id", 0)), run))
+                    self.tasks.add(task)
+                    task.add_done_callback(self.tasks.discard)
+
+    def _begin(self, what: HeadersReceived) -> None:
+        box = self.box
+        if box.reject or box.leave:
+            box.rejected += 1
+            if box.leave and self.http is not None and self.http._local_control_stream_id is not None:
+                frame = encode_frame(FrameType.GOAWAY, encode_uint_var(what.stream_id))
+                self._quic.send_stream_data(self.http._local_control_stream_id, frame)
+            else:
+                self._quic.reset_stream(what.stream_id, ErrorCode.H3_REQUEST_REJECTED)
+                self._quic.stop_stream(what.stream_id, ErrorCode.H3_REQUEST_REJECTED)
+            self.transmit()
+            return
+        fields = {name.decode(): value.decode("latin-1") for name, value in what.headers}
+        run = Ran(time.monotonic(), fields[":method"], fields[":path"], fields, bytearray())
+        box.runs.append(run)
+        self.asked[what.stream_id] = run
+
+    async def _answer(self, stream: int, run: Ran) -> None:
+        path, _, query = run.target.partition("?")
+        number = int(parse_qs(query).get("n", parse_qs(query).get("ms", ["0"]))[0])
+        status, body = 200, b""
+        if path.startswith("/status/"):
+            status, body = int(path.rpartition("/")[2]), b"as asked\n"
+        elif path == "/file":
+            body = content(number)
+        elif path == "/upload":
+            body = json.dumps(
+                {"size": len(run.body), "digest": hashlib.sha256(run.body).hexdigest()}
+            ).encode()
+        elif path == "/wait":
+            await asyncio.sleep(number / 1000)
+        box, http = self.box, self.http
+        if box.silent or self.dead or http is None:
+            return
+        fields = [(b":status", b"%d" % status), (b"content-length", b"%d" % len(body))]
+        if run.method == "HEAD" or status in (204, 304):
+            http.send_headers(stream, fields, end_stream=True)
+        else:
+            http.send_headers(stream, fields)
+            if box.fault == "cut":
+                http.send_data(stream, body[: len(body) // 2], False)
+                self.transmit()
+                await asyncio.sleep(0.05)
+                self._quic.reset_stream(stream, ErrorCode.H3_INTERNAL_ERROR)
+            else:
+                http.send_data(stream, body[: len(body) // 2] if box.fault == "short" else body, True)
+        self.transmit()
--- a/rosedeal/web/room.py
+++ b/rosedeal/web/room.py
@@ -10,6 +10,7 @@
 from rosedeal.gateway.config import Address, Config
 from rosedeal.gateway.pools import PoolPlan, Pools
 from rosedeal.gateway.proxy import Observer, Proxy
+from rosedeal.ordinary.turn import Carry
 from rosedeal.ordinary.ways import Ways
 from rosedeal.web.back import carry
 from rosedeal.web.door import Door
@@ -24,9 +25,17 @@
     """`read` gives what the operator file says now; it was checked when the file was read."""
 
     def __init__(
-        self, read: Read, observer: Observer | None, certificates: Callable[[], ssl.SSLContext] | None = None
+        self,
+        read: Read,
+        observer: Observer | None,
+        certificates: Callable[[], ssl.SSLContext] | None = None,
+        carry: Carry = carry,
     ) -> None:
-        """`certificates`: the context that clients over TLS meet; None where there are none."""
+        """`certificates`: the context that clients over TLS meet; None where there are none.
+
+        `carry`: what carries requests to boxes.
+        """
+        self.carry = carry
         self.read, self.observer, self.certificates = read, observer, certificates
         self.listens_tls: Address | None = None
         self.pools: Pools | None = None
@@ -47,7 +56,7 @@
         plan, pools = self.read()
         proxy = self.pools.main
         await self.pools.apply(pools, proxy.config)
-        self.ways = Ways(plan, self.pools, proxy.loop, proxy.config.seed, carry)
+        self.ways = Ways(plan, self.pools, proxy.loop, proxy.config.seed, self.carry)
         self.door = Door(self.ways, proxy.loop)
         self.listens = await self.door.start()
         if proxy.listens is None:
