--- a/benchmarks/h3.py
+++ b/benchmarks/h3.py
@@ -1,11 +1,12 @@
 """What HTTP/3 costs, each figure beside its baseline of the same run.
 
-    python -m benchmarks.h3 [library | small | shake | idle | loss ...] [--seconds 2]
+    python -m benchmarks.h3 [library | small | shake | idle | boxes | loss ...] [--seconds 2]
 
 library  two QUIC libraries in memory, no sockets: handshakes and requests a second of one core, both sides
 small    CPU of the gateway for a small request: HTTP/3 with 1 and with 32 streams at a time, and
          HTTPS/1.1 with HTTP/3 off and on
 shake    handshakes: TLS 1.3 over TCP, QUIC        idle   memory of 1,000 connections at rest
+boxes    CPU of the gateway for a small request to a box over HTTPS/1.1 and over HTTP/3
 loss     times of a small request at 0, 1 and 5 % of loss each way, one at a time
 
 Boxes, clients and gateway each have a processor of their own.
@@ -29,8 +30,8 @@
 
 import uvloop
 
-from benchmarks.common import cpu_s, memory_mb
-from benchmarks.http import box, gateway
+from benchmarks.common import FLEET_CPU, child, cpu_s, memory_mb
+from benchmarks.http import BOX, box, gateway
 from rosedeal.standins.certificates import Authority
 from rosedeal.standins.h3 import Client3
 from rosedeal.standins.udp import UdpRelay
@@ -282,6 +283,61 @@
             print(f"{name:38}  {after:10.1f}  {each:8.1f}  {each / base:6.2f}")
 
 
+BOX3 = """
+import asyncio, sys
+from pathlib import Path
+from rosedeal.standins.h3 import Box3
+async def main():
+    box = Box3((Path(sys.argv[1]), Path(sys.argv[2])))
+    await box.start()
+    print("box", box.port, flush=True)
+    while True:
+        await asyncio.sleep(1)
+        box.runs.clear()
+asyncio.run(main())
+"""
+TLS_BOX = BOX.replace("0, backlog=2048)", "0, backlog=2048, ssl=tls)").replace(
+    "async def main():",
+    "import ssl\ntls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)\n"
+    "tls.load_cert_chain(sys.argv[1], sys.argv[2])\nasync def main():",
+)
+
+
+def boxes(seconds: float) -> None:
+    print("small requests to one box, 32 clients over plain HTTP/1.1   requests/s   CPU us/request   ratio")
+    base = 0.0
+    for name, script, protocol in (("HTTPS/1.1", TLS_BOX, "http/1.1"), ("HTTP/3", BOX3, "h3")):
+        with tempfile.TemporaryDirectory() as folder:
+            authority = Authority(Path(folder))
+            pair = authority.pair("box")
+            with child("-c", script, *map(str, pair), ready="box", cpu=FLEET_CPU) as (_, line, _took):
+                more = f'protocol = "{protocol}"\n'
+                fleet = f'http3 = true\nca = "{authority.path}"\n'
+                with gateway([f"127.0.0.1:{line.split()[1]}"], fleet=fleet, box=more) as (pid, port):
+                    before = cpu_s(pid)
+                    count = run(ask_small(port, seconds))
+                    cpu = (cpu_s(pid) - before) / count * 1e6
+                    base = base or cpu
+                    print(f"{name:56}  {count / seconds:10.0f}  {cpu:14.0f}  {cpu / base:6.2f}")
+
+
+async def ask_small(port: int, seconds: float) -> int:
+    count, until = 0, time.monotonic() + seconds
+
+    async def one() -> None:
+        nonlocal count
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        while time.monotonic() < until:
+            writer.write(b"GET /0 HTTP/1.1\r\nHost: localhost\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200"), head
+            count += 1
+        writer.transport.abort()
+
+    await asyncio.gather(*(one() for _ in range(32)))
+    return count
+
+
 def loss(seconds: float) -> None:
     print("loss each way   requests   median ms   p99 ms   ratio of p99   (20 ms there and back)")
     base = 0.0
@@ -319,6 +375,7 @@
     "small": small,
     "shake": shake,
     "idle": idle,
+    "boxes": boxes,
     "loss": loss,
 }
 
