Drive both sides of QUIC by one class; test drains before a handshake and one silent stream

Link and BoxLink had the same packets, timer and flush; h3/driver.py has them once. A drain told while requests wait for a handshake sends none of them (red with both guards taken out), and a box silent on one stream serves the others on the same connection (red if any time-out closes it).

--- a/rosedeal/h3/back.py
+++ b/rosedeal/h3/back.py
@@ -20,7 +20,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 from collections.abc import Callable
 from functools import partial
@@ -41,13 +40,12 @@
 from rosedeal.gateway.proxy import Books
 from rosedeal.gateway.streams import HOLD, AnswerHead, Headers
 from rosedeal.gateway.upstream import Answer, Host, Upstream
+from rosedeal.h3.driver import Driver, Sender
 from rosedeal.h3.library import ClientConnection, ClientHttp, Malformed, client_configuration
 from rosedeal.interface import Outcome
 from rosedeal.ordinary.heads import BadHead, answer_headers, trailers
 from rosedeal.ordinary.turn import NO_BODY, Tried, Wanted, outcome_of
 
-log = logging.getLogger(__name__)
-
 LINKS = 4
 TRIES = 1000
 BUFFER = 256 * 1024  # bytes of a request that its box has not acknowledged; beyond, its client is not read
@@ -207,12 +205,12 @@
         self.end(Outcome.CONNECT_FAILED)
 
 
-class BoxLink:
+class BoxLink(Driver):
     """One connection to a box."""
 
     def __init__(self, boxes: Boxes, host: Host) -> None:
         upstream = boxes.upstream
-        self.boxes, self.host, self.loop = boxes, host, upstream.loop
+        self.boxes, self.host = boxes, host
         self.name: bytes = (upstream.tls_name or host.address[0]).encode()
         assert upstream.authority is not None
         self.quic: ClientConnection = ClientConnection(
@@ -220,16 +218,15 @@
                 upstream.authority, upstream.tls_name or host.address[0], upstream.idle_s
             )
         )
+        super().__init__(self.quic, upstream.loop)
         self.quic.may_widen = lambda stream: stream is None or stream not in self.held
         self.http: ClientHttp = ClientHttp(self.quic, self.on_goaway)
         self.held: set[int] = set()  # streams of which the client takes no more for now
         self.waiting: list[BoxTry] = []  # for the handshake, or for the box's limit on streams
         self.tries: dict[int, BoxTry] = {}
-        self.shaken = self.gone = False
+        self.shaken = False
         self.closed = False  # takes nothing new
         self.heard_at = self.born = self.loop.time()
-        self.timer: asyncio.TimerHandle | None = None
-        self.flushing: asyncio.Handle | None = None
         self.quic.connect(host.address, self.born)
         boxes.by_id[self.quic.host_cid] = self
         self.soon()
@@ -262,44 +259,24 @@
 
     # Packets
 
-    def soon(self) -> None:
-        if self.flushing is None and not self.gone:
-            self.flushing = self.loop.call_soon(self.flush)
+    def send(self, data: bytes, to: Sender) -> None:
+        self.boxes.send(data, to)
 
-    def flush(self) -> None:
-        self.flushing = None
-        if self.gone:
-            return
-        now = self.loop.time()
-        for data, to in self.quic.datagrams_to_send(now):
-            self.boxes.send(data, to)
+    def sent(self) -> None:
         for each in list(self.tries.values()):
             if not each.written and self.quic.has_sent(each.stream):
                 each.written = True
             each.check_room()
-        if self.timer is not None:
-            self.timer.cancel()
-        at = self.quic.get_timer()
-        self.timer = self.loop.call_at(max(at, now), self.tick) if at is not None else None
 
-    def tick(self) -> None:
-        self.timer = None
-        self.quic.handle_timer(self.loop.time())
-        self.process()
+    def fault(self) -> None:
+        self.lost()
 
-    def receive(self, data: bytes, sender: Any) -> None:
+    def receive(self, data: bytes, sender: Sender) -> None:
         self.heard_at = self.loop.time()
-        try:
-            self.quic.receive_datagram(data, sender, self.heard_at)
-        except Exception:
-            log.exception("a connection to a box ends by a fault")
-            self.lost()
-            return
-        self.process()
+        super().receive(data, sender)
 
     def process(self) -> None:
-        while not self.gone and (event := self.quic.next_event()) is not None:
-            self.handle(event)
+        super().process()
         if not self.gone:
             self.advance()
 
@@ -377,11 +354,8 @@
         self.tries.clear()
 
     def drop(self) -> None:
-        self.gone = self.closed = True
-        if self.timer is not None:
-            self.timer.cancel()
-        if self.flushing is not None:
-            self.flushing.cancel()
+        self.closed = True
+        self.stop()
         self.boxes.forget(self)
 
     def close(self) -> None:
--- a/rosedeal/h3/endpoint.py
+++ b/rosedeal/h3/endpoint.py
@@ -11,7 +11,7 @@
 import os
 import socket
 from collections.abc import Callable
-from typing import Any, TypeAlias, cast
+from typing import cast
 
 from aioquic._buffer import Buffer
 from aioquic.quic.configuration import SMALLEST_MAX_DATAGRAM_SIZE
@@ -34,6 +34,7 @@
 from aioquic.quic.retry import QuicRetryTokenHandler
 
 from rosedeal.gateway.config import Address
+from rosedeal.h3.driver import Driver, Sender
 from rosedeal.h3.library import (
     CID_LENGTH,
     Connection,
@@ -50,38 +51,26 @@
 VERSIONS = [QuicProtocolVersion.VERSION_1, QuicProtocolVersion.VERSION_2]
 BUFFER = 2 * 1024 * 1024  # bytes asked for the socket's own buffers: packets of one turn of the loop
 
-Sender: TypeAlias = Any  # a socket's address, as the loop has it
 
-
-class Link:
-    """One connection: the library's part, its timer, what goes out at the end of this turn of the loop."""
+class Link(Driver):
+    """One connection from a client."""
 
     def __init__(self, endpoint: Endpoint, quic: Connection) -> None:
+        super().__init__(quic, endpoint.loop)
         self.endpoint, self.quic = endpoint, quic
-        self.loop = endpoint.loop
         self.born = self.loop.time()
         self.shaken = False  # the handshake is over
         self.ids: set[bytes] = set()
-        self.timer: asyncio.TimerHandle | None = None
-        self.timer_at: float | None = None
-        self.flushing: asyncio.Handle | None = None
-        self.gone = False
         self.user = endpoint.user(self)
 
-    def receive(self, data: bytes, sender: Sender) -> None:
-        try:
-            self.quic.receive_datagram(data, sender, self.loop.time())
-        except Exception:
-            # Guards against one packet that the library trips over: its connection ends, the others do not.
-            log.exception("a connection ends by a fault")
-            self.drop()
-            return
-        self.process()
+    def send(self, data: bytes, to: Sender) -> None:
+        self.endpoint.send(data, to)
 
-    def process(self) -> None:
-        while not self.gone and (event := self.quic.next_event()) is not None:
-            self.handle(event)
-        self.soon()
+    def sent(self) -> None:
+        self.user.sent()
+
+    def fault(self) -> None:
+        self.drop()
 
     def handle(self, event: QuicEvent) -> None:
         if isinstance(event, ConnectionIdIssued):
@@ -100,40 +89,11 @@
                 log.exception("a connection ends by a fault")
                 self.user.fault()
 
-    def soon(self) -> None:
-        """Send what there is once all of this turn has been heard."""
-        if self.flushing is None and not self.gone:
-            self.flushing = self.loop.call_soon(self.flush)
-
-    def flush(self) -> None:
-        self.flushing = None
-        if self.gone:
-            return
-        now = self.loop.time()
-        transport = self.endpoint.transport
-        for data, to in self.quic.datagrams_to_send(now):
-            if transport is not None and not transport.is_closing():
-                transport.sendto(data, to)
-        at = self.quic.get_timer()
-        if at != self.timer_at:
-            if self.timer is not None:
-                self.timer.cancel()
-            self.timer_at = at
-            self.timer = self.loop.call_at(max(at, now), self.tick) if at is not None else None
-        self.user.sent()
-
-    def tick(self) -> None:
-        self.timer = self.timer_at = None
-        self.quic.handle_timer(self.loop.time())
-        self.process()
-
     def drop(self) -> None:
         """The connection is over; nothing more is sent."""
         if self.gone:
             return
-        self.gone = True
-        if self.timer is not None:
-            self.timer.cancel()
+        self.stop()
         self.endpoint.forget(self)
         self.user.lost()
 
@@ -227,7 +187,7 @@
     # Packets of no connection
 
     def send(self, data: bytes, to: Sender) -> None:
-        if self.transport is not None:
+        if self.transport is not None and not self.transport.is_closing():
             self.transport.sendto(data, to)
 
     def opening(self, header: QuicHeader, data: bytes, addr: Sender) -> Link | None:
--- a/tests/h3/test_boxes.py
+++ b/tests/h3/test_boxes.py
@@ -20,6 +20,7 @@
 from rosedeal.standins.app import App, content
 from rosedeal.standins.certificates import Authority
 from rosedeal.standins.h3 import Box3
+from rosedeal.standins.udp import UdpRelay
 from tests.sockets import run
 from tests.web.harness import ROUTE, Site, request, site
 
@@ -158,6 +159,39 @@
     run(test(), 60)
 
 
+def test_a_drain_told_while_requests_wait_for_a_handshake(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with boxes3(tmp_path, count=2, answer="8s") as (it, (hidden, well)):
+            relay = UdpRelay(("127.0.0.1", hidden.port), seed=1)
+            relay.out.black_hole = True
+            await relay.start()
+            text = it.setup.path.read_text()
+            await it.reload(text.replace(hidden.address, f"127.0.0.1:{relay.address[1]}"))
+            asked = [asyncio.create_task(ask(it, "POST", "/upload", b"r")) for _ in range(20)]
+            while not it.proxy.balancer.servers[number(it, hidden.name)].out:
+                await asyncio.sleep(0.01)
+            it.proxy.drain(hidden.name, "test")
+            await asyncio.sleep(0.55)
+            relay.out.black_hole = False  # the handshake goes on, and nothing that waited for it
+            assert {status for status, _ in await asyncio.gather(*asked)} <= {200, 503}
+            assert not hidden.runs and well.runs
+            relay.stop()
+
+    run(test(), 60)
+
+
+def test_a_box_that_is_silent_on_one_stream_serves_the_others_on_the_same_connection(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with boxes3(tmp_path, answer="1s") as (it, (box,)):
+            slow = asyncio.create_task(ask(it, "GET", "/wait?ms=60000"))
+            for _ in range(12):
+                assert (await ask(it, "GET", "/wait?ms=100"))[0] == 200
+            assert (await slow)[0] != 200
+            assert (await ask(it))[0] == 200 and box.opened == 1
+
+    run(test(), 60)
+
+
 def number(it: Site, name: str) -> int:
     entry = it.proxy.roster.entry(name)
     assert entry is not None
