Quieten the QUIC library's log, test the reset key over processes, untie turn and ways

The library logs each handshake and each client that breaks a rule: a log for anybody to fill. check names the UDP address as such. turn.py no longer needs ways.py: what a turn needs of it is a protocol (Guide).

--- a/rosedeal/cli/serve.py
+++ b/rosedeal/cli/serve.py
@@ -87,8 +87,8 @@
     listens = [config.listen] if config.listen is not None else []
     listens += [site.http.listen.pair] if site.http is not None else []
     listens += [site.https.listen.pair] if site.https is not None else []
-    listens += [site.http3.listen.pair] if site.http3 is not None else []
     where = " and ".join(f"{host}:{port}" for host, port in listens)
+    where += f" and UDP {site.http3.listen}" if site.http3 is not None else ""
     words = [
         f"{path}: good. {config.name} would listen on {where}",
         f"{len(config.names.classes)} classes",
--- a/rosedeal/h3/library.py
+++ b/rosedeal/h3/library.py
@@ -16,6 +16,7 @@
 
 import hashlib
 import hmac
+import logging
 import os
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -52,6 +53,9 @@
 
 from rosedeal.gateway.intake import HEAD_LIMIT
 
+# It tells of each handshake and of each client that breaks a rule: a log for anybody to fill.
+logging.getLogger("quic").setLevel(logging.ERROR)
+
 WINDOW = 64 * 1024  # bytes of a stream that a client may send ahead of what is passed on
 CONNECTION_WINDOW = 512 * 1024  # of all its streams together
 CID_LENGTH = 8
--- a/rosedeal/ordinary/turn.py
+++ b/rosedeal/ordinary/turn.py
@@ -14,17 +14,14 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
-from rosedeal.gateway.proxy import Books, Request, plain
+from rosedeal.gateway.proxy import Asked, Books, Launch, Proxy, Request, plain
 from rosedeal.gateway.streams import AnswerHead, Download, DownloadSource, Headers, Upload
 from rosedeal.gateway.upstream import Answer, Exchange, Upstream
 from rosedeal.interface import Outcome
 from rosedeal.ordinary.heads import ForBox, Peer, RequestHead, request_for_box
 
-if TYPE_CHECKING:
-    from rosedeal.ordinary.ways import Way, Ways
-
 log = logging.getLogger(__name__)
 
 NOBODY = Peer("")
@@ -185,6 +182,38 @@
     ) -> Tried: ...
 
 
+@dataclass(slots=True)
+class Way:
+    """What was decided of a request when it came; it stands whatever is read again meanwhile."""
+
+    proxy: Proxy
+    klass: int
+    path: bytes
+    query: bytes
+    host: bytes
+    answer_us: int
+    between_s: float
+    failing: Callable[[int], bool]
+    whole_s: float | None = None
+    tenant: tuple[int, bytes] = (0, b"")
+    spare: Proxy | None = None  # for what `proxy` refuses
+    began_at: float = 0.0  # when the request arrived at its first pool; loop time
+
+    @property
+    def answer_s(self) -> float:
+        return self.answer_us / 1e6
+
+
+class Guide(Protocol):
+    """What a turn needs of the one who knows the ways."""
+
+    loop: asyncio.AbstractEventLoop
+    carry: Carry
+
+    def asked(self, turn: Turn, launch: Launch, again: Callable[[], None]) -> Asked:
+        """What the proxy is asked. `again` is called, later, once the way leads to the spare pool."""
+
+
 @dataclass(slots=True, eq=False)
 class Turn(RequestHead):
     """A request as it is read, and what becomes of it."""
@@ -199,9 +228,9 @@
     source: DownloadSource | None = None  # once an answer is passed on
     exchange: Tried | None = None  # the newest
     client: Client | None = None
-    ways: Ways | None = None
+    ways: Guide | None = None
 
-    def start(self, ways: Ways, client: Client) -> None:
+    def start(self, ways: Guide, client: Client) -> None:
         """The request has its way: it arrives once its body is whole, or as much of it as is held."""
         self.ways, self.client = ways, client
         if self.upload.ready or (self.expects and not self.upload.size):  # the box is asked if it wants it
--- a/rosedeal/ordinary/ways.py
+++ b/rosedeal/ordinary/ways.py
@@ -6,8 +6,7 @@
 import random
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING
+from dataclasses import replace
 
 from rosedeal.gateway.pools import Pools
 from rosedeal.gateway.proxy import Asked, Launch, Proxy, plain, refused
@@ -15,33 +14,9 @@
 from rosedeal.interface import Effect
 from rosedeal.ordinary.heads import request_id
 from rosedeal.ordinary.plan import WebPlan, choose, turns_to_spare
+from rosedeal.ordinary.turn import Carry, Turn, Way
 from rosedeal.routes import BadPath, read_host, read_target
 
-if TYPE_CHECKING:
-    from rosedeal.ordinary.turn import Carry, Turn
-
-
-@dataclass(slots=True)
-class Way:
-    """What was decided of a request when it came; it stands whatever is read again meanwhile."""
-
-    proxy: Proxy
-    klass: int
-    path: bytes
-    query: bytes
-    host: bytes
-    answer_us: int
-    between_s: float
-    failing: Callable[[int], bool]
-    whole_s: float | None = None
-    tenant: tuple[int, bytes] = (0, b"")
-    spare: Proxy | None = None  # for what `proxy` refuses
-    began_at: float = 0.0  # when the request arrived at its first pool; loop time
-
-    @property
-    def answer_s(self) -> float:
-        return self.answer_us / 1e6
-
 
 class Ways:
     def __init__(
--- a/tests/h3/test_packets.py
+++ b/tests/h3/test_packets.py
@@ -7,6 +7,8 @@
 import os
 import random
 import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -14,9 +16,10 @@
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
 
-from rosedeal.h3.library import LEAST_RESET, reset_token, stateless_reset
+from rosedeal.h3.library import LEAST_RESET, Shown, reset_token, stateless_reset
 from rosedeal.h3.rules import RETRY_FROM
 from rosedeal.standins.app import PAGE
+from rosedeal.standins.certificates import Authority
 from rosedeal.standins.h3 import Broken, Client3, Exchange3
 from tests.h3.harness import Site3, site3
 from tests.sockets import run
@@ -130,6 +133,27 @@
             assert found[-16:] == reset_token(b"key", b"12345678") != reset_token(b"yek", b"12345678")
 
 
+def test_the_key_of_resets_outlives_the_process_and_goes_with_the_certificates(tmp_path: Path) -> None:
+    authority = Authority(tmp_path)
+    pairs = [authority.pair(name) for name in ("one", "two")]
+    keys = [Shown.read(*(path.read_bytes() for path in pair)).reset_key() for pair in (*pairs, pairs[0])]
+    assert keys[0] == keys[2] != keys[1]
+    assert (
+        subprocess.run(
+            [
+                *(sys.executable, "-c"),
+                "import sys; from pathlib import Path; from rosedeal.h3.library import Shown;"
+                "print(Shown.read(*(Path(p).read_bytes() for p in sys.argv[1:])).reset_key().hex())",
+                *map(str, pairs[0]),
+            ],
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout.strip()
+        == keys[0].hex()
+    )
+
+
 def test_header_blocks_that_refer_to_tables_or_never_end(tmp_path: Path) -> None:
     """There is no dynamic table here: a reference to one ends the connection, and no memory goes to it."""
     prefix = b"\x00\x00"
