Say once what a client gets of an answer's head, for HTTP/1.1 and HTTP/3

Via, the request's id, the length and Retry-After in whole seconds stood in web/front.py and again in h3/front.py. Both now call answer_fields and own_answer (ordinary/heads.py) and only write them their own way.

--- a/rosedeal/h3/front.py
+++ b/rosedeal/h3/front.py
@@ -23,7 +23,7 @@
 from rosedeal.h3.library import CONNECTION_WINDOW, Http, Malformed
 from rosedeal.h3.rules import CHURN, CHURN_BURST, Budget
 from rosedeal.interface import Effect
-from rosedeal.ordinary.heads import BadHead, Peer, is_trusted, trailers, whole_seconds
+from rosedeal.ordinary.heads import BadHead, Peer, answer_fields, is_trusted, own_answer, trailers
 from rosedeal.ordinary.plan import Limits
 from rosedeal.ordinary.turn import Turn
 from rosedeal.ordinary.ways import Ways
@@ -298,18 +298,13 @@
         if not self.open:
             return
         self.turn.upload.on_ready = None
-        fields = [(n, whole_seconds(v) if n == b"retry-after" else v) for n, v in answer.headers]
-        self.send_head(AnswerHead(answer.status, fields, len(answer.body)))
+        self.send_head(own_answer(answer))
         self.front.http.send_data(self.number, b"" if self.turn.method == b"HEAD" else answer.body, True)
         self.finished()
 
     def send_head(self, head: AnswerHead) -> None:
-        fields = [(b":status", b"%d" % head.status), *head.headers, (b"via", b"3 badgergap")]
-        if self.turn.number and all(name != b"x-request-id" for name, _ in head.headers):
-            fields.append((b"x-request-id", self.turn.number))
-        if head.length is not None and head.status != 204:
-            fields.append((b"content-length", b"%d" % head.length))
-        self.front.http.send_headers(self.number, fields)
+        fields = answer_fields(head, b"3", self.turn.number)
+        self.front.http.send_headers(self.number, [(b":status", b"%d" % head.status), *fields])
         self.front.link.soon()
 
     def interim(self, status: int, headers: Headers) -> None:
--- a/rosedeal/ordinary/heads.py
+++ b/rosedeal/ordinary/heads.py
@@ -22,7 +22,8 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-from rosedeal.gateway.streams import Headers
+from rosedeal.gateway.streams import AnswerHead, Headers
+from rosedeal.gateway.upstream import Answer
 
 TOKEN = re.compile(rb"[!#$%&'*+.^`|~0-9A-Za-z_-]+")
 VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
@@ -323,6 +324,22 @@
     return kept
 
 
+def own_answer(answer: Answer) -> AnswerHead:
+    """The head of a whole answer. `Retry-After` in whole seconds, as clients read it."""
+    headers = [(n, whole_seconds(v) if n == b"retry-after" else v) for n, v in answer.headers]
+    return AnswerHead(answer.status, headers, len(answer.body))
+
+
+def answer_fields(head: AnswerHead, version: bytes, number: bytes) -> Headers:
+    """What a client gets of an answer's head, however it is written: `version` of HTTP, `number` the id."""
+    fields = [*head.headers, (b"via", version + b" " + NAME)]
+    if number and all(name != b"x-request-id" for name, _ in head.headers):
+        fields.append((b"x-request-id", number))
+    if head.length is not None and head.status != 204:
+        fields.append((b"content-length", b"%d" % head.length))
+    return fields
+
+
 def whole_seconds(value: bytes) -> bytes:
     """RFC 9110 section 10.2.3 knows whole seconds only; those that are no number stay as they are."""
     try:
--- a/rosedeal/web/front.py
+++ b/rosedeal/web/front.py
@@ -23,7 +23,7 @@
 from rosedeal.gateway.proxy import plain, refused
 from rosedeal.gateway.streams import AnswerHead, DownloadSource, Headers
 from rosedeal.gateway.upstream import Answer
-from rosedeal.ordinary.heads import BadHead, Peer, trailers, whole_seconds
+from rosedeal.ordinary.heads import BadHead, Peer, answer_fields, own_answer, trailers
 from rosedeal.ordinary.turn import Turn
 from rosedeal.web.back import last_chunk
 
@@ -35,7 +35,6 @@
 TARGET_LIMIT = 8 * 1024
 PIPELINED = 64  # requests of one read that are answered in turn
 BUFFER = 64 * 1024  # bytes written to a client and not yet sent, beyond which the box is not read
-VIA = (b"via", b"1.1 badgergap")
 
 
 @dataclass(slots=True, eq=False)
@@ -327,12 +326,7 @@
         if incoming is not self.current:  # its client has gone, or it had its answer
             return
         incoming.upload.on_ready = None
-        own = [
-            (name, whole_seconds(value) if name == b"retry-after" else value)
-            for name, value in answer.headers
-        ]
-        head = AnswerHead(answer.status, own, len(answer.body))
-        lines = self.head_lines(incoming, head)
+        lines = self.head_lines(incoming, own_answer(answer))
         self.write(lines + (b"" if incoming.method == b"HEAD" else answer.body))
         self.finished(incoming)
 
@@ -347,13 +341,8 @@
     def head_lines(self, incoming: Incoming, head: AnswerHead) -> bytes:
         incoming.last = self.is_last(incoming)
         lines = [b"HTTP/1.1 %d %b" % (head.status, REASONS.get(head.status, b""))]
-        lines += [b"%b: %b" % header for header in head.headers]
-        lines.append(b"%b: %b" % VIA)
-        if incoming.number and all(name != b"x-request-id" for name, _ in head.headers):
-            lines.append(b"x-request-id: " + incoming.number)
-        if head.length is not None and head.status != 204:
-            lines.append(b"content-length: %d" % head.length)
-        elif incoming.chunked:
+        lines += [b"%b: %b" % field for field in answer_fields(head, b"1.1", incoming.number)]
+        if incoming.chunked and head.length is None:
             lines.append(b"transfer-encoding: chunked")
         if self.door.ways.alt_svc and self.peer.scheme == b"https":
             lines.append(b"alt-svc: " + self.door.ways.alt_svc)
