Add a log on disk: checksummed batches, group commit off the loop, an identity drawn once

Agreement, Copies and memory need a log whose promises survive. One batch is what one fsync made durable; a damaged tail is told from a damaged middle by a mark of what was durable, a copy put back by inode and birth of the file, and either begins anew under another identity. Opening writes all that was read anew, so nothing is believed that a failed fsync left in the cache alone. Seen while testing: after a crash between a rewrite's rename and its mark, the old file's mark made the new file look damaged; the mark now names the file it is of (the replay of every crash prefix fails without that). Power lost at every call, every byte flipped, every length cut, a child killed while it writes.

--- /dev/null
+++ b/rosedeal/store/__init__.py
@@ -0,0 +1,2 @@
+"""A log of records on disk: checksummed, its identity drawn at creation, written by groups off the event
+loop."""
--- /dev/null
+++ b/tests/store/test_log.py
@@ -0,0 +1,313 @@
+"""A log through crashes at every point, damage at every byte, copies put back and disks that refuse."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import shutil
+import threading
+from pathlib import Path
+
+import pytest
+
+from rosedeal.store import layout
+from rosedeal.store.log import InUse, Log, System
+from rosedeal.store.writer import Writer
+
+GROUPS = [[b"one"], [b"two", b"three" * 40], [b""], [b"four" * 300]]
+RECORDS = [record for group in GROUPS for record in group]
+
+
+def filled(folder: Path) -> Log:
+    log = Log(folder)
+    log.open()
+    for group in GROUPS:
+        log.append(group)
+    log.close()
+    return log
+
+
+def reopened(folder: Path) -> tuple[Log, list[bytes], str]:
+    log = Log(folder)
+    found = log.open()
+    log.close()
+    return log, found.records, found.lost
+
+
+def test_what_is_appended_is_read_and_the_identity_stays(tmp_path: Path) -> None:
+    log = filled(tmp_path)
+    again, records, lost = reopened(tmp_path)
+    assert (records, lost, again.identity) == (RECORDS, "", log.identity)
+    assert again.open().records == RECORDS
+    with pytest.raises(InUse, match="another gateway"):
+        Log(tmp_path).open()
+    again.rewrite([b"snapshot"])
+    again.append([b"after"])
+    again.close()
+    assert reopened(tmp_path)[1] == [b"snapshot", b"after"]
+
+
+def test_a_file_cut_at_any_length_is_torn_or_misses_what_was_durable(tmp_path: Path) -> None:
+    filled(tmp_path)
+    data, mark = ((tmp_path / name).read_bytes() for name in ("log", "mark"))
+    head = layout.read_head(data)
+    durable = layout.read_mark(mark, head)
+    assert durable == len(data)
+    ends = set()
+    for length in range(layout.HEAD.size, len(data)):
+        without, known = layout.scan(data[:length], head, 0), layout.scan(data[:length], head, durable)
+        ends.add(without.length)
+        assert not without.damaged and without.torn == length - without.length
+        assert without.records == RECORDS[: len(without.records)]
+        assert known.damaged and not known.torn
+    assert len(ends) == 1 + len(GROUPS)  # behind the head, the opening's batch, and each but the last
+
+
+def test_every_byte_flipped_once_is_noticed(tmp_path: Path) -> None:
+    filled(tmp_path)
+    data = bytearray((tmp_path / "log").read_bytes())
+    head, last = layout.read_head(bytes(data)), data.rfind(layout.BATCH_MAGIC)
+    for place in range(len(data)):
+        data[place] ^= 0x10
+        if place < layout.HEAD.size:
+            with pytest.raises(layout.Unusable):
+                layout.read_head(bytes(data))
+        else:
+            scan = layout.scan(bytes(data), head, 0)
+            # In the last batch it may be a write that a power loss tore; before it, never.
+            assert bool(scan.damaged) == (place < last), place
+            assert scan.records == RECORDS[: len(scan.records)] != RECORDS
+            assert layout.scan(bytes(data), head, len(data)).damaged
+        data[place] ^= 0x10
+
+
+@pytest.mark.parametrize("how", ["flip", "cut", "head", "copy", "gone"])
+def test_a_folder_that_lacks_what_it_promised_is_another(tmp_path: Path, how: str) -> None:
+    folder = tmp_path / "log"
+    log = filled(folder)
+    path = folder / "log"
+    if how == "copy":
+        shutil.copytree(folder, tmp_path / "copy")
+        shutil.rmtree(folder)
+        shutil.copytree(tmp_path / "copy", folder)
+    elif how == "gone":
+        path.unlink()
+    elif how == "cut":
+        os.truncate(path, path.stat().st_size - 10)
+    else:
+        with path.open("r+b") as file:
+            file.seek(3 if how == "head" else layout.HEAD.size + 40)
+            file.write(b"\xee")
+    again, records, lost = reopened(folder)
+    assert records == [] and again.identity != log.identity
+    assert bool(lost) == (folder / "log.lost-1").exists() == (how != "gone")
+    assert reopened(folder)[0].identity == again.identity  # and it stays that one
+
+
+def test_a_later_format_is_left_as_it_is(tmp_path: Path) -> None:
+    filled(tmp_path)
+    with (tmp_path / "log").open("r+b") as file:
+        file.seek(5)
+        file.write(bytes([layout.VERSION + 1]))
+    data = (tmp_path / "log").read_bytes()
+    with pytest.raises(layout.Unusable, match="version 2"):
+        Log(tmp_path).open()
+    assert (tmp_path / "log").read_bytes() == data
+
+
+class Recorder(System):
+    """Remembers each call that changes the disk."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, str, bytes]] = []
+        self.names: dict[int, str] = {}
+
+    def create(self, path: Path) -> int:
+        file = super().create(path)
+        self.names[file] = f"{path.name} {len(self.calls)}"  # a file keeps its own name here
+        self.calls.append(("create", self.names[file], b""))
+        return file
+
+    def write(self, file: int, data: bytes) -> None:
+        super().write(file, data)
+        self.calls.append(("write", self.names[file], data))
+
+    def sync(self, file: int) -> None:
+        super().sync(file)
+        self.calls.append(("sync", self.names[file], b""))
+
+    def rename(self, old: Path, new: Path) -> None:
+        super().rename(old, new)
+        newest = next(name for call, name, _ in reversed(self.calls) if call == "create")
+        self.calls.append(("rename", newest, b""))
+
+    def sync_folder(self, path: Path) -> None:
+        super().sync_folder(path)
+        self.calls.append(("folder", "", b""))
+
+    def note(self, path: Path, data: bytes) -> None:
+        super().note(path, data)
+        self.calls.append(("note", "", data))
+
+
+def crashed(calls: list[tuple[str, str, bytes]], part: float, renamed: bool) -> tuple[bytes, bytes]:
+    """The log and the mark that a disk may hold: of what was not synced a part; the last rename or not."""
+    files: dict[str, tuple[bytes, int]] = {}
+    log, waiting, mark = "", "", b""
+    for call, name, data in calls:
+        match call:
+            case "create":
+                files[name] = b"", 0
+            case "write":
+                files[name] = files[name][0] + data, files[name][1]
+            case "sync":
+                files[name] = files[name][0], len(files[name][0])
+            case "rename":
+                waiting = name
+            case "folder":
+                log, waiting = waiting, ""
+            case "note" if part:
+                mark = data
+    name = waiting if renamed and waiting else log
+    data, synced = files.get(name, (b"", 0))
+    return data[: synced + int((len(data) - synced) * part)], mark
+
+
+def test_power_lost_at_any_call_loses_nothing_that_was_durable(tmp_path: Path) -> None:
+    """Every prefix of what a log did, with what was not synced lost, torn and kept, renamed or not."""
+    files = Recorder()
+    log = Log(tmp_path, files)
+    log.open()
+    promised = [(len(files.calls), list[bytes]())]  # from that many calls on these are durable
+    for group in GROUPS:
+        log.append(group)
+        promised.append((len(files.calls), promised[-1][1] + group))
+    log.rewrite([b"snapshot"])
+    promised.append((len(files.calls), [b"snapshot"]))
+    log.append([b"after"])
+    promised.append((len(files.calls), [b"snapshot", b"after"]))
+    log.close()
+    for count in range(promised[0][0], len(files.calls) + 1):
+        for part in (0.0, 0.3, 0.7, 1.0):
+            for renamed in (False, True):
+                data, mark = crashed(files.calls[:count], part, renamed)
+                head = layout.read_head(data)
+                scan = layout.scan(data, head, layout.read_mark(mark, head))
+                known = max(n for n, (at, _) in enumerate(promised) if at <= count)
+                # What was promised last, or already what was being written then.
+                allowed = [records for _, records in promised[known : known + 2]]
+                assert not scan.damaged and scan.records in allowed, (count, part, renamed)
+
+
+class Refusing(System):
+    """A disk that is full, or whose fsync fails, for a while."""
+
+    full = broken = False
+
+    def write(self, file: int, data: bytes) -> None:
+        if self.full:
+            os.write(file, data[: len(data) // 2])
+            raise OSError(28, "No space left on device")
+        super().write(file, data)
+
+    def sync(self, file: int) -> None:
+        if self.broken:
+            raise OSError(5, "Input/output error")
+        super().sync(file)
+
+
+@pytest.mark.parametrize("how", ["full", "broken"])
+def test_after_a_refusal_nothing_counts_as_written(tmp_path: Path, how: str) -> None:
+    files = Refusing()
+    log = Log(tmp_path, files)
+    log.open()
+    log.append([b"kept"])
+    setattr(files, how, True)
+    with pytest.raises(OSError):
+        log.append([b"lost"])
+    setattr(files, how, False)
+    with pytest.raises(OSError, match="failed before"):
+        log.append([b"lost"])
+    with pytest.raises(OSError, match="failed before"):
+        log.rewrite([b"lost"])
+    log.close()
+    # A full disk left half a batch. After a failed fsync all of it may lie in the file: it is believed only
+    # once it was written anew and synced, which opening does.
+    records = reopened(tmp_path)[1]
+    assert records[:1] == [b"kept"] and len(records) <= 1 + (how == "broken")
+
+
+def test_the_writer_syncs_what_waits_together_and_stops_at_a_refusal(tmp_path: Path) -> None:
+    class Slow(Refusing):
+        go = threading.Event()
+
+        def sync(self, file: int) -> None:
+            assert self.go.wait(30.0)
+            super().sync(file)
+
+    async def play() -> None:
+        files = Slow()
+        files.go.set()
+        log = Log(tmp_path, files)
+        log.open()
+        told: list[int] = []
+        failed: list[str] = []
+        done, bad = asyncio.Event(), asyncio.Event()
+
+        def durable(token: int) -> None:
+            told.append(token)
+            if token == 300:
+                done.set()
+
+        def fails(why: str) -> None:
+            failed.append(why)
+            bad.set()
+
+        files.go.clear()
+        before = log.syncs
+        writer = Writer(log, asyncio.get_running_loop(), durable, fails)
+        for token in range(1, 301):
+            writer.write(token, [b"%d" % token])
+        files.go.set()
+        await asyncio.wait_for(done.wait(), 30.0)
+        assert told == sorted(told) and log.syncs - before <= 20, "one fsync for all that waited"
+        files.full = True
+        writer.write(301, [b"x"])
+        await asyncio.wait_for(bad.wait(), 30.0)
+        files.full = False
+        writer.write(302, [b"y"])
+        await asyncio.to_thread(writer.close)
+        assert (told[-1], failed) == (300, ["No space left on device"])
+        log.close()
+
+    asyncio.run(play())
+    assert reopened(tmp_path)[1] == [b"%d" % token for token in range(1, 301)]
+
+
+def test_killed_while_it_writes_it_opens_with_all_that_was_told(tmp_path: Path) -> None:
+    """A child appends and says after each how far it is; killed at any moment, no less than that is there."""
+    seed = random.randrange(1 << 30)
+    print("seed", seed)
+    chance = random.Random(seed)
+    said = 0
+    for _ in range(6):
+        reader, writer = os.pipe()
+        child = os.fork()
+        if child == 0:
+            log = Log(tmp_path)
+            number = len(log.open().records)
+            while True:
+                number += 1
+                log.append([b"%d" % number])
+                os.write(writer, b"%d\n" % number)
+        os.close(writer)
+        with os.fdopen(reader, "rb") as told:
+            for _ in range(chance.randrange(1, 40)):
+                said = int(told.readline())
+            os.kill(child, 9)
+            said = max([said, *map(int, told.read().split())])
+        os.waitpid(child, 0)
+        _, records, lost = reopened(tmp_path)
+        assert not lost and records == [b"%d" % n for n in range(1, len(records) + 1)]
+        assert len(records) >= said
