--- /dev/null
+++ b/tests/agreement/cluster.py
@@ -0,0 +1,120 @@
+"""Bare consensus cores with every message, save and crash in the test's hands: no time passes by itself."""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections.abc import Callable
+
+from rosedeal.agreement.raft import (
+    Apply,
+    Config,
+    Durable,
+    Peer,
+    Raft,
+    Restore,
+    Save,
+    Send,
+    Snapshot,
+    encode_config,
+)
+
+NOW = 10_000_000
+
+
+class Disagreement(AssertionError):
+    pass
+
+
+class Cluster:
+    """`kind`: the core; tests put one in its place that lacks a guard."""
+
+    def __init__(self, count: int, kind: type[Raft] = Raft) -> None:
+        self.kind = kind
+        config: Config = tuple(Peer(f"{n}", f"n{n}") for n in range(1, count + 1))
+        start = Snapshot(1, 1, config, b"")
+        self.now = NOW
+        self.disks = {peer.id: Durable(1, "", start) for peer in config}
+        self.unsaved: dict[str, list[Save]] = {id: [] for id in self.disks}
+        self.held: dict[str, list[Send]] = {id: [] for id in self.disks}
+        self.wire: list[tuple[str, Send]] = []
+        self.nodes: dict[str, Raft] = {}
+        self.agreed: dict[int, tuple[int, bytes]] = {}
+        self.leaders: dict[int, str] = {}
+        for id in self.disks:
+            self.start(id)
+
+    def start(self, id: str) -> None:
+        self.nodes[id] = self.kind(id, copy.deepcopy(self.disks[id]), self.now, random.Random(1))
+        self.settle(id)
+
+    def settle(self, id: str) -> None:
+        """Sort what a core wants done, and check what it claims."""
+        node = self.nodes[id]
+        for todo in node.todo:
+            match todo:
+                case Save():
+                    self.unsaved[id].append(todo)
+                case Send():
+                    (self.held[id] if todo.after > node.saved_token else self.wire).append(
+                        todo if todo.after > node.saved_token else (id, todo)  # type: ignore[arg-type]
+                    )
+                case Apply():
+                    found = (todo.entry.term, todo.entry.data)
+                    if self.agreed.setdefault(todo.entry.index, found) != found:
+                        raise Disagreement(f"entry {todo.entry.index} at {id}")
+                case Restore():
+                    pass
+        node.todo = []
+        if node.leads and self.leaders.setdefault(node.term, id) != id:
+            raise Disagreement(f"two leaders of term {node.term}")
+
+    def flush(self, id: str) -> None:
+        saves, self.unsaved[id] = self.unsaved[id], []
+        if not saves:
+            return
+        for save in saves:
+            self.disks[id].keep(save)
+        token = saves[-1].token
+        self.wire += [(id, send) for send in self.held[id] if send.after <= token]
+        self.held[id] = [send for send in self.held[id] if send.after > token]
+        self.nodes[id].saved(self.now, token)
+        self.settle(id)
+
+    def crash(self, id: str) -> None:
+        self.unsaved[id], self.held[id] = [], []
+        self.start(id)
+
+    def deliver(self, place: int) -> None:
+        sender, send = self.wire.pop(place)
+        self.nodes[send.to].receive(self.now, sender, send.message)
+        self.settle(send.to)
+
+    def time_out(self, id: str) -> None:
+        """Its patience ends, and that of the others with their leader."""
+        self.now += 1_100_000
+        self.nodes[id].election_at = self.now
+        self.nodes[id].tick(self.now)
+        self.settle(id)
+
+    def propose(self, id: str, data: bytes) -> None:
+        self.nodes[id].propose(self.now, "data", data)
+        self.settle(id)
+
+    def configure(self, id: str, members: str) -> None:
+        peers = tuple(Peer(n, f"n{n}") for n in members)
+        self.nodes[id].propose(self.now, "config", encode_config(peers))
+        self.settle(id)
+
+    def run(self, among: str, until: Callable[[], bool] = lambda: False, most: int = 300) -> None:
+        """Messages and disks of these alone, until all is quiet; what goes elsewhere is lost."""
+        for _ in range(most):
+            if until():
+                return
+            for id in among:
+                self.flush(id)
+            self.wire = [(s, send) for s, send in self.wire if s in among and send.to in among]
+            if self.wire:
+                self.deliver(0)
+            elif not any(self.unsaved[id] for id in among):
+                return
--- /dev/null
+++ b/tests/agreement/guards.py
@@ -0,0 +1,180 @@
+"""Each guard of the group, taken out: what a schedule must then find, and the seed that finds it.
+
+A guard is taken out by overriding the one place that holds it, or by a world that does not keep a promise
+of the driver (`room.py`) or of the store.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from rosedeal.agreement.lease import Account, Grants, Lease
+from rosedeal.agreement.member import Send
+from rosedeal.agreement.raft import Config, Raft, Save, Vote, Voted
+from tests.agreement.simulation import Node, Recorded, Violation, World, play, play_cuts, play_elections
+
+
+class VotesTwice(Raft):
+    def _on_vote(self, now_us: int, sender: str, ask: Vote) -> None:
+        granted = ask.term == self.term and self._log_is_current(ask.last_term, ask.last_index)
+        if granted:
+            self._wait_for_election(now_us)
+        self._send(sender, Voted(self.term, granted), relies=True)
+
+
+class VotesForAnyLog(Raft):
+    def _log_is_current(self, last_term: int, last_index: int) -> bool:
+        return True
+
+
+class CountsEarlierTerms(Raft):
+    def _counts(self, index: int) -> bool:
+        return True
+
+
+class ManyChangesAtOnce(Raft):
+    def _may_change(self, new: Config) -> bool:
+        return True
+
+
+class BelievesItself(Raft):
+    """A leader takes itself for one without a majority's word, and never steps down."""
+
+    def confirmed_us(self, now_us: int) -> int:
+        return now_us
+
+
+class SettledAtOnce(Raft):
+    @property
+    def settled(self) -> bool:
+        return self.leads
+
+
+class FromArrival(Lease):
+    def take(self, now_us: int, stamp_us: int, floor: int) -> None:
+        super().take(now_us, now_us, floor)
+
+
+class NoFloor(Recorded):
+    def lease_floor(self) -> int:
+        return 0
+
+
+class NewLeaderWaitsForNobody(Grants):
+    def account(self, id: str) -> Account:
+        known = id in self.accounts
+        account = super().account(id)
+        if not known:
+            account.until_us = self.elected_us
+        return account
+
+
+class WaitsForNobody(Grants):
+    def behind(self, now_us: int, version: int, members: Iterable[str]) -> list[str]:
+        return []
+
+
+class LooksAtTicks(Recorded):
+    """The lease is looked at now and then, and not before each act."""
+
+    held = False
+
+    def tick(self, now_us: int) -> None:
+        super().tick(now_us)
+        self.held = super().may_act(now_us)
+
+    def may_act(self, now_us: int) -> bool:
+        return self.held and not self.halted and self.loaded_version > 0
+
+
+class WordsBeforeDisk(World):
+    def settle(self, node: Node) -> None:
+        assert node.member is not None
+        for number, todo in enumerate(node.member.out):
+            if isinstance(todo, Send):
+                node.member.out[number] = Send(todo.name, todo.id, todo.message)
+        super().settle(node)
+
+
+class VotesForgotten(World):
+    """The disk keeps terms, and no votes."""
+
+    def settle(self, node: Node) -> None:
+        assert node.member is not None
+        for number, todo in enumerate(node.member.out):
+            if isinstance(todo, Save):
+                node.member.out[number] = Save(
+                    todo.token, todo.term, "", todo.cut, todo.entries, todo.snapshot
+                )
+        super().settle(node)
+
+
+class EmptyAndTheSame(World):
+    """A member whose folder is gone goes on as who it was."""
+
+    def wipe(self, node: Node) -> None:
+        id = node.id
+        super().wipe(node)
+        node.id = id
+
+
+class CopiesUnseen(World):
+    """A folder that was put back passes for the one that was written."""
+
+    def __init__(self, *arguments: object, **named: object) -> None:
+        super().__init__(*arguments, **named)  # type: ignore[arg-type]
+        self.restores_seen = False
+
+
+def _kind(
+    consensus: type[Raft] = Raft, leases: type[Lease] = Lease, grants_of: type[Grants] = Grants
+) -> type[Recorded]:
+    return type("Unguarded", (Recorded,), {"consensus": consensus, "leases": leases, "grants_of": grants_of})
+
+
+@dataclass(frozen=True)
+class Guard:
+    name: str
+    seed: int  # the first that found it, of those from 0 on
+    voters: int
+    finds: str  # part of what is then said
+    play: Callable[..., World] = play
+    kind: type[Recorded] = Recorded
+    world: Callable[..., World] = World
+
+    def search(self, most: int = 60) -> tuple[int, Violation]:
+        """The first seed that finds it, the known one first. Raises LookupError."""
+        for seed in (self.seed, *range(most)):
+            try:
+                self.play(seed, self.voters, 0, kind=self.kind, world_of=self.world)
+            except Violation as found:
+                if self.finds in str(found):
+                    return seed, found
+        raise LookupError(f"no seed under {most} finds that {self.name!r} is missing")
+
+
+LOST, TWO, AHEAD = "was another elsewhere", "two leaders", "and knows no"
+
+GUARDS = (
+    Guard("one vote a term", 2, 5, TWO, play_elections, _kind(VotesTwice)),
+    Guard("votes go to logs that hold as much", 1, 5, LOST, play_elections, _kind(VotesForAnyLog)),
+    Guard("words wait for the disk", 91, 5, LOST, play_elections, world=WordsBeforeDisk),
+    Guard(
+        "a new leader waits for leases of before",
+        2,
+        3,
+        AHEAD,
+        play_cuts,
+        _kind(grants_of=NewLeaderWaitsForNobody),
+    ),
+    Guard("an emptied member is another", 21, 3, TWO, play, world=EmptyAndTheSame),
+    Guard("a copy put back is another", 13, 3, LOST, play, world=CopiesUnseen),
+    Guard("a leader is confirmed by a majority", 6, 5, AHEAD, play_cuts, _kind(BelievesItself)),
+    Guard("a lease runs from its question", 25, 3, AHEAD, play_cuts, _kind(leases=FromArrival)),
+    Guard("a lease has a floor", 2, 5, AHEAD, play_cuts, NoFloor),
+    Guard(
+        "all who act have it before it is in force", 1, 3, AHEAD, play_cuts, _kind(grants_of=WaitsForNobody)
+    ),
+    Guard("the lease is looked at before each act", 2, 3, AHEAD, play_cuts, LooksAtTicks),
+)
--- /dev/null
+++ b/tests/agreement/simulation.py
@@ -0,0 +1,592 @@
+"""A group in simulated time: the real members on a network, disks and clocks that fail by a seed.
+
+One schedule is a world, a seed and so many seconds of faults, then a time of calm in which all must agree
+again. What is checked is in `Checks`; the first thing found wrong raises `Violation` with seed and time.
+"""
+
+from __future__ import annotations
+
+import copy
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from rosedeal.agreement import raft
+from rosedeal.agreement.member import Examine, First, Known, Load, Member, Reborn, Send, Settings, Settled
+from rosedeal.agreement.raft import Durable, Save
+from rosedeal.agreement.state import Publish
+
+MS, S = 1_000, 1_000_000
+TICK_US = 50 * MS
+SAMPLE_US = 20 * MS
+BOUND_US = 3 * S
+CALM_US = 16 * S
+
+
+class Violation(AssertionError):
+    pass
+
+
+class Recorded(Member):
+    """Shows the checks what it applies."""
+
+    applied: Callable[[raft.Entry], None] = staticmethod(lambda entry: None)
+
+    def _apply(self, entry: raft.Entry) -> None:
+        self.applied(entry)
+        super()._apply(entry)
+
+
+class Disk:
+    """Saves become durable in their order, a while after they are made. A crash loses those that are not,
+    but for as many of the first of them as chance leaves."""
+
+    def __init__(self) -> None:
+        self.durable = Durable()
+        self.waiting: list[Save] = []
+
+    def crash(self, random: random.Random) -> None:
+        for save in self.waiting[: random.randrange(len(self.waiting) + 1)]:
+            self.durable.keep(save)
+        self.waiting.clear()
+
+
+@dataclass(eq=False)
+class Node:
+    name: str
+    settings: Settings
+    rate: float
+    offset_us: int
+    id: str
+    disk: Disk = field(default_factory=Disk)
+    member: Recorded | None = None
+    stopped_until: int = 0
+    inbox: list[Callable[[], None]] = field(default_factory=list)  # what comes while it is stopped
+    copy: tuple[str, Durable] | None = None  # of its folder, from before
+    slow_disk: bool = False
+    life: int = 0  # of its process: what was under way for an earlier one is lost
+    held: list[Send] = field(default_factory=list)  # rely on saves that are not done
+
+
+@dataclass
+class Client:
+    """Publishes one thing, asking again until it knows what became of it."""
+
+    command: Publish
+    node: Node
+    until: int
+
+
+class Checks:
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.leaders: dict[int, str] = {}
+        self.entries: dict[int, tuple[int, str, bytes]] = {}
+        self.acknowledged: dict[str, int] = {}
+        self.digests: dict[int, str] = {}
+        self.overlap_since: dict[tuple[str, str], int] = {}
+        self.longest_us = 0
+        self.leaderless_us = 0
+
+    def fail(self, now: int, text: str) -> None:
+        raise Violation(f"seed {self.seed}, at {now / S:.2f} s: {text}")
+
+    def applied(self, now: int, node: Node, entry: raft.Entry) -> None:
+        found = (entry.term, entry.kind, entry.data)
+        if self.entries.setdefault(entry.index, found) != found:
+            self.fail(now, f"entry {entry.index} is {found} at {node.name}, and was another elsewhere")
+
+    def look(self, now: int, node: Node) -> None:
+        member = node.member
+        if member is None:
+            return
+        if member.raft.leads and self.leaders.setdefault(member.raft.term, member.id) != member.id:
+            self.fail(now, f"two leaders of term {member.raft.term}")
+        newest = member.state.newest
+        if newest.number and self.digests.setdefault(newest.number, newest.digest()) != newest.digest():
+            self.fail(now, f"version {newest.number} is not the same everywhere")
+
+    def acting(self, now: int, acting: dict[str, tuple[int, Member]]) -> None:
+        """Who acts on which version now."""
+        found = set()
+        if len({version for version, _ in acting.values()}) > 1:
+            for (a, (one, _)), (b, (other, member)) in itertools.combinations(acting.items(), 2):
+                ahead = max((acting[a][1], member), key=lambda m: m.state.newest.number)
+                low, high = sorted((one, other))
+                barrier = next(
+                    (h.number for h in ahead.state.heads if h.contradicts and low < h.number <= high), 0
+                )
+                if barrier:
+                    found.add((a, b))
+                    slow = acting[a][1] if one == low else member
+                    if slow.state.newest.number < barrier:
+                        # Whoever does not know of it must have stopped before anybody goes on.
+                        self.fail(now, f"{a}, {b}: one acts on {high}, one on {low} and knows no {barrier}")
+        for pair in found:
+            since = self.overlap_since.setdefault(pair, now)
+            self.longest_us = max(self.longest_us, now - since)
+            if now - since > BOUND_US:
+                self.fail(now, f"{pair} act on versions that contradict for {(now - since) / S:.2f} s")
+        for pair in self.overlap_since.keys() - found:
+            del self.overlap_since[pair]
+
+
+class World:
+    def __init__(
+        self, seed: int, voters: int = 3, learners: int = 0, member: type[Recorded] = Recorded
+    ) -> None:
+        self.random = random.Random(seed)
+        self.kind = member
+        self.now = 0
+        self.order = itertools.count()
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.checks = Checks(seed)
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss, self.slow_us, self.twice = 0.0, 5 * MS, 0.0
+        self.restores_seen = True  # a folder that was put back is known to be one
+        self.clients: dict[str, Client] = {}
+        self.ids, self.messages, self.bytes = 0, 0, 0
+        names = [f"v{n}" for n in range(voters)] + [f"z{n:03}" for n in range(learners)]
+        known = {name: Known(name, "", name[0] == "v") for name in names}
+        self.nodes = {
+            name: Node(
+                name,
+                Settings(
+                    name,
+                    "",
+                    name[0] == "v",
+                    {n: k for n, k in known.items() if n != name and (k.votes or name[0] == "v")},
+                ),
+                1.0 + self.random.uniform(-0.01, 0.01),
+                self.random.randrange(1000 * S),
+                self.new_id(),
+            )
+            for name in names
+        }
+        for node in self.nodes.values():
+            self.boot(node)
+        self.after(SAMPLE_US, self.sample)
+
+    def new_id(self) -> str:
+        self.ids += 1
+        return f"id{self.ids}"
+
+    def after(self, delay_us: int, what: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (self.now + delay_us, next(self.order), what))
+
+    def run(self, until_us: int) -> None:
+        while self.events and self.events[0][0] <= until_us:
+            self.now, _, what = heapq.heappop(self.events)
+            what()
+        self.now = until_us
+
+    def local(self, node: Node) -> int:
+        return int(self.now * node.rate) + node.offset_us
+
+    # A node's process
+
+    def boot(self, node: Node) -> None:
+        node.life += 1
+        node.held, node.stopped_until = [], 0
+        member = self.kind(
+            node.settings,
+            node.id,
+            copy.deepcopy(node.disk.durable),
+            self.local(node),
+            random.Random(self.random.random()),
+        )
+        node.member = member
+        # Type: ignore[method-assign].
+        member.applied = lambda entry: self.checks.applied(self.now, node, entry)
+        self.settle(node)
+        self.tick(node, node.life)
+
+    def boot_if_down(self, node: Node) -> None:
+        if node.member is None:
+            self.boot(node)
+
+    def tick(self, node: Node, life: int) -> None:
+        if node.member is None or node.life != life:
+            return
+        self.do(node, lambda member: member.tick(self.local(node)))
+        self.after(TICK_US + self.random.randrange(5 * MS), lambda: self.tick(node, life))
+
+    def do(self, node: Node, what: Callable[[Member], None]) -> None:
+        """Now, or once the process goes on."""
+        if node.member is None:
+            return
+        if node.stopped_until > self.now:
+            if len(node.inbox) < 2000:
+                node.inbox.append(lambda: self.do(node, what))
+            return
+        what(node.member)
+        self.settle(node)
+
+    def settle(self, node: Node) -> None:
+        """Carry out what the member wants done."""
+        member = node.member
+        assert member is not None
+        life = node.life
+        for todo in member.take():
+            match todo:
+                case Save():
+                    if not node.disk.waiting:
+                        most = 400 * MS if node.slow_disk else 15 * MS
+                        self.after(self.random.randrange(MS, most), lambda: self.flush(node, life))
+                    node.disk.waiting.append(todo)
+                case Send():
+                    if todo.after > member.raft.saved_token:
+                        node.held.append(todo)
+                    else:
+                        self.send(node, todo)
+                case Load():
+                    number = todo.whole.number
+                    self.after(
+                        self.random.randrange(MS, 60 * MS),
+                        partial(self.load, node, life, number),
+                    )
+                case Examine():
+                    id, why = todo.id, "it is bad" if "bad" in todo.body else ""
+                    self.after(
+                        self.random.randrange(MS, 30 * MS),
+                        partial(self.examined, node, life, id, why),
+                    )
+                case First():
+                    self.publish(node, "settings", '{"limits":{"open_requests":500}}', parent=0)
+                case Settled():
+                    client = self.clients.pop(todo.outcome.id, None)
+                    if client is not None and todo.outcome.version:
+                        self.checks.acknowledged[todo.outcome.id] = todo.outcome.version
+                case Reborn():
+                    self.wipe(node)
+                    self.boot(node)
+                    return
+        self.checks.look(self.now, node)
+
+    def load(self, node: Node, life: int, number: int) -> None:
+        def loaded(member: Member) -> None:
+            if node.life == life:
+                member.loaded(max(number, member.loaded_version))
+
+        self.do(node, loaded)
+
+    def examined(self, node: Node, life: int, id: str, why: str) -> None:
+        if node.life == life:
+            self.do(node, lambda member: member.examined(self.local(node), id, why))
+
+    def flush(self, node: Node, life: int) -> None:
+        if node.member is None or node.life != life or not node.disk.waiting:
+            return
+        if node.stopped_until > self.now:
+            node.inbox.append(lambda: self.flush(node, life))
+            return
+        saves, node.disk.waiting = node.disk.waiting, []
+        for save in saves:
+            node.disk.durable.keep(save)
+        token = saves[-1].token
+        ready = [send for send in node.held if send.after <= token]
+        node.held = [send for send in node.held if send.after > token]
+        for send in ready:
+            self.send(node, send)
+        self.do(node, lambda member: member.saved(self.local(node), token))
+
+    def send(self, node: Node, send: Send) -> None:
+        to = self.nodes.get(send.name)
+        self.messages += 1
+        if to is None or (node.name, send.name) in self.cuts or self.random.random() < self.loss:
+            return
+        assert node.member is not None
+        sender, name, id = node.member.id, node.name, send.id
+        for _ in range(2 if self.random.random() < self.twice else 1):
+            delay = self.random.randrange(200, max(300, self.slow_us))
+            self.after(delay, lambda: self.deliver(to, id, sender, name, send))
+
+    def deliver(self, to: Node, id: str, sender: str, name: str, send: Send) -> None:
+        if to.member is None or (id and id != to.member.id):
+            return
+        self.do(to, lambda member: member.receive(self.local(to), sender, name, send.message))
+
+    # Faults
+
+    def crash(self, node: Node) -> None:
+        if node.member is not None:
+            node.member = None
+            node.disk.crash(self.random)
+            node.inbox.clear()
+
+    def wipe(self, node: Node) -> None:
+        self.crash(node)
+        node.disk, node.id = Disk(), self.new_id()
+
+    def restore(self, node: Node) -> None:
+        """Put an earlier copy of the folder in its place. Its files are not those that were written."""
+        if node.copy is None:
+            return
+        self.crash(node)
+        if self.restores_seen:
+            node.disk, node.id = Disk(), self.new_id()
+        else:
+            node.id, old = node.copy
+            node.disk = Disk()
+            node.disk.durable = copy.deepcopy(old)
+
+    def stop(self, node: Node, for_us: int) -> None:
+        if node.member is None:
+            return
+        node.stopped_until = self.now + for_us
+        life = node.life
+        self.after(for_us + 1, lambda: self.go_on(node, life))
+
+    def go_on(self, node: Node, life: int) -> None:
+        if node.member is None or node.life != life:
+            return
+        # The first thing that a process does may be a request that it had taken before.
+        self.sample_now()
+        inbox, node.inbox = node.inbox, []
+        for what in inbox:
+            what()
+
+    def publish(self, node: Node, kind: str, body: str, parent: int = -1) -> None:
+        self.ids += 1
+        command = Publish(f"p{self.ids}", kind, body, "sim", "", parent, True)  # type: ignore[arg-type]
+        self.clients[command.id] = Client(command, node, self.now + 12 * S)
+        self.ask(command.id)
+
+    def ask(self, id: str) -> None:
+        client = self.clients.get(id)
+        if client is None or self.now > client.until:
+            self.clients.pop(id, None)
+            return
+        self.do(client.node, lambda member: member.publish(self.local(client.node), client.command))
+        self.after(400 * MS, lambda: self.ask(id))
+
+    # What is seen
+
+    def sample(self) -> None:
+        self.sample_now()
+        self.after(SAMPLE_US, self.sample)
+
+    def sample_now(self) -> None:
+        acting: dict[str, tuple[int, Member]] = {}
+        led = False
+        for node in self.nodes.values():
+            if node.member is None or node.stopped_until > self.now:
+                continue
+            led = led or node.member.raft.leads
+            if node.member.may_act(self.local(node)):
+                acting[node.name] = (node.member.loaded_version, node.member)
+        self.checks.leaderless_us += 0 if led else SAMPLE_US
+        self.checks.acting(self.now, acting)
+
+    # A schedule
+
+    def trouble(self) -> None:
+        """One fault, or one wish, by chance."""
+        chance = self.random
+        node = chance.choice(list(self.nodes.values()))
+        other = chance.choice([n for n in self.nodes.values() if n is not node] or [node])
+        lasts = chance.randrange(200 * MS, 6 * S)
+        match chance.randrange(16):
+            case 0:
+                self.cuts.add((node.name, other.name))
+                self.after(lasts, lambda: self.cuts.discard((node.name, other.name)))
+            case 1 | 2:
+                cut = {(node.name, n) for n in self.nodes} | {(n, node.name) for n in self.nodes}
+                if chance.random() < 0.4:
+                    cut = {
+                        pair for pair in cut if pair[0] == node.name
+                    }  # it is heard by nobody, and hears all
+                self.cuts |= cut
+                self.after(lasts, lambda: self.cuts.difference_update(cut))
+            case 3 | 4:
+                self.stop(node, chance.choice((lasts, 10 * S)))
+            case 5 | 6:
+                self.crash(node)
+                self.after(chance.randrange(50 * MS, 3 * S), lambda: self.boot_if_down(node))
+            case 7:
+                nodes = list(self.nodes.values())
+                for each in nodes if chance.random() < 0.3 else nodes[: len(nodes) // 2 + 1]:
+                    self.crash(each)
+                    self.after(chance.randrange(50 * MS, S), partial(self.boot_if_down, each))
+            case 8 if self.wiped_few(node):
+                self.wipe(node)
+                self.after(chance.randrange(50 * MS, S), lambda: self.boot_if_down(node))
+            case 9:
+                node.copy = (node.id, copy.deepcopy(node.disk.durable))
+            case 10 if node.copy is not None and node.copy[0] == node.id and self.wiped_few(node):
+                self.restore(node)
+                self.after(chance.randrange(50 * MS, S), lambda: self.boot_if_down(node))
+            case 11:
+                self.loss, self.slow_us = chance.choice(((0.0, 5 * MS), (0.1, 300 * MS), (0.3, 40 * MS)))
+                self.twice = chance.choice((0.0, 0.1))
+                node.slow_disk = chance.random() < 0.3
+            case 12:
+                do = chance.choice(("replace", "replace", "remove", "add"))
+                if do != "remove" or self.removed_few(other):
+                    self.do(node, lambda member: self.change(member, node, other.name, do))
+            case _:
+                kind = chance.choice(("settings", "settings", "out", "back"))
+                body = f"box{chance.randrange(4)}"
+                if kind == "settings":
+                    bad = ',"bad":1' * (chance.random() < 0.05)
+                    body = f'{{"limits":{{"open_requests":{chance.randrange(1, 900)}}}{bad}}}'
+                self.publish(node, kind, body)
+
+    def change(self, member: Member, node: Node, name: str, do: str) -> None:
+        member.change(self.local(node), name, do)
+
+    def removed_few(self, node: Node) -> bool:
+        """Whether taking it out leaves more than half of the names that vote."""
+        if node.name[0] != "v":
+            return True
+        barred: set[str] = set().union(*(n.member.state.barred for n in self.nodes.values() if n.member))
+        voters = [name for name in self.nodes if name[0] == "v"]
+        return len((barred | {node.name}) & set(voters)) <= len(voters) // 2 and self.wiped_few(node)
+
+    def wiped_few(self, node: Node) -> bool:
+        """Whether a majority of the voters would still have all that it has promised."""
+        configs = {n.member.raft.config for n in self.nodes.values() if n.member is not None}
+        for n in self.nodes.values():
+            configs.add(raft.Raft(n.id, n.disk.durable, 0, self.random).config)
+        there = {n.id for n in self.nodes.values() if n is not node}
+        votings = [{peer.id for peer in config if peer.votes} for config in configs if config]
+        return bool(votings) and all(len(ids & there) > len(ids) // 2 for ids in votings)
+
+    def calm(self) -> None:
+        """All faults end; the wiped are made voters again."""
+        self.cuts.clear()
+        self.loss, self.slow_us, self.twice = 0.0, 5 * MS, 0.0
+        for node in self.nodes.values():
+            node.slow_disk = False
+            if node.member is None:
+                self.boot(node)
+
+
+def play(
+    seed: int,
+    voters: int = 3,
+    learners: int = 0,
+    faults_us: int = 20 * S,
+    kind: type[Recorded] = Recorded,
+    world_of: Callable[..., World] = World,
+) -> World:
+    """One schedule to its end. Raises Violation."""
+    world = world_of(seed, voters, learners, kind)
+    world.run(3 * S)
+    while world.now < faults_us:
+        world.trouble()
+        world.run(world.now + world.random.randrange(50 * MS, 1200 * MS))
+    world.calm()
+    world.run(world.now + CALM_US)
+    finish(world)
+    return world
+
+
+def play_cuts(
+    seed: int,
+    voters: int = 3,
+    learners: int = 0,
+    faults_us: int = 30 * S,
+    kind: type[Recorded] = Recorded,
+    world_of: Callable[..., World] = World,
+) -> World:
+    """Members that are cut off, stopped or started anew just as something contradicting is published."""
+    world = world_of(seed, voters, learners, kind)
+    chance = world.random
+    world.run(3 * S)
+    while world.now < faults_us:
+        world.slow_us, world.loss = chance.choice(((5 * MS, 0.0), (300 * MS, 0.0), (40 * MS, 0.25)))
+        nodes = list(world.nodes.values())
+        node = chance.choice(nodes)
+        match chance.randrange(4):
+            case 0:
+                world.stop(node, chance.randrange(2 * S, 5 * S))
+            case 1:
+                world.crash(node)
+                world.after(chance.randrange(50 * MS, 500 * MS), partial(world.boot_if_down, node))
+            case _:
+                cut = {(node.name, n) for n in world.nodes} | {(n, node.name) for n in world.nodes}
+                world.cuts |= cut
+                world.after(chance.randrange(S, 5 * S), partial(world.cuts.difference_update, cut))
+        world.run(world.now + chance.randrange(300 * MS))
+        leader = next((n for n in nodes if n.member is not None and n.member.raft.leads), None)
+        if leader is not None and leader is not node and chance.random() < 0.5:
+            world.crash(leader)
+            world.after(chance.randrange(50 * MS, 2 * S), partial(world.boot_if_down, leader))
+        for _ in range(chance.randrange(1, 4)):
+            body = f'{{"limits":{{"open_requests":{chance.randrange(1, 900)}}}}}'
+            world.publish(chance.choice(nodes), "settings", body)
+            world.run(world.now + chance.randrange(10 * MS, 400 * MS))
+        world.run(world.now + chance.randrange(2 * S, 4 * S))
+    world.calm()
+    world.run(world.now + CALM_US)
+    finish(world)
+    return world
+
+
+def play_elections(
+    seed: int,
+    voters: int = 5,
+    learners: int = 0,
+    faults_us: int = 30 * S,
+    kind: type[Recorded] = Recorded,
+    world_of: Callable[..., World] = World,
+) -> World:
+    """Leaders that die as they publish, voters that die as they vote, on slow disks, and back at once."""
+    world = world_of(seed, voters, learners, kind)
+    chance = world.random
+    world.run(3 * S)
+    while world.now < faults_us:
+        nodes = list(world.nodes.values())
+        world.slow_us = chance.choice((5 * MS, 60 * MS, 250 * MS))
+        for node in nodes:
+            node.slow_disk = chance.random() < 0.5
+        cut = chance.choice(nodes)
+        pairs = {(cut.name, n) for n in world.nodes} | {(n, cut.name) for n in world.nodes}
+        world.cuts |= pairs
+        world.after(chance.randrange(100 * MS, 2 * S), partial(world.cuts.difference_update, pairs))
+        leader = next((n for n in nodes if n.member is not None and n.member.raft.leads), None)
+        if leader is not None:
+            for _ in range(chance.randrange(3)):
+                world.publish(leader, chance.choice(("out", "back")), f"box{chance.randrange(4)}")
+            world.run(world.now + chance.randrange(120 * MS))
+            world.crash(leader)
+            world.after(chance.randrange(5 * MS, 1500 * MS), partial(world.boot_if_down, leader))
+        for _ in range(chance.randrange(5)):
+            node = chance.choice(nodes)
+            delay = chance.randrange(450 * MS, 1300 * MS)
+            world.after(delay, partial(world.crash, node))
+            world.after(delay + chance.randrange(MS, 30 * MS), partial(world.boot_if_down, node))
+        world.run(world.now + chance.randrange(200 * MS, 1800 * MS))
+    world.calm()
+    world.run(world.now + CALM_US)
+    finish(world)
+    return world
+
+
+def finish(world: World) -> None:
+    """All is well again: everybody acts on the one newest version, and nothing acknowledged is lost."""
+    members = [node.member for node in world.nodes.values() if node.member is not None]
+    leaders = [member for member in members if member.raft.leads]
+    if len(leaders) != 1:
+        world.checks.fail(world.now, f"{len(leaders)} leaders after the calm")
+    state = leaders[0].state
+    for id, version in world.checks.acknowledged.items():
+        outcome = state.outcomes.get(id)
+        if outcome is None or outcome.version != version:
+            world.checks.fail(world.now, f"{id} was acknowledged as version {version} and is lost")
+    for node in world.nodes.values():
+        member = node.member
+        if node.name in state.barred or (
+            member is not None and member.id not in {p.id for p in leaders[0].raft.config}
+        ):
+            continue  # taken out
+        if (
+            member is None
+            or not member.may_act(world.local(node))
+            or member.loaded_version != state.newest.number
+        ):
+            world.checks.fail(world.now, f"{node.name} does not act on version {state.newest.number}")
--- /dev/null
+++ b/tests/agreement/test_schedules.py
@@ -0,0 +1,69 @@
+"""Groups in simulated time. `benchmarks/schedules.py` plays many more of the same."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.agreement.guards import GUARDS, Guard
+from tests.agreement.simulation import BOUND_US, S, World, play, play_cuts
+
+
+@pytest.mark.parametrize(
+    ("voters", "learners", "seeds"), [(3, 0, range(1000, 1030)), (5, 2, range(2000, 2012)), (7, 0, range(8))]
+)
+def test_whatever_happens_nothing_agreed_is_lost_and_the_bound_holds(
+    voters: int, learners: int, seeds: range
+) -> None:
+    longest = [play(seed, voters, learners).checks.longest_us for seed in seeds]
+    print("longest, ms:", sorted(us // 1000 for us in longest))
+    assert max(longest) <= BOUND_US
+
+
+def test_those_cut_off_stop_before_others_go_on() -> None:
+    longest = [play_cuts(seed, 3).checks.longest_us for seed in range(12)]
+    assert 0 < max(longest) <= BOUND_US
+
+
+@pytest.mark.parametrize("guard", GUARDS, ids=lambda guard: guard.name)
+def test_each_guard_taken_out_is_found(guard: Guard) -> None:
+    seed, found = guard.search()
+    print(f"seed {seed}: {found}")
+
+
+def test_a_leader_that_dies_is_followed_within_a_second_and_a_half() -> None:
+    without = []
+    for seed in range(12):
+        world = World(seed, 3)
+        world.run(5 * S)
+        leader = next(n for n in world.nodes.values() if n.member is not None and n.member.raft.leads)
+        world.checks.leaderless_us = 0
+        world.crash(leader)
+        world.run(world.now + 4 * S)
+        without.append(world.checks.leaderless_us)
+    print("ms without a leader:", sorted(us // 1000 for us in without))
+    assert max(without) < 1_500_000
+
+
+def test_two_of_three_gone_the_third_serves_nothing_until_it_is_forced() -> None:
+    world = World(3, 3)
+    world.run(5 * S)
+    world.crash(world.nodes["v0"])
+    world.crash(world.nodes["v1"])
+    last = world.nodes["v2"]
+    assert last.member is not None and last.member.may_act(world.local(last))
+    world.run(world.now + 4 * S)
+    assert not last.member.may_act(world.local(last))
+    assert last.member.force(world.local(last)) == ""
+    world.settle(last)
+    world.run(world.now + 5 * S)
+    assert last.member.may_act(world.local(last))
+    world.publish(last, "out", "box1")
+    world.run(world.now + 5 * S)
+    assert list(last.member.state.acting.out) == ["box1"]
+
+
+def test_a_group_of_one_acts_at_once_and_alone() -> None:
+    world = World(1, 1)
+    world.run(2 * S)
+    only = world.nodes["v0"]
+    assert only.member is not None and only.member.may_act(world.local(only))
