--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -22,6 +22,11 @@
     return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
 
 
+def quantile(ordered: Sequence[float], share: float) -> float:
+    """Of values in order; 0 of none."""
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))] if ordered else 0.0
+
+
 def memory_mb(pid: int) -> float:
     """Its resident memory, in MB."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
--- a/rosedeal/admin/__init__.py
+++ b/rosedeal/admin/__init__.py
@@ -5,7 +5,7 @@
 from rosedeal.admin.figures import Figures
 from rosedeal.admin.paths import default_socket
 from rosedeal.admin.protocol import BoxView, ClassView, Failure, LogLine, Said, Snapshot, SourceView, Window
-from rosedeal.admin.room import AdminRoom, Keeper
+from rosedeal.admin.room import AdminRoom, CallRefused, Keeper
 
 __all__ = [
     "ABLE",
@@ -13,6 +13,7 @@
     "AdminError",
     "AdminRoom",
     "BoxView",
+    "CallRefused",
     "ClassView",
     "Failure",
     "Figures",
--- a/rosedeal/admin/protocol.py
+++ b/rosedeal/admin/protocol.py
@@ -24,7 +24,7 @@
 import msgspec
 
 VERSION = 1
-LINE_LIMIT = 64 * 1024  # bytes of a request
+LINE_LIMIT = 640 * 1024  # bytes of a request: a group's settings may be one
 TEXT_LIMIT = 256
 
 Id = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
@@ -62,7 +62,14 @@
     void: bool = False  # if it has not been carried out, it never shall be
 
 
-Request = AskSnapshot | Subscribe | Drain | Undrain | AskAction
+class AskGroup(Ask, tag="group"):
+    """A call of the gateway's group: `agreement/calls.py` says which there are."""
+
+    op: Text
+    given: dict[str, Any] = {}
+
+
+Request = AskSnapshot | Subscribe | Drain | Undrain | AskAction | AskGroup
 
 
 class Failure(msgspec.Struct, kw_only=True, frozen=True):
@@ -84,6 +91,7 @@
     left: int = 0  # requests that the box is still working on
     kept: bool = False  # will outlive a restart
     not_kept: str = ""  # why not
+    not_agreed: str = ""  # of a gateway in a group: why it is not in force at all members; empty: it is
 
 
 class Window(msgspec.Struct, kw_only=True, frozen=True):
@@ -179,6 +187,7 @@
     tenants: list[TenantView] = []
     joins: dict[str, int] = {}  # reads of routes that join, since the start, by what became of them
     joined_now: tuple[int, int] = (0, 0)  # groups that take members, and the members they have
+    group: str = ""  # a line on the group, of a gateway that has one
     problems: list[str] = []  # what the operator should mend, in sentences
 
 
--- a/rosedeal/admin/room.py
+++ b/rosedeal/admin/room.py
@@ -53,6 +53,23 @@
 PENDING = 64  # wishes of one connection that wait for the disk
 
 
+class Group(Protocol):
+    """The gateways that agree with this one."""
+
+    async def call(self, op: str, given: Mapping[str, Any]) -> Any:
+        """Raises CallRefused, in words."""
+
+    async def agree_out(self, box: str, by: str, out: bool) -> str:
+        """Have it so at all members: why it is not, or nothing."""
+
+    def line(self) -> str:
+        """How it stands, in one line."""
+
+
+class CallRefused(Exception):
+    """A call of a group that cannot be carried out, in words."""
+
+
 class Keeper(Protocol):
     """Keeps drains by hand over a restart."""
 
@@ -83,6 +100,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.further: Callable[[], Mapping[str, Proxy]] = dict  # pools beside the main one
         self.joins: Callable[[], tuple[Mapping[str, int], int, int]] = lambda: ({}, 0, 0)
+        self.group: Group | None = None
         self.notices: list[Callable[[], list[str]]] = []  # what else people should know of
 
     # The room
@@ -230,6 +248,7 @@
             log=list(self.story.lines),
             joins=dict(counts),
             joined_now=(groups, members),
+            group=self.group.line() if self.group is not None else "",
             problems=self.problems(boxes),
         )
 
@@ -285,6 +304,8 @@
                     connection.write(
                         protocol.reply(request.id, self.actions.result(request.action, request.void))
                     )
+                case protocol.AskGroup():
+                    self.ask_group(connection, request)
                 case Drain() | Undrain():
                     self.wish(connection, request)
         except Refused as refused:
@@ -302,6 +323,28 @@
         self.newest = protocol.push(self.snapshot(self.views()))
         connection.offer()
 
+    def ask_group(self, connection: Connection, request: protocol.AskGroup) -> None:
+        if self.group is None:
+            raise Refused("unknown-call", "this gateway is in no group")
+        if connection.pending >= PENDING:
+            raise Refused("busy", f"{PENDING} calls of this connection are under way")
+        self._spawn(self._reply_of_group(connection, request, self.group))
+
+    async def _reply_of_group(self, connection: Connection, request: protocol.AskGroup, group: Group) -> None:
+        connection.pending += 1
+        try:
+            result = await group.call(request.op, request.given)
+        except CallRefused as refused:
+            connection.write(protocol.failure(request.id, Failure(code="refused", text=str(refused))))
+        except Exception:
+            log.exception("failed on a call of the group: %.100r", request.op)
+            text = "a fault in the gateway, which is in its log"
+            connection.write(protocol.failure(request.id, Failure(code="failed", text=text)))
+        else:
+            connection.write(protocol.reply(request.id, result))
+        finally:
+            connection.pending -= 1
+
     def wish(self, connection: Connection, request: Drain | Undrain) -> None:
         """In effect before this returns; only the reply waits for the disk."""
         do = "drain" if isinstance(request, Drain) else "undrain"
@@ -336,6 +379,11 @@
         self.actions.remember(result)
         return result
 
+    def tell(self, text: str) -> None:
+        """For people, beside the log."""
+        if self.proxy is not None:
+            self.story.tell(self._now_us(), text)
+
     def _changed_by_hand(self, box: str, by: str, out: bool) -> None:
         """Here or by a call of operators: it is told and kept the same way."""
         told = f"{by} drained {box} by hand" if out else f"{by} let {box} serve again"
@@ -371,6 +419,10 @@
         try:
             why = await self._keep()
             result = msgspec.structs.replace(result, kept=not why, not_kept=why)
+            if self.group is not None:
+                out = result.do == "drain"
+                why = await self.group.agree_out(result.box, result.by, out)
+                result = msgspec.structs.replace(result, not_agreed=why)
             self.actions.remember(result)
             connection.write(protocol.reply(number, result))
         finally:
--- a/rosedeal/agreement/member.py
+++ b/rosedeal/agreement/member.py
@@ -149,6 +149,13 @@
     whole: Whole
 
 
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """The newest version, in force or not. What it takes out may be left alone at once: that does less."""
+
+    whole: Whole
+
+
 @dataclass(frozen=True, slots=True)
 class Examine:
     """See whether this could be loaded here; `examined` tells."""
@@ -183,7 +190,7 @@
     why: str
 
 
-Todo = Save | Send | Load | Examine | First | Settled | Shout | Reborn
+Todo = Save | Send | Load | Heard | Examine | First | Settled | Shout | Reborn
 
 
 @dataclass(frozen=True, slots=True)
@@ -257,6 +264,7 @@
         self.turned = ""  # why it was not let in
         self.now_us = now_us
         self.loaded_version = 0  # what the gateway acts on
+        self.heard = 0  # the newest version that was told
         self.told = 0  # the version last handed over to be loaded
         self.seen: OrderedDict[str, Seen] = OrderedDict()  # by name
         self.names: OrderedDict[str, str] = OrderedDict()  # by identity, as they said themselves
@@ -556,6 +564,9 @@
         if acting.number > self.told and not self.halted:
             self.told = acting.number
             self.out.append(Load(acting))
+        if self.state.newest.number > self.heard:
+            self.heard = self.state.newest.number
+            self.out.append(Heard(self.state.newest))
         if self.state.newest.number != self.asked_has:
             self.ask_at = 0  # the leader waits for it
         full = len(self.raft.log) > COMPACT_ENTRIES or self.raft.log_bytes() > COMPACT_BYTES
--- a/rosedeal/cli/main.py
+++ b/rosedeal/cli/main.py
@@ -10,7 +10,17 @@
 
 import rosedeal
 from rosedeal.admin import AdminError, NoAnswer, NoGateway, Snapshot, call, default_socket
-from rosedeal.admin.protocol import VERSION, ActionResult, AskSnapshot, Drain, ProtocolError, Request, Undrain
+from rosedeal.admin.protocol import (
+    VERSION,
+    ActionResult,
+    AskGroup,
+    AskSnapshot,
+    Drain,
+    ProtocolError,
+    Request,
+    Undrain,
+)
+from rosedeal.cli.group_words import add_commands
 from rosedeal.cli.serve import check, serve
 from rosedeal.gateway.config import ConfigError
 from rosedeal.site import read_site
@@ -30,6 +40,8 @@
 """
 
 REFUSED, UNUSABLE, NOBODY, UNSURE = 1, 2, 3, 4
+STEER_S = 7.0  # for a host by hand: its disk, and where there is a group all who act
+GROUP_S = 20.0  # for what a whole group has to agree on
 
 T = TypeVar("T")
 
@@ -78,6 +90,7 @@
         command.add_argument(
             "--action", default="", help="a name for this wish: sent again, it is not repeated"
         )
+    add_commands(commands, _to_gateway)
     for command in (console, drain, undrain):
         command.add_argument("--by", default="", help="who wishes it, for the log (default: your user name)")
     return parser
@@ -102,6 +115,8 @@
                 from rosedeal.cli.demo import demo  # the stand-ins, which a gateway never imports
 
                 return demo(args.boxes, args.rate, args.seconds, console=not args.no_console, etcd=args.etcd)
+            case "group" | "settings":
+                return of_group(args)
             case "console":
                 return console(_socket(args), args.by or user(), args.ascii)
             case "status":
@@ -144,14 +159,38 @@
             request = Drain(v=VERSION, id="1", box=args.box, by=by, action=action, even_last=args.even_last)
         else:
             request = Undrain(v=VERSION, id="1", box=args.box, by=by, action=action)
-        result = _call(_socket(args), request, ActionResult)
+        result = _call(_socket(args), request, ActionResult, timeout_s=STEER_S)
     except UnicodeEncodeError:
         print("badgergap: the box's name is no text", file=sys.stderr)
         return UNUSABLE
     if isinstance(result, int):
         return result
     print("\n".join(result_words(result)))
-    return 0
+    return REFUSED if result.not_agreed else 0
+
+
+def of_group(args: argparse.Namespace) -> int:
+    from rosedeal.cli import group_words as group
+
+    if args.command == "group" and args.do == "key":
+        group.make_key(args.path)
+        return 0
+    if args.command == "group" and args.do == "sample":
+        print(group.write_sample(args.path))
+        return 0
+    op, given = group.arguments_of(args, user())
+    request = AskGroup(v=VERSION, id="1", op=op, given=given)
+    result = _call(_socket(args), request, dict, timeout_s=GROUP_S + float(given.get("within_s", 0.0)))
+    if isinstance(result, int):
+        return result
+    if getattr(args, "json", False):
+        import json
+
+        print(json.dumps(result, indent=1, ensure_ascii=True))
+        return 0 if result.get("ok") else REFUSED
+    text, well = group.words(op, result)
+    print(text)
+    return 0 if well else REFUSED
 
 
 def console(path: Path, by: str, ascii_only: bool) -> int:
@@ -179,10 +218,10 @@
         return f"user {os.getuid()}"
 
 
-def _call(path: Path, request: Request, kind: type[T]) -> T | int:
+def _call(path: Path, request: Request, kind: type[T], timeout_s: float = 5.0) -> T | int:
     """The result, or the exit code once the line that says why is printed."""
     try:
-        return call(path, request, kind)
+        return call(path, request, kind, timeout_s)
     except NoGateway as error:
         code, why = NOBODY, str(error)
     except NoAnswer as error:
--- a/rosedeal/cli/serve.py
+++ b/rosedeal/cli/serve.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Mapping
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from rosedeal.admin import AdminRoom, Figures
 from rosedeal.cli.etcd import etcd_room
@@ -19,6 +20,9 @@
 from rosedeal.site import SiteRoom
 from rosedeal.site.web import never
 
+if TYPE_CHECKING:
+    from rosedeal.agreement.room import GroupRoom
+
 log = logging.getLogger(__name__)
 
 
@@ -35,10 +39,16 @@
     rooms: list[Room] = [SiteRoom(lambda: setup.site, store), admin]
     if setup.site.etcd is not None:
         rooms.insert(1, etcd_room(setup.site.etcd, path.parent, environ))
+    group: GroupRoom | None = None
+    if setup.site.group is not None:
+        group = join_group(setup, admin)
+        rooms.append(group)
     if setup.site.http is not None:
         from rosedeal.cli.web import web_room
 
         web, tls = web_room(setup, environ, figures)
+        if group is not None:
+            group.proxies = web.proxies
         rooms.append(web)
         admin.further = web.proxies
         admin.joins = web.joined
@@ -55,6 +65,19 @@
     return run(config, setup.read_again, rooms, figures)
 
 
+def join_group(setup: Setup, admin: AdminRoom) -> GroupRoom:
+    """Raises ConfigError."""
+    try:
+        from rosedeal.cli.group import group_room
+    except ModuleNotFoundError as error:
+        why = f"{error.name} is missing: pip install 'badgergap[group]'"
+        raise ConfigError(f"[group] needs its extra, {why}") from None
+    room, admin.group = group_room(setup)
+    room.tell = admin.tell
+    admin.notices.append(room.problems)
+    return room
+
+
 def fleet_tls(setup: Setup) -> Room:
     """TLS to the main pool's boxes. Raises ConfigError."""
     from rosedeal.cli.tls import BoxTls
@@ -85,6 +108,10 @@
         notices = tls.certificates.problems() if tls is not None else []
     if site.fleet.ca is not None:
         fleet_tls(setup)
+    if site.group is not None:
+        from rosedeal.cli.group import group_room
+
+        group_room(setup)
     listens = [config.listen] if config.listen is not None else []
     listens += [site.http.listen.pair] if site.http is not None else []
     listens += [site.https.listen.pair] if site.https is not None else []
@@ -103,6 +130,9 @@
     if site.http is not None:
         words.insert(1, f"{len(site.routes)} routes, {len(site.pools) + 1} pools")
         words += never(site) + notices
+    if site.group is not None:
+        votes = sum(member.votes for member in site.group.members)
+        words.append(f"member {site.group.name} of a group of {len(site.group.members)}, {votes} vote")
     if setup.overruled:
         words.append(f"the platform's configuration overrules {', '.join(setup.overruled)}")
     return "; ".join(words)
--- a/rosedeal/console/words.py
+++ b/rosedeal/console/words.py
@@ -187,13 +187,15 @@
 def result_words(result: ActionResult) -> list[str]:
     """What became of a wish: a sentence, and another where a drain will not outlive a restart."""
     name = clean(result.box)
+    not_agreed = [f"NOT IN FORCE AT ALL: {clean(result.not_agreed)}."] if result.not_agreed else []
     if result.do != "drain":
-        return [f"{name} may serve again." if result.changed else f"{name} was not drained by hand."]
+        back = f"{name} may serve again." if result.changed else f"{name} was not drained by hand."
+        return not_agreed or [back]
     left = f"; {requests(result.left)} still there" if result.left else ""
     lines = [f"{name} is drained{left}." if result.changed else f"{name} was drained already."]
     if result.not_kept:
         lines.append(f"It will not outlive a restart: {clean(result.not_kept)}.")
-    return lines
+    return lines + not_agreed
 
 
 def percent(part: int, whole: int) -> str:
@@ -249,6 +251,7 @@
     lines = [
         f"{clean(snapshot.site)}: listens on {snapshot.listen}, up {span(now_us - snapshot.started_us)}, "
         f"{snapshot.open} in work, {snapshot.waiting} waiting",
+        *([f"group: {clean(snapshot.group)}"] if snapshot.group else []),
         *(f"! {clean(problem)}" for problem in snapshot.problems),
         "",
         boxes_title(snapshot),
--- a/rosedeal/gateway/config.py
+++ b/rosedeal/gateway/config.py
@@ -88,7 +88,12 @@
     followed = {"discovery", "filed_discovery", "known"}
     if old.grows:
         more = old.settings.classes + new.settings.classes[len(old.settings.classes) :]
-        old = replace(old, settings=replace(old.settings, classes=more), names=new.names)
+        most = new.settings.max_open_requests
+        old = replace(
+            old,
+            settings=replace(old.settings, classes=more, max_open_requests=most),
+            names=new.names,
+        )
     return [
         f.name
         for f in fields(Config)
--- a/rosedeal/gateway/pools.py
+++ b/rosedeal/gateway/pools.py
@@ -88,6 +88,7 @@
                     feeder.reload(config)
             else:
                 await self._begin(plan)
+        self.open_requests.total = config.settings.max_open_requests
         self._divide()
 
     async def _begin(self, plan: PoolPlan) -> None:
@@ -95,6 +96,8 @@
         proxy.clock = self.main.clock
         proxy.roster.drains = self.main.roster.drains  # by hand: of boxes, in whatever pool
         proxy.by_hand = self.main.by_hand
+        proxy.put_back = self.main.put_back
+        proxy.act_by(self.main.acting)
         pool = Pool(plan, proxy, list(plan.feed()))
         self.pools[plan.name] = pool
         for feeder in pool.feeders:
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -58,6 +58,7 @@
 TRANSIT_US = 4_000
 # After the balancer's own limits, before the client's: the answer of last resort.
 LAST_RESORT_US = 2_000
+OUT_OF_TOUCH = "this gateway is out of touch with its group"
 RETRY_AFTER = b"1"  # seconds, where the decisions name no time; the least that every client understands
 PROBE_TIMEOUT_S = 1.0
 PEER_LIMIT = 256
@@ -142,6 +143,7 @@
     attempts: list[Exchange | None] = field(default_factory=list)
     out: int = 0
     kept: Answer | None = None  # a host's own answer to a streamed request, which counts as its failure
+    epoch: int = 0  # of the rules that it was taken under
 
 
 class StreamBooks:
@@ -228,9 +230,18 @@
         self.may_open: Callable[[], bool] | None = (
             None  # of a gateway of several pools; None: the setting holds
         )
+        # Whether this gateway may act: the epoch of its rules, or -1. None: nobody else has a say in it.
+        self.acting: Callable[[], int] | None = None
+        # Asked before a host is put back by hand; False: somebody else will do it.
+        self.put_back: Callable[[str, str], bool] | None = None
         self.events: deque[Event] = deque()
         self.busy = False
 
+    def act_by(self, acting: Callable[[], int] | None) -> None:
+        """Ask before each request is taken, and again before it is sent to a host."""
+        self.acting = acting
+        self.upstream.acting = acting
+
     def add_source(self, source: HostSource) -> None:
         """A further source of hosts, before the start. What it says it hands to `hear`, under its name."""
         self.sources[source.name] = source
@@ -273,7 +284,10 @@
         # A class that was changed stands under its own name anew, the old entry under the name and a mark.
         old = {name.partition("~")[0]: number for number, name in enumerate(names[:known])}
         self.balancer.add_classes(classes, tuple(old.get(name) for name in names[known:]))
-        self.settings = replace(self.settings, classes=self.settings.classes + classes)
+        most = config.settings.max_open_requests
+        self.settings = replace(
+            self.settings, classes=self.settings.classes + classes, max_open_requests=most
+        )
 
     def close(self) -> None:
         for source in self.sources.values():
@@ -288,7 +302,7 @@
 
     @property
     def ready(self) -> bool:
-        return bool(self.upstream.hosts)
+        return bool(self.upstream.hosts) and (self.acting is None or self.acting() >= 0)
 
     # Events in, actions out
 
@@ -364,15 +378,16 @@
 
     def arrive(self, asked: Asked, reply: Reply) -> Request | None:
         """Take a request: `reply` is called exactly once, unless `leave` comes first."""
-        if not self.has_room():
-            reply(refused("too many requests"))
+        epoch = self.acting() if self.acting is not None else 0
+        if epoch < 0 or not self.has_room():
+            reply(refused("too many requests" if epoch >= 0 else OUT_OF_TOUCH))
             if self.observer is not None:
                 self.observer.answered(self.clock.now_us(), asked.klass, 503, 0, asked.tenant)
             return None
         self.taken += 1
         patience_us = max(0, asked.timeout_us - asked.waited_us - TRANSIT_US)
         now_us = self.clock.now_us()
-        request = Request(str(self.taken), asked, now_us, now_us + patience_us, reply)
+        request = Request(str(self.taken), asked, now_us, now_us + patience_us, reply, epoch=epoch)
         self.requests[request.id] = request
         self.open += 1
         self.give_until(request, now_us, request.deadline_us)
@@ -507,6 +522,9 @@
             return
         number, sent_us = len(request.attempts), self.clock.now_us()
         left_us = min(action.timeout_us, request.deadline_us - sent_us)
+        if self.acting is not None and self.acting() != request.epoch:
+            self.withdraw(request)
+            left_us = 0
         if request.reply is None or left_us <= 0 or number >= self.settings.max_attempts:
             request.attempts.append(None)
             self.events.append(
@@ -519,6 +537,14 @@
         exchange = request.asked.launch(self.upstream, action.server, left_us / 1e6, books)
         request.attempts.append(exchange)
 
+    def withdraw(self, request: Request) -> None:
+        """The rules that it was taken under may have been taken back: it goes to no host any more."""
+        if request.reply is not None and not request.out:
+            ran = any(exchange is not None and exchange.written for exchange in request.attempts)
+            answer = plain(502, "failed") if ran else refused(OUT_OF_TOUCH)
+            self.settle(request, answer if request.kept is None else request.kept)
+            self.forget_if_over(request)
+
     def attempt_ended(
         self,
         request: Request,
@@ -577,6 +603,8 @@
 
     def undrain(self, name: str, by: str) -> None:
         """Undo a drain by hand. Raises RosterError for a host that is unknown."""
+        if self.put_back is not None and not self.put_back(name, by):
+            return
         was = name in self.roster.drains
         self.on_news(self.roster.undrain(name))
         self._tell_by_hand(name, by, was)
--- a/rosedeal/gateway/run.py
+++ b/rosedeal/gateway/run.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import sys
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import replace
 from typing import Protocol, runtime_checkable
 
@@ -53,6 +53,26 @@
         """Of all pools, the main one among them; empty before it has started."""
 
 
+# Has the configuration read by this and taken over by all; returns once that is so. Raises ConfigError.
+Again = Callable[[ReadAgain], Awaitable[None]]
+
+
+@runtime_checkable
+class Steering(Protocol):
+    """A room that brings configurations of its own, beside those of SIGHUP."""
+
+    def steers(self, again: Again) -> None:
+        """Before it is started."""
+
+
+@runtime_checkable
+class Following(Protocol):
+    """A room that needs a while to follow a new configuration."""
+
+    async def followed(self) -> None:
+        """Returns once it does."""
+
+
 @runtime_checkable
 class Taking(Protocol):
     """A room that takes requests itself."""
@@ -83,6 +103,10 @@
     await proxy.start()
     if succession is not None:
         succession.teach()
+    reloader = Reloader(proxy, downstream, rooms)
+    for room in rooms:
+        if isinstance(room, Steering):
+            room.steers(reloader.again)
     if config.listen is not None:
         proxy.listens = await downstream.start(succession.listener if succession is not None else None)
         log.info("%s listens on %s:%d", config.name, *proxy.listens)
@@ -91,7 +115,7 @@
     if succession is not None:
         succession.take()
     desk = await open_desk(config, proxy, downstream, rooms)
-    reloads = loop.create_task(reload(proxy, downstream, hung_up, read_again, rooms))
+    reloads = loop.create_task(reload(reloader, hung_up, read_again))
     await told.wait()
     ignore_signals(loop)
     reloads.cancel()  # a process that ends follows no configuration
@@ -140,27 +164,37 @@
         signal.signal(number, signal.SIG_IGN)
 
 
-async def reload(
-    proxy: Proxy,
-    downstream: Downstream,
-    hung_up: asyncio.Event,
-    read_again: ReadAgain,
-    rooms: Sequence[Room] = (),
-) -> None:
-    """Read the file again at each SIGHUP, beside the serving loop; one that is bad changes nothing."""
+class Reloader:
+    """Has one new configuration after the other taken over, beside the serving loop."""
+
+    def __init__(self, proxy: Proxy, downstream: Downstream, rooms: Sequence[Room]) -> None:
+        self.proxy, self.downstream, self.rooms = proxy, downstream, rooms
+        self.turn = asyncio.Lock()
+
+    async def again(self, read: ReadAgain) -> None:
+        """Raises ConfigError, and then nothing has changed."""
+        async with self.turn:
+            config = await asyncio.to_thread(read, self.proxy.filed)
+            self.proxy.take_over(config)
+            if config.grows:
+                self.downstream.follow(config)
+            for room in self.rooms:
+                room.reload(config)
+            for room in self.rooms:
+                if isinstance(room, Following):
+                    await room.followed()
+
+
+async def reload(reloader: Reloader, hung_up: asyncio.Event, read_again: ReadAgain) -> None:
+    """Read the file again at each SIGHUP; one that is bad changes nothing."""
     while True:
         await hung_up.wait()
         hung_up.clear()
         try:
-            config = await asyncio.to_thread(read_again, proxy.filed)
+            await reloader.again(read_again)
         except ConfigError as error:
             log.error("the old configuration stays: %s", error)
         else:
-            proxy.take_over(config)
-            if config.grows:
-                downstream.follow(config)
-            for room in rooms:
-                room.reload(config)
             log.info("the configuration was read again")
 
 
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -116,6 +116,7 @@
         self.transport: asyncio.Transport | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.idle_since = 0.0
+        self.epoch = pool.acting() if pool.acting is not None else 0  # of the rules it is made under
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's are none by inheritance
@@ -124,8 +125,8 @@
         exchange = self.exchange
         if exchange is None or exchange.done:
             self.abort()
-        elif not self.pool.may_send(self.host):
-            # Guards against a drain that began while the connection was being made.
+        elif not self.pool.may_send(self.host) or not self.pool.still(self.epoch):
+            # Guards against a drain, or other rules, that began while the connection was being made.
             exchange.never_sent()
             self.abort()
         else:
@@ -295,6 +296,7 @@
         self.reads = Reads(self.budget)
         self.limit = connections
         self.elsewhere = 0  # connections that another process of this gateway holds
+        self.acting: Callable[[], int] | None = None  # as `Proxy.acting`
         self.on_open: Callable[[], None] | None = None  # a connection to a host has been begun
         self.connect_timeout_s = connect_timeout_us / 1e6 or CONNECT_UNSTATED_S
         self.idle_s = (idle_us / 1e6 or IDLE_UNSTATED_S) * IDLE_SHARE
@@ -334,6 +336,10 @@
     def may_send(self, host: Host) -> bool:
         return host.stop_at is None or self.loop.time() < host.stop_at
 
+    def still(self, epoch: int) -> bool:
+        """Whether what was begun in this epoch may still be sent."""
+        return self.acting is None or 0 <= self.acting() == epoch
+
     def connecting(self) -> dict[HostId, int]:
         """How many exchanges wait for a connection to each host."""
         waiting = Counter(id(c.host) for c in self.connections if c.connecting is not None)
--- a/rosedeal/site/read.py
+++ b/rosedeal/site/read.py
@@ -9,6 +9,7 @@
 import json
 import re
 import tomllib
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, get_type_hints
 
@@ -22,9 +23,11 @@
     ClassTable,
     EtcdTable,
     Fleet,
+    GroupTable,
     HttpsTable,
     HttpTable,
     Limits,
+    MemberTable,
     PoolTable,
     RouteTable,
     Site,
@@ -42,6 +45,8 @@
     "limits": Limits,
     "fleet": Fleet,
     "etcd": EtcdTable,
+    "group": GroupTable,
+    "group.member": MemberTable,
     "class": ClassTable,
     "box": BoxTable,
     "http": HttpTable,
@@ -73,8 +78,18 @@
         self.line, self.key, self.why = line, key, why
 
 
-def read_site(path: Path) -> Site:
+# What a group of gateways agrees on; a file's other tables are of its own gateway.
+SHARED = ("limits", "fleet", "class", "route", "pool", "box")
+Tables = Mapping[str, Any]
+
+
+def read_site(path: Path, agreed: Tables | None = None) -> Site:
     """Read and check a file. Raises SiteError."""
+    return parse_site(read_text(path), str(path), agreed)
+
+
+def read_text(path: Path) -> str:
+    """A file's text. Raises SiteError."""
     try:
         with path.open("rb") as file:
             data = file.read(SIZE_LIMIT + 1)
@@ -83,25 +98,23 @@
     if len(data) > SIZE_LIMIT:
         raise SiteError(str(path), 1, "", f"is over {SIZE_LIMIT} bytes")
     try:
-        text = data.decode()
+        return data.decode().replace("\r\n", "\n")
     except UnicodeDecodeError as error:
         line = data[: error.start].count(b"\n") + 1
         raise SiteError(str(path), line, "", "is not UTF-8 text") from None
-    return parse_site(text, str(path))
 
 
-def parse_site(text: str, file: str) -> Site:
-    """Check the text of a file. Raises SiteError, which names `file`."""
+def parse_site(text: str, file: str, agreed: Tables | None = None) -> Site:
+    """Check the text of a file. Raises SiteError, which names `file`.
+
+    `agreed`: what stands in place of all its SHARED tables.
+    """
     text = text.replace("\r\n", "\n")
-    try:
-        raw = tomllib.loads(text)
-    except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
-        match = re.search(r"line (\d+)", str(error))
-        why = re.sub(r" \(at .*\)", "", str(error)) or "cannot be read"
-        raise SiteError(
-            file, int(match[1]) if match else text.count("\n") + 1, "", f"no TOML: {why}"
-        ) from None
+    raw = read_tables(text, file)
     lines = lines_of(text)
+    if agreed is not None:
+        raw = {key: value for key, value in raw.items() if key not in SHARED} | dict(agreed)
+        lines = {key: line for key, line in lines.items() if key.split(".")[0].split("[")[0] not in SHARED}
     try:
         site = msgspec.convert(raw, Site, dec_hook=decode)
     except msgspec.ValidationError as error:
@@ -111,6 +124,24 @@
     return site
 
 
+def shared(raw: Tables) -> dict[str, Any]:
+    """Of a file's tables, those that a group agrees on."""
+    return {key: raw[key] for key in SHARED if key in raw}
+
+
+def read_tables(text: str, file: str) -> dict[str, Any]:
+    """The tables of a text. Raises SiteError."""
+    try:
+        raw: dict[str, Any] = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
+        match = re.search(r"line (\d+)", str(error))
+        why = re.sub(r" \(at .*\)", "", str(error)) or "cannot be read"
+        raise SiteError(
+            file, int(match[1]) if match else text.count("\n") + 1, "", f"no TOML: {why}"
+        ) from None
+    return raw
+
+
 def _contradictions(site: Site) -> list[tuple[str, str]]:
     """What no single key shows: (path, what is wrong)."""
     found: list[tuple[str, str]] = []
@@ -141,12 +172,32 @@
         )
     if site.etcd is not None:
         found += _of_etcd(site.etcd)
+    if site.group is not None:
+        found += _of_group(site.group, site)
     found += of_web(site)
     if site.fleet.overload_within < 1_000:
         found.append(("fleet.overload_within", 'found less than "1ms"; allowed: "1ms" or more'))
     return found
 
 
+def _of_group(group: GroupTable, site: Site) -> list[tuple[str, str]]:
+    found: list[tuple[str, str]] = []
+    names = [str(member.name) for member in group.members]
+    for number, name in enumerate(names):
+        if name in names[:number]:
+            found.append((f"group.member[{number}].name", f'found "{name}" again'))
+    if group.name not in names:
+        found.append(("group.name", f'found "{group.name}"; no [[group.member]] is called so'))
+    votes = sum(member.votes for member in group.members)
+    if votes not in (1, 3, 5, 7):
+        found.append(("group.member[0].votes", f"{votes} members vote; allowed: 1, 3, 5 or 7 of them"))
+    if site.site.state is None:
+        found.append(("group", "needs site.state, the folder that its log lies in"))
+    if not 1_000_000 <= group.contradiction <= 60_000_000:
+        found.append(("group.contradiction", 'allowed: from "1s" to "1min"'))
+    return found
+
+
 def _of_etcd(etcd: EtcdTable) -> list[tuple[str, str]]:
     found: list[tuple[str, str]] = []
     if (etcd.certificate is None) is not (etcd.key is None):
--- a/rosedeal/site/schema.py
+++ b/rosedeal/site/schema.py
@@ -276,11 +276,34 @@
     silent_after: Duration = Duration(1_500_000)
 
 
+class MemberTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """A gateway of the group; the one that is called like this gateway says what this one is itself."""
+
+    name: Name
+    address: Address  # how this gateway reaches it
+    zone: Name | None = None
+    votes: bool = True
+
+
+class GroupTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Gateways that agree on their settings. Needs the extra `group` and site.state."""
+
+    name: Name  # of this member
+    listen: Address  # for the other members only
+    key: Path  # a file for its owner's eyes only, the same at all members
+    contradiction: Duration = Duration(3_000_000)  # the longest that two act on rules that contradict
+    alone: Literal["refuse", "serve"] = "refuse"  # "serve": also out of touch, and then without that bound
+    members: Annotated[list[MemberTable], msgspec.Meta(min_length=1, max_length=256)] = msgspec.field(
+        name="member"
+    )
+
+
 class Site(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     site: SiteTable
     limits: Limits = Limits()
     fleet: Fleet = Fleet()
     etcd: EtcdTable | None = None
+    group: GroupTable | None = None
     http: HttpTable | None = None
     https: HttpsTable | None = None
     http3: Http3Table | None = None
--- a/rosedeal/web/room.py
+++ b/rosedeal/web/room.py
@@ -83,6 +83,10 @@
         plan, pools = self.read()
         self.reloading = asyncio.get_running_loop().create_task(self._reload(plan, pools, config))
 
+    async def followed(self) -> None:
+        if self.reloading is not None:
+            await asyncio.wait({self.reloading})
+
     async def _reload(self, plan: WebPlan, pools: Sequence[PoolPlan], config: Config) -> None:
         assert self.pools is not None and self.door is not None
         async with self.turn:
--- /dev/null
+++ b/tests/agreement/load.py
@@ -0,0 +1,104 @@
+"""Clients of a rig with a ledger, and what the ledgers of boxes and clients say together."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from rosedeal.standins.net import read_message
+from rosedeal.standins.rig import Gateway, Rig
+
+GIVE_UP_S = 6.0  # classes are given up after 5 s
+ON_THE_WAY_S = 0.15  # from a gateway's decision to the box's ledger, on a busy machine
+
+
+@dataclass(slots=True)
+class Asked:
+    number: int
+    gateway: str
+    at: float
+    method: str
+    status: int = 0  # 0: the connection was refused or broke
+    took_s: float = 0.0
+
+
+@dataclass
+class Load:
+    """`rate` requests a second in all, each on a connection of its own, to gateways by chance."""
+
+    rig: Rig
+    rate: float
+    seed: int
+    asked: list[Asked] = field(default_factory=list)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def play(self, until: asyncio.Event) -> None:
+        chance = random.Random(self.seed)
+        began, number = time.monotonic(), 0
+        while not until.is_set():
+            number += 1
+            gateway = chance.choice(list(self.rig))
+            one = Asked(number, gateway.name, time.monotonic(), chance.choice(("GET", "GET", "POST")))
+            self.asked.append(one)
+            task = asyncio.get_running_loop().create_task(self.one(one, gateway))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(max(0.0, began + number / self.rate - time.monotonic()))
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=GIVE_UP_S + 2.0)
+
+    async def one(self, asked: Asked, gateway: Gateway) -> None:
+        writer = None
+        try:
+            async with asyncio.timeout(GIVE_UP_S):
+                reader, writer = await asyncio.open_connection("127.0.0.1", gateway.http)
+                body = b"Content-Length: 2\r\n\r\nhi" if asked.method == "POST" else b"\r\n"
+                target = f"/echo?from={gateway.name}&number={asked.number}".encode()
+                writer.write(
+                    b"%b %b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n%b"
+                    % (asked.method.encode(), target, body)
+                )
+                first, _, _ = await read_message(reader)
+                asked.status = int(first.split()[1])
+        except TimeoutError:
+            asked.status = -1
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            asked.took_s = time.monotonic() - asked.at
+            if writer is not None:
+                writer.close()
+
+    def counts(self) -> Counter[int]:
+        return Counter(asked.status for asked in self.asked)
+
+
+@dataclass
+class Joined:
+    """The boxes' ledgers, by version: `put_before = "/vN"` makes each request say which one sent it."""
+
+    spans: dict[int, tuple[float, float]]  # first and last request under each version
+    twice: list[int]  # requests with an effect that ran more than once
+    longest_s: float  # that two versions were acted on side by side
+    pair: tuple[int, int]
+
+
+def join(rig: Rig) -> Joined:
+    spans: dict[int, tuple[float, float]] = {}
+    effects: dict[int, int] = defaultdict(int)
+    for app in rig.apps:
+        for run in app.runs:
+            version = int(run.path.split("/")[1].removeprefix("v")) if run.path.startswith("/v") else 0
+            first, last = spans.get(version, (run.at, run.at))
+            spans[version] = (min(first, run.at), max(last, run.at))
+            if run.method == "POST":
+                effects[run.query("number")] += 1
+    longest, pair = 0.0, (0, 0)
+    for older, (_, last) in spans.items():
+        for newer, (first, _) in spans.items():
+            if older < newer and last - first > longest:
+                longest, pair = last - first, (older, newer)
+    return Joined(spans, [number for number, times in effects.items() if times > 1], longest, pair)
--- /dev/null
+++ b/tests/agreement/test_frames.py
@@ -0,0 +1,132 @@
+"""What goes over links and to the disk: whole or refused, and never guessed."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+
+import msgspec
+import pytest
+
+from rosedeal.agreement import durable, frames, state
+from rosedeal.agreement.frames import BadFrame, Envelope, Listener, Opening, Talker, open_link, session_key
+from rosedeal.agreement.member import Hello, Message, Shout
+from rosedeal.agreement.raft import Append, Durable, Entry, Peer, Save, Snapshot
+from rosedeal.agreement.state import Publish, State, Unreadable
+from tests.agreement.simulation import S, World
+
+KEY, CHALLENGE = b"k" * 32, b"c" * 16
+OPENING = Opening(frames.VERSION, b"n" * 16, "group", "id-a", "a", "b")
+MESSAGES: list[Message] = [
+    Hello("north", True, ""),
+    Append(3, 1, 1, (Entry(2, 3, "data", b"x" * 300),), 1, 77),
+]
+
+
+def said() -> bytes:
+    talker = Talker(session_key(KEY, CHALLENGE, OPENING.nonce, b"there"))
+    return open_link(KEY, CHALLENGE, OPENING) + b"".join(talker.frame("id-b", m) for m in MESSAGES)
+
+
+def test_frames_come_whole_in_pieces_of_any_size() -> None:
+    for size in (1, 7, 100, 10_000):
+        listener, found = Listener(KEY, CHALLENGE), list[Envelope]()
+        for start in range(0, len(said()), size):
+            found += listener.feed(said()[start : start + size])
+        assert listener.opening == OPENING
+        assert [envelope.message for envelope in found] == MESSAGES
+
+
+def test_any_byte_changed_is_refused_or_waited_for() -> None:
+    data = said()
+    for place in range(len(data)):
+        changed = bytearray(data)
+        changed[place] ^= 0x41
+        listener, found = Listener(KEY, CHALLENGE), list[Envelope]()
+        try:
+            for envelope in listener.feed(bytes(changed)):
+                found.append(envelope)
+        except BadFrame:
+            pass
+        assert len(found) < len(MESSAGES) and [e.message for e in found] == MESSAGES[: len(found)]
+
+
+@pytest.mark.parametrize(
+    ("key", "challenge"), [(b"other" * 5, CHALLENGE), (KEY, b"d" * 16)], ids=["another key", "said elsewhere"]
+)
+def test_an_opening_for_another_link_is_refused(key: bytes, challenge: bytes) -> None:
+    with pytest.raises(BadFrame, match="another key"):
+        list(Listener(key, challenge).feed(said()))
+
+
+def test_a_frame_said_again_or_out_of_turn_is_refused() -> None:
+    talker = Talker(session_key(KEY, CHALLENGE, OPENING.nonce, b"there"))
+    first, second = (talker.frame("id-b", message) for message in MESSAGES)
+    for wrong in (first + first, second + first):
+        listener = Listener(KEY, CHALLENGE)
+        list(listener.feed(open_link(KEY, CHALLENGE, OPENING)))
+        with pytest.raises(BadFrame, match="out of turn"):
+            list(listener.feed(wrong))
+
+
+def test_garbage_never_does_more_than_end_a_link() -> None:
+    chance = random.Random(1)
+    for _ in range(500):
+        listener = Listener(KEY, CHALLENGE)
+        with contextlib.suppress(BadFrame):
+            assert not list(listener.feed(chance.randbytes(chance.randrange(200))))
+        assert len(listener.buffer) <= frames.OPENING_LIMIT + 64
+
+
+def test_saves_come_back_as_they_were_and_later_formats_are_not_guessed() -> None:
+    saves = [
+        Save(1, 1, "", None, (), Snapshot(1, 1, (Peer("x", "a"),), b"state")),
+        Save(2, 2, "x", None, (Entry(2, 2, "noop"), Entry(3, 2, "data", b"d"))),
+        Save(3, 3, "", 3, (Entry(3, 3, "data", b"e"),)),
+    ]
+    expected = Durable()
+    for save in saves:
+        expected.keep(save)
+    records = [durable.encode(save) for save in saves]
+    assert durable.decode(records) == expected
+    assert [entry.data for entry in expected.entries] == [b"", b"e"]
+    for bad in (msgspec.msgpack.encode([durable.FORMAT + 1]), b"\xc1", records[0][:-3]):
+        with pytest.raises(Unreadable):
+            durable.decode([*records, bad])
+
+
+def test_a_snapshot_brings_the_same_state_and_a_later_one_is_refused() -> None:
+    it = State("g")
+    for number in range(5):
+        it.apply(state.encode(Publish(f"p{number}", "out", f"box{number}", "me", "", -1, bool(number % 2))))
+    other = State()
+    other.restore(it.snapshot())
+    assert other.snapshot() == it.snapshot() and other.acting.number == it.acting.number == 1
+    again = state.encode(Publish("p4", "out", "box4", "me", "", -1, False))
+    outcome = other.apply(again)  # said twice, done once
+    assert outcome is not None and outcome.version == 5 and other.newest.number == 5
+    kept = msgspec.msgpack.decode(it.snapshot())
+    kept[-1] = state.FORMAT + 1
+    with pytest.raises(Unreadable, match="format 2"):
+        other.restore(msgspec.msgpack.encode(kept))
+
+
+def test_a_member_of_an_older_program_stops_at_what_it_does_not_know() -> None:
+    """An entry of a later program: the members say so and act no more; none skips it."""
+    world = World(1, 3)
+    world.run(5 * S)
+    leader = next(n for n in world.nodes.values() if n.member is not None and n.member.raft.leads)
+    assert leader.member is not None
+    shouts: list[str] = []
+    for node in world.nodes.values():
+        assert node.member is not None and node.member.may_act(world.local(node))
+        out = node.member.out
+        assert not any(isinstance(todo, Shout) for todo in out)
+    leader.member.raft.propose(world.local(leader), "data", msgspec.msgpack.encode(["later", 1]))
+    world.settle(leader)
+    world.run(world.now + 2 * S)
+    for node in world.nodes.values():
+        assert node.member is not None
+        shouts.append(node.member.halted)
+        assert not node.member.may_act(world.local(node))
+    assert all("later program version" in why for why in shouts)
--- /dev/null
+++ b/tests/agreement/test_process.py
@@ -0,0 +1,243 @@
+"""Real gateways of one group: agreed settings, faults between them, ledgers of clients and boxes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import shutil
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from rosedeal.admin import AdminError, NoAnswer, NoGateway
+from rosedeal.site.read import read_tables, shared
+from rosedeal.standins.rig import Gateway, Rig, Timeline, rig
+from tests.agreement.load import ON_THE_WAY_S, Load, join
+
+BOUND_S = 3.0
+
+
+def versioned(it: Rig, number: int) -> dict[str, object]:
+    """Settings under which every request says that number to its box."""
+    text = it.settings().replace(
+        'class = "pages"\n[[box]]', f'class = "pages"\nput_before = "/v{number}"\n[[box]]'
+    )
+    return shared(read_tables(text, "test"))
+
+
+async def publish(it: Rig, gateway: Gateway, number: int, within_s: float = 10.0) -> int:
+    """The version; 0 if it is not known to be one."""
+    try:
+        result = await asyncio.to_thread(
+            gateway.ask,
+            "publish",
+            tables=versioned(it, number),
+            by="test",
+            reason=f"number {number}",
+            within_s=within_s,
+            timeout_s=within_s + 15.0,
+        )
+    except (AdminError, NoAnswer, NoGateway):
+        return 0
+    return int(result["version"])
+
+
+def run(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-B", "-m", "rosedeal.cli", *words], capture_output=True, text=True, timeout=60
+    )
+
+
+def test_what_an_operator_does_holds_at_all_members(tmp_path: Path) -> None:
+    """Drain, publish, diff, rollback and conflicts at different members; a file that says otherwise loses."""
+
+    async def play() -> None:
+        async with rig(tmp_path) as it:
+            await it.settled()
+            a, b, c = it
+            drained = await asyncio.to_thread(run, "drain", "--file", str(a.file), "box-0")
+            assert drained.returncode == 0, drained.stderr
+            status = await it.status(c)
+            assert status["ok"] and status["out"] == ["box-0"], status
+            assert "drained by hand" in (await asyncio.to_thread(run, "status", "--file", str(b.file))).stdout
+            changed = tmp_path / "changed.toml"
+            changed.write_text(it.text(b, it.settings(requests=100)))
+            said = await asyncio.to_thread(
+                run, "settings", "publish", str(changed), "--file", str(b.file), "--reason", "fewer"
+            )
+            assert said.returncode == 0 and "in force at all" in said.stdout, said
+            number = int(said.stdout.split()[1].rstrip(":,"))
+            diff = await asyncio.to_thread(run, "settings", "diff", "1", str(number), "--file", str(c.file))
+            assert "contradicts: limits: open_requests goes from 2000 to 100" in diff.stdout
+            # From two places at once: made from a version that is not the newest any more.
+            late = await asyncio.to_thread(
+                run, "settings", "publish", str(a.file), "--file", str(a.file), "--parent", "1"
+            )
+            assert late.returncode == 1 and "conflict" in late.stderr and "open_requests" in late.stderr
+            # A version that a member cannot load is refused before it is one.
+            changed.write_text(it.text(b, it.settings(requests=50).replace("at_once = 64", "at_once = 32")))
+            bad = await asyncio.to_thread(run, "settings", "publish", str(changed), "--file", str(c.file))
+            assert bad.returncode == 1 and "needs a restart" in bad.stderr, bad
+            # A file that contradicts what is agreed: the group's counts, and the log says so.
+            assert a.process is not None
+            a.process.send_signal(1)
+            await it.until(lambda: "not as the group has agreed" in a.log(), "a line on the file")
+            back = await asyncio.to_thread(run, "settings", "rollback", "1", "--file", str(c.file))
+            assert back.returncode == 0, back.stderr
+            undrained = await asyncio.to_thread(run, "undrain", "--file", str(c.file), "box-0")
+            assert undrained.returncode == 0
+            assert (await it.status(a))["out"] == []
+            history = await asyncio.to_thread(run, "settings", "history", "--file", str(b.file))
+            assert "fewer" in history.stdout and "back to version 1" in history.stdout
+
+    asyncio.run(play())
+
+
+def test_a_member_wiped_put_back_or_cut_off_is_told_and_mended(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with rig(tmp_path) as it:
+            await it.settled()
+            a, b, c = it
+            it.copy(c)
+            assert await publish(it, a, 7)
+            # An old copy put back is another member, and votes no more until it is made to.
+            it.put_back(c)
+            it.run(c)
+            await it.settled(version=2)
+            lines = [m for m in (await it.status(a))["members"] if m["name"] == "c" or m["name"] == c.name]
+            assert sorted(m["votes"] for m in lines) == [False, True], lines
+            assert "put back from a copy" in c.log()
+            replaced = await asyncio.to_thread(run, "group", "replace", c.name, "--file", str(b.file))
+            assert replaced.returncode == 0, replaced.stderr
+            it.wipe(a)
+            it.run(a)
+            await it.settled(version=2)
+            replaced = await asyncio.to_thread(run, "group", "replace", a.name, "--file", str(c.file))
+            assert replaced.returncode == 0, replaced.stderr
+            # Whoever hears nobody stops within its lease; the others go on, and it comes back by itself.
+            it.cut(b, True)
+            await it.until(lambda: "HAS NO LEASE" in b.log(), "b stops", 10.0)
+            began = time.monotonic()
+            assert await publish(it, a, 8)
+            print(f"a publish with one member cut off took {time.monotonic() - began:.2f} s")
+            reader, writer = await asyncio.open_connection("127.0.0.1", b.http)
+            writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            assert head.startswith(b"HTTP/1.1 503") and b"retry-after" in head.lower()
+            it.cut(b, False)
+            await it.settled(version=3)
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("members", [3, 5])
+def test_under_faults_and_load_the_bound_and_the_rules_hold(tmp_path: Path, members: int) -> None:
+    seed = random.randrange(1 << 30)
+    print("seed", seed)
+
+    async def play() -> None:
+        async with rig(tmp_path, members=members) as it:
+            await it.settled()
+            load, timeline, over = Load(it, 60.0, seed), Timeline(it, seed), asyncio.Event()
+            acknowledged: dict[int, int] = {}
+
+            async def publishes() -> None:
+                chance, number = random.Random(seed), 0
+                while not over.is_set():
+                    number += 1
+                    gateway = chance.choice([g for g in it if g.running] or [next(iter(it))])
+                    version = await publish(it, gateway, number, 0.0)
+                    if version:
+                        acknowledged[number] = version
+                    await asyncio.sleep(chance.uniform(0.2, 1.5))
+
+            work = asyncio.gather(load.play(over), publishes())
+            await timeline.play(9.0)
+            over.set()
+            await work
+            await it.settled(30.0)
+            print("\n".join(timeline.said))
+            leader = await it.leader()
+            history = (await asyncio.to_thread(leader.ask, "history"))["versions"]
+            by_reason = {head["reason"]: head["number"] for head in history}
+            lost = {n: v for n, v in acknowledged.items() if by_reason.get(f"number {n}") != v}
+            assert not lost, "acknowledged publishes that are gone"
+            joined = join(it)
+            counts = load.counts()
+            print(f"{dict(counts)}, {len(acknowledged)} acknowledged of {len(history)} versions")
+            print(f"longest side by side {joined.longest_s:.2f} s, versions {joined.pair}")
+            assert len(joined.spans) >= 2 and len(acknowledged) >= 2
+            assert joined.longest_s <= BOUND_S + ON_THE_WAY_S
+            assert not joined.twice, "effects that ran twice"
+            served = counts[200] + counts[404]  # the application knows no /vN: its own 404 is an answer
+            assert served > 0.2 * len(load.asked)
+            # One final answer in the client's time, but from a process that was killed or stopped just then.
+            owed = [a for a in load.asked if a.status in (-1, 0)]
+            unexcused = [a for a in owed if not timeline.excuses(a.gateway, a.at, a.at + a.took_s)]
+            assert not unexcused, unexcused[:5]
+
+    asyncio.run(play())
+
+
+def test_a_stranger_changes_nothing_but_a_line_in_the_log(tmp_path: Path) -> None:
+    """Wrong keys, garbage, half frames and many connections at the group's address."""
+
+    async def play() -> None:
+        async with rig(tmp_path, members=1) as it:
+            await it.settled()
+            (only,) = it
+            before = await it.status(only)
+            chance = random.Random(5)
+            writers = []
+            for number in range(400):
+                try:
+                    reader, writer = await asyncio.open_connection("127.0.0.1", only.peer)
+                except OSError:
+                    continue
+                writers.append(writer)
+                if number % 3 == 0:
+                    writer.write(chance.randbytes(chance.randrange(200)))
+                elif number % 3 == 1:
+                    writer.write(b"\x10\x00\x00\x00" + bytes(60))
+            await it.until(lambda: "turned away" in only.log(), "a line in the log")
+            for writer in writers:
+                writer.close()
+            assert only.log().count("turned away") == 1
+            after = await it.status(only)
+            assert (after["term"], after["newest"], after["ok"]) == (before["term"], before["newest"], True)
+
+    asyncio.run(play())
+
+
+def test_two_with_one_name_and_one_with_another_key_are_kept_out(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with rig(tmp_path) as it:
+            await it.settled()
+            c = it["g2"]
+            twin = Gateway("g2", tmp_path / "twin", c.http + 0, 0)
+            shutil.copytree(c.folder, twin.folder, ignore=shutil.ignore_patterns("state", "*.sock*", "log-*"))
+            text = (
+                c.file.read_text()
+                .replace(f":{c.http}", ":0")
+                .replace(f'listen = "127.0.0.1:{c.peer}"', 'listen = "127.0.0.1:0"')
+            )
+            twin.file.write_text(text)
+            it.gateways["twin"] = twin
+            it.run(twin)
+            await it.until(lambda: "not let into the group" in twin.log(), "the twin hears why")
+            assert "another member called g2 is alive" in twin.log()
+            it.kill(twin)
+            del it.gateways["twin"]
+            it.kill(c)
+            (c.folder / "key").write_text("another key, as long as need be")
+            it.run(c)
+            await it.until(
+                lambda: "it has another key" in it["g0"].log() + it["g1"].log(), "a line on the key"
+            )
+            assert (await it.status(it["g0"]))["lease_ms"] > 0
+
+    asyncio.run(play())
--- a/tests/site/test_file.py
+++ b/tests/site/test_file.py
@@ -81,7 +81,7 @@
         *("admin", "zone", "discovery", "kind", "host", "pool", "spare", "take_off", "put_before"),
         *("ca", "certificate_name", "tenant", "console"),
     )
-    blocks = ("# [etcd]", "# [https]", "# [http3]", "# [[pool]]")
+    blocks = ("# [etcd]", "# [group]", "# [https]", "# [http3]", "# [[pool]]")
     lines, in_block = [], False
     for line in text.splitlines():
         in_block = (line.startswith(blocks) or in_block) and bool(line)
@@ -316,3 +316,42 @@
     with pytest.raises(SiteError) as caught:
         parse_site(GOOD + ETCD.replace(there, instead, 1), "site.toml")
     assert caught.value.key == key and says in caught.value.why and "hunter2" not in str(caught.value)
+
+
+GROUP = (
+    GOOD.replace('zone = "lake"', 'zone = "lake"\nstate = "state"')
+    + """
+[group]
+name = "a"
+listen = "127.0.0.1:7101"
+key = "group.key"
+[[group.member]]
+name = "a"
+address = "127.0.0.1:7101"
+[[group.member]]
+name = "b"
+address = "127.0.0.1:7102"
+[[group.member]]
+name = "c"
+address = "127.0.0.1:7103"
+"""
+)
+
+
+@pytest.mark.parametrize(
+    ("good", "bad", "key", "says"),
+    [
+        ('name = "c"\n', 'name = "b"\n', "group.member[2].name", "again"),
+        ('name = "a"\nlisten', 'name = "d"\nlisten', "group.name", "no [[group.member]]"),
+        ('7103"\n', '7103"\nvotes = false\n', "group.member[0].votes", "1, 3, 5 or 7"),
+        ('state = "state"\n', "", "group", "site.state"),
+        ('key = "group.key"', 'key = "group.key"\ncontradiction = "100ms"', "group.contradiction", '"1s"'),
+        ('key = "group.key"\n', "", "group.key", "is missing"),
+        ('name = "b"\n', 'nam = "b"\n', "group.member[1].nam", '"name"?'),
+    ],
+)
+def test_a_group_that_does_not_fit_together_is_one_error(good: str, bad: str, key: str, says: str) -> None:
+    assert parse_site(GROUP, "f").group is not None
+    with pytest.raises(SiteError) as error:
+        parse_site(GROUP.replace(good, bad), "f")
+    assert error.value.key == key and says in error.value.why
