Let the leader of a group follow the list of boxes for all its members

Each gateway followed its own list, so two could act on lists that differ for as long as one watch lagged. lists = "leader": the leader's source is proposed as a version; who is not the leader leaves the source alone, and follows it alone after 5 s without any. What a version takes away is left alone once it is known, before it is in force. Half of the hosts gone at once is held for 30 s and shouted. The core offers what a source says (Proxy.instead) and asks whether it may be followed (Proxy.follows). Three real gateways: one watch at the registry, nothing new to a draining box later than 500 ms after the telling, the next leader's watch open after a kill -9, a list of one in four held.

--- a/rosedeal/agreement/relation.py
+++ b/rosedeal/agreement/relation.py
@@ -31,7 +31,7 @@
 
 # Of each table: keys that may change freely, and keys that may rise. All others must stay the same.
 FREE: Mapping[str, frozenset[str]] = {
-    "box": frozenset(("weight", "zone", "kind")),
+    "box": frozenset(("weight", "zone", "kind", "group", "started_us")),
     "class": frozenset(("worth", "late_worth", "wanted_within")),
     "route": frozenset(("between_bytes", "failing", "join")),
     "pool": frozenset(("weight",)),
@@ -145,6 +145,8 @@
         before, after = older.get(key, defaults.get(key)), newer.get(key, defaults.get(key))
         if before == after or _same_measure(before, after):
             continue
+        if (section, key) == ("box", "out") and not after:
+            continue  # of an agreed list: it drains no more
         if key in RISING.get(section, ()) and _rises(before, after, UNLIMITED.get((section, key))):
             continue
         found.append(f"{at}: {key} goes from {_shown(before)} to {_shown(after)}")
--- a/rosedeal/agreement/room.py
+++ b/rosedeal/agreement/room.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from rosedeal.agreement import durable, member, relation
+from rosedeal.agreement.following import Following
 from rosedeal.agreement.links import Links
 from rosedeal.agreement.member import Line, Member, Settings, read_tables
 from rosedeal.agreement.raft import Durable, Save
@@ -78,6 +79,7 @@
     key: bytes
     folder: Path
     addresses: Mapping[str, Address]
+    one_list: bool = False  # the leader follows the source of boxes for all
 
 
 def clock_us() -> int:
@@ -118,6 +120,8 @@
         self.tasks: set[asyncio.Task[Any]] = set()
         self.said: deque[tuple[float, str]] = deque(maxlen=50)
         self.tell: Callable[[str], None] = lambda text: None  # to people, beside the log
+        self.following: Following | None = None
+        self.led_at = clock_us()  # when a leader was known last
         self.founding = ""  # the publish of the first version
         self.ended = False
 
@@ -133,6 +137,18 @@
         proxy.act_by(self.acting)
         proxy.put_back = self._may_put_back
         proxy.by_hand.append(self._by_hand)
+        dynamic = [source.name for source in proxy.sources.values() if source.dynamic]
+        if self.options.one_list and dynamic:
+            self.following = Following(proxy, dynamic[0], self, clock_us, self._say)
+
+    def leads(self) -> bool:
+        return self.member is not None and self.member.raft.settled
+
+    def orphaned_us(self) -> int:
+        it = self.member
+        if it is not None and it.raft.leader:
+            self.led_at = clock_us()
+        return clock_us() - self.led_at
 
     def steers(self, again: Again) -> None:
         self.again = again
@@ -146,6 +162,8 @@
         log.info("member %s of a group, as %s, at %s:%d", self.options.settings.name, self.id, host, port)
         self._begin(found)
         self._spawn(self._tick())
+        if self.following is not None:
+            self._spawn(self.following.run())
 
     def reload(self, config: Config) -> None:
         """Addresses are followed; what this member is needs a restart."""
@@ -296,7 +314,7 @@
                         self.loading = self._spawn(self._load())
                 case member.Heard():
                     self.heard = todo.whole
-                    self._follow_out()
+                    self._follow_hosts()
                 case member.Examine():
                     self._spawn(self._examine(todo.id, todo.body))
                 case member.First():
@@ -358,15 +376,17 @@
             if relation.contradictions(read_tables(self.acting_on.settings), tables):
                 self.epoch = whole.number  # what was taken before goes to no box any more
         self.acting_on = whole
-        self._follow_out()
+        self._follow_hosts()
         if it is self.member:
             it.loaded(whole.number)
             it.tick(clock_us())
             self.settle()
 
-    def _follow_out(self) -> None:
-        """Hosts by hand: out by the version that is in force or by a newer one, or being taken out here."""
+    def _follow_hosts(self) -> None:
+        """The agreed list, and hosts out by hand by the version in force, by a newer one, or for now here."""
         out = {**self.heard.out, **self.acting_on.out}
+        if self.following is not None:
+            self.following.hear(self.acting_on, self.heard)
         drains = self.main.roster.drains
         for name, by in out.items():
             if name not in drains:
--- a/rosedeal/agreement/state.py
+++ b/rosedeal/agreement/state.py
@@ -17,7 +17,7 @@
 VERSIONS_KEPT = 1000  # of their heads; older ones are forgotten
 BODIES_KEPT = 64  # settings that can be shown, compared and gone back to
 IDS_KEPT = 512  # publishes that are known by their id when they come again
-BODY_LIMIT = 512 * 1024  # bytes of one version's settings
+BODY_LIMIT = 1024 * 1024  # bytes of one version's settings, or of a list
 OUT_LIMIT = 1000  # hosts out by hand
 WAITING_LIMIT = 64  # versions that are known and wait to come into force
 BARRED_LIMIT = 1000
--- a/rosedeal/cli/group.py
+++ b/rosedeal/cli/group.py
@@ -76,6 +76,7 @@
         read_key(folder / group.key),
         state / "group",
         {str(member.name): member.address.pair for member in group.members},
+        group.lists == "leader",
     )
 
 
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -232,6 +232,9 @@
         )
         # Whether this gateway may act: the epoch of its rules, or -1. None: nobody else has a say in it.
         self.acting: Callable[[], int] | None = None
+        # Offered what a source says; True: it is heard elsewhere, and told by `heard`.
+        self.instead: Callable[[str, News], bool] | None = None
+        self.follows: Callable[[str], bool] = lambda source: True  # whether a source is to be asked at all
         # Asked before a host is put back by hand; False: somebody else will do it.
         self.put_back: Callable[[str, str], bool] | None = None
         self.events: deque[Event] = deque()
@@ -361,10 +364,11 @@
                 self.extend(action)
             case WatchList():
                 for source in self.sources.values():
-                    source.watch(action.on)
+                    source.watch(action.on and self.follows(source.name))
             case FetchList():
                 for source in self.sources.values():
-                    source.fetch()
+                    if self.follows(source.name):
+                        source.fetch()
             case Probe():
                 self.probe(action.server)
             case CloseIdle():
@@ -591,6 +595,11 @@
         That another source than the platform fails, or has nothing new, is between it and the roster: the
         balancer's answer to a failure is to ask the platform again.
         """
+        if self.instead is None or not self.instead(source, news):
+            self.heard(source, news)
+
+    def heard(self, source: str, news: News) -> None:
+        """What is believed of a source, whoever tells it."""
         news = self.roster.hear(self.clock.now_us(), source, news)
         if source == PLATFORM or news.entries or news.kind is ListKind.FULL:
             self.on_news(news)
--- a/rosedeal/site/read.py
+++ b/rosedeal/site/read.py
@@ -193,6 +193,8 @@
         found.append(("group.member[0].votes", f"{votes} members vote; allowed: 1, 3, 5 or 7 of them"))
     if site.site.state is None:
         found.append(("group", "needs site.state, the folder that its log lies in"))
+    if group.lists == "leader" and (site.site.discovery is None) is (site.etcd is None):
+        found.append(("group.lists", "needs site.discovery or [etcd], one of them"))
     if not 1_000_000 <= group.contradiction <= 60_000_000:
         found.append(("group.contradiction", 'allowed: from "1s" to "1min"'))
     return found
--- a/rosedeal/site/schema.py
+++ b/rosedeal/site/schema.py
@@ -293,6 +293,7 @@
     key: Path  # a file for its owner's eyes only, the same at all members
     contradiction: Duration = Duration(3_000_000)  # the longest that two act on rules that contradict
     alone: Literal["refuse", "serve"] = "refuse"  # "serve": also out of touch, and then without that bound
+    lists: Literal["own", "leader"] = "own"  # "leader": one follows discovery or etcd for all
     members: Annotated[list[MemberTable], msgspec.Meta(min_length=1, max_length=256)] = msgspec.field(
         name="member"
     )
--- a/rosedeal/standins/rig.py
+++ b/rosedeal/standins/rig.py
@@ -79,10 +79,17 @@
 
 class Rig:
     def __init__(
-        self, folder: Path, members: int = 3, boxes: int = 3, learners: int = 0, extra: str = ""
+        self,
+        folder: Path,
+        members: int = 3,
+        boxes: int = 3,
+        learners: int = 0,
+        extra: str = "",
+        site: str = "",
+        named: bool = True,
     ) -> None:
-        """`extra`: lines for [group] of every file."""
-        self.folder, self.extra = folder, extra
+        """`extra`, `site`: lines for these tables of every file. Not `named`: files name no box."""
+        self.folder, self.extra, self.site, self.named = folder, extra, site, named
         self.apps = [App(f"box-{n}") for n in range(boxes)]
         names = [f"g{n}" for n in range(members)] + [f"z{n:02}" for n in range(learners)]
         self.gateways = {
@@ -121,12 +128,13 @@
             '[[class]]\nname = "pages"\nwanted_within = "1s"\ngiven_up_after = "5s"\nrepeats = "by-method"\n'
         )
         text += '[[route]]\nname = "everything"\nclass = "pages"\n'
-        for app in self.apps if boxes is None else boxes:
+        named = self.apps if self.named else []
+        for app in named if boxes is None else boxes:
             text += f'[[box]]\nname = "{app.name}"\naddress = "{app.address}"\n'
         return text + more
 
     def text(self, gateway: Gateway, settings: str | None = None) -> str:
-        text = f'[site]\nname = "{gateway.name}"\nadmin = "gw.sock"\nstate = "state"\n'
+        text = f'[site]\nname = "{gateway.name}"\nadmin = "gw.sock"\nstate = "state"\n{self.site}'
         text += f'[http]\nlisten = "127.0.0.1:{gateway.http}"\n'
         text += f'[group]\nname = "{gateway.name}"\nlisten = "127.0.0.1:{gateway.peer}"\nkey = "key"\n'
         text += self.extra
--- a/tests/agreement/test_process.py
+++ b/tests/agreement/test_process.py
@@ -14,6 +14,7 @@
 
 from rosedeal.admin import AdminError, NoAnswer, NoGateway
 from rosedeal.site.read import read_tables, shared
+from rosedeal.standins.registry import LiveRegistry
 from rosedeal.standins.rig import Gateway, Rig, Timeline, rig
 from tests.agreement.load import ON_THE_WAY_S, Load, join
 
@@ -183,6 +184,50 @@
     asyncio.run(play())
 
 
+def test_one_follows_the_list_for_all(tmp_path: Path) -> None:
+    """One watch, drains that hold everywhere in time, a leader that dies, half of the hosts gone at once."""
+
+    async def play() -> None:
+        registry = LiveRegistry()
+        await registry.start()
+        site = f'discovery = "{registry.address}"\n'
+        try:
+            async with rig(tmp_path, boxes=4, extra='lists = "leader"\n', site=site, named=False) as it:
+                for app in it.apps:
+                    registry.set(app.name, app.address)
+                await it.settled(version=2)
+                await it.until(lambda: len(registry.open) == 1, "one gateway watches")
+                load, over = Load(it, 100.0, 1), asyncio.Event()
+                work = asyncio.ensure_future(load.play(over))
+                await it.until(lambda: all(app.runs for app in it.apps), "all boxes are used")
+                told = time.monotonic()
+                registry.set("box-0", it.apps[0].address, "leaving")
+                await asyncio.sleep(1.5)
+                late = [run.at - told for run in it.apps[0].runs if run.at - told > 0.5 + ON_THE_WAY_S]
+                assert not late, late
+                leader = await it.leader()
+                it.kill(leader)
+                await it.until(lambda: len(registry.open) == 1, "another one watches")
+                registry.set("box-0", it.apps[0].address)
+                before = len(it.apps[0].runs)
+                await it.until(lambda: len(it.apps[0].runs) > before, "the box is used again")
+                it.run(leader)
+                await it.settled(version=3)
+                for app in it.apps[:3]:
+                    registry.entries.pop(app.name)
+                registry.index += 1
+                registry.cut()  # and the next list that is asked for names one box
+                await it.until(lambda: any("HELD" in g.log() for g in it), "it is held and shouted")
+                gone, now = it.apps[:3], time.monotonic()
+                await it.until(lambda: all(a.runs[-1].at > now for a in gone), "they are still used")
+                over.set()
+                await work
+        finally:
+            registry.stop()
+
+    asyncio.run(play())
+
+
 def test_a_stranger_changes_nothing_but_a_line_in_the_log(tmp_path: Path) -> None:
     """Wrong keys, garbage, half frames and many connections at the group's address."""
 
