Find each guard of a group that is taken out by schedules made for it

Two guards were no longer found once messages came in another order (seeds of general schedules shift with every change). Folders lost just after an agreement have a schedule of their own, and forgetting a vote a scenario by hand: 14 guards, 11 by schedules with the seed in the table, 3 by hand. The fifteenth, that leases come only from a leader that knows all that was agreed, is found by none: what else holds covers it (said in the design note).

--- a/tests/agreement/guards.py
+++ b/tests/agreement/guards.py
@@ -8,17 +8,18 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from random import Random
 
 from rosedeal.agreement.lease import Account, Grants, Lease
 from rosedeal.agreement.member import Send
-from rosedeal.agreement.raft import Config, Raft, Save, Vote, Voted
+from rosedeal.agreement.raft import Config, Durable, Raft, Vote, Voted
 from tests.agreement.simulation import (
     Node,
     Recorded,
     Violation,
     World,
     play,
-    play_copies,
+    play_losses,
     play_cuts,
     play_elections,
 )
@@ -106,17 +107,10 @@
         super().settle(node)
 
 
-class VotesForgotten(World):
-    """The disk keeps terms, and no votes."""
-
-    def settle(self, node: Node) -> None:
-        assert node.member is not None
-        for number, todo in enumerate(node.member.out):
-            if isinstance(todo, Save):
-                node.member.out[number] = Save(
-                    todo.token, todo.term, "", todo.cut, todo.entries, todo.snapshot
-                )
-        super().settle(node)
+class ForgetsItsVote(Raft):
+    def __init__(self, id: str, disk: Durable, now_us: int, random: Random) -> None:
+        disk.vote = ""
+        super().__init__(id, disk, now_us, random)
 
 
 class EmptyAndTheSame(World):
@@ -166,24 +160,24 @@
 LOST, TWO, AHEAD = "was another elsewhere", "two leaders", "and knows no"
 
 GUARDS = (
-    Guard("one vote a term", 2, 5, TWO, play_elections, _kind(VotesTwice)),
-    Guard("votes go to logs that hold as much", 1, 5, LOST, play_elections, _kind(VotesForAnyLog)),
-    Guard("words wait for the disk", 91, 5, LOST, play_elections, world=WordsBeforeDisk),
+    Guard("one vote a term", 0, 5, TWO, play_elections, _kind(VotesTwice)),
+    Guard("votes go to logs that hold as much", 2, 5, LOST, play_elections, _kind(VotesForAnyLog)),
+    Guard("words wait for the disk", 7, 3, LOST, play_losses, world=WordsBeforeDisk),
     Guard(
         "a new leader waits for leases of before",
-        2,
+        3,
         3,
         AHEAD,
         play_cuts,
         _kind(grants_of=NewLeaderWaitsForNobody),
     ),
-    Guard("an emptied member is another", 21, 3, TWO, play, world=EmptyAndTheSame),
-    Guard("a copy put back is another", 0, 3, LOST, play_copies, world=CopiesUnseen),
-    Guard("a leader is confirmed by a majority", 6, 5, AHEAD, play_cuts, _kind(BelievesItself)),
-    Guard("a lease runs from its question", 25, 3, AHEAD, play_cuts, _kind(leases=FromArrival)),
-    Guard("a lease has a floor", 2, 5, AHEAD, play_cuts, NoFloor),
+    Guard("an emptied member is another", 0, 3, LOST, play_losses, world=EmptyAndTheSame),
+    Guard("a copy put back is another", 0, 3, LOST, play_losses, world=CopiesUnseen),
+    Guard("a leader is confirmed by a majority", 0, 5, AHEAD, play_cuts, _kind(BelievesItself)),
+    Guard("a lease runs from its question", 39, 3, AHEAD, play_cuts, _kind(leases=FromArrival)),
+    Guard("a lease has a floor", 1, 5, AHEAD, play_cuts, NoFloor),
     Guard(
-        "all who act have it before it is in force", 1, 3, AHEAD, play_cuts, _kind(grants_of=WaitsForNobody)
+        "all who act have it before it is in force", 0, 3, AHEAD, play_cuts, _kind(grants_of=WaitsForNobody)
     ),
-    Guard("the lease is looked at before each act", 2, 3, AHEAD, play_cuts, LooksAtTicks),
+    Guard("the lease is looked at before each act", 5, 3, AHEAD, play_cuts, LooksAtTicks),
 )
--- a/tests/agreement/simulation.py
+++ b/tests/agreement/simulation.py
@@ -567,7 +567,7 @@
     return world
 
 
-def play_copies(
+def play_losses(
     seed: int,
     voters: int = 3,
     learners: int = 0,
@@ -575,7 +575,7 @@
     kind: type[Recorded] = Recorded,
     world_of: Callable[..., World] = World,
 ) -> World:
-    """A folder put back just after what it lacks was agreed, while the only other who has that is cut off."""
+    """A folder wiped, put back or not yet synced just after an agreement, and who else holds it cut off."""
     world = world_of(seed, voters, learners, kind)
     chance = world.random
     world.run(4 * S)
@@ -590,9 +590,12 @@
             }
             copied.copy = (copied.id, copy.deepcopy(copied.disk.durable))
             world.cuts |= away
+            loses = chance.choice((world.restore, world.wipe, world.crash))
+            copied.slow_disk = loses == world.crash
             world.publish(leader, "out", f"box{world.now}")
-            world.run(world.now + chance.randrange(100 * MS, 500 * MS))
-            world.restore(copied)
+            world.run(world.now + chance.randrange(40 * MS, 400 * MS))
+            loses(copied)
+            copied.slow_disk = False
             alone = {(leader.name, n) for n in world.nodes} | {(n, leader.name) for n in world.nodes}
             world.cuts = alone
             world.boot_if_down(copied)
--- a/tests/agreement/test_raft.py
+++ b/tests/agreement/test_raft.py
@@ -9,9 +9,9 @@
 import pytest
 
 from rosedeal.agreement import raft
-from rosedeal.agreement.raft import Raft, Role
+from rosedeal.agreement.raft import Raft, Role, Vote
 from tests.agreement.cluster import Cluster, Disagreement
-from tests.agreement.guards import CountsEarlierTerms, ManyChangesAtOnce
+from tests.agreement.guards import CountsEarlierTerms, ForgetsItsVote, ManyChangesAtOnce
 
 
 def old_entry_on_a_majority(kind: type[Raft]) -> None:
@@ -60,9 +60,33 @@
     assert it.nodes["2"].leads
 
 
+def two_candidates_and_a_voter_that_starts_anew(kind: type[Raft]) -> None:
+    """The voter gives its vote, starts anew, and is asked by the other one for the same term."""
+    it = Cluster(3, kind)
+    it.time_out("1")
+    it.time_out("2")
+    for _ in range(20):  # the pre-votes of both; no vote arrives yet
+        place = next((n for n, (_, send) in enumerate(it.wire) if not isinstance(send.message, Vote)), None)
+        if place is None:
+            break
+        it.deliver(place)
+    it.flush("1")
+    it.flush("2")
+    asked = [n for n, (_, send) in enumerate(it.wire) if send.to == "3" and isinstance(send.message, Vote)]
+    assert len(asked) == 2 and len({it.nodes[id].term for id in "12"}) == 1
+    it.deliver(asked[0])
+    it.flush("3")
+    it.crash("3")
+    it.run("123")
+
+
 @pytest.mark.parametrize(
     ("scenario", "without"),
-    [(old_entry_on_a_majority, CountsEarlierTerms), (two_changes_at_once, ManyChangesAtOnce)],
+    [
+        (old_entry_on_a_majority, CountsEarlierTerms),
+        (two_changes_at_once, ManyChangesAtOnce),
+        (two_candidates_and_a_voter_that_starts_anew, ForgetsItsVote),
+    ],
 )
 def test_a_hard_scenario_is_survived_and_not_without_its_guard(
     scenario: Callable[[type[Raft]], None], without: type[Raft]
