--- a/benchmarks/schedules.py
+++ b/benchmarks/schedules.py
@@ -24,17 +24,20 @@
 from tests.agreement.simulation import (
     BOUND_US,
     MS,
+    SCHEDULES,
     Node,
     S,
+    Schedule,
     Violation,
     World,
     play,
     play_cuts,
     play_elections,
+    play_losses,
 )
 
 # Share of the seeds, voters, followers, schedule.
-PLAN: tuple[tuple[float, int, int, Callable[..., World]], ...] = (
+PLAN: tuple[tuple[float, int, int, Schedule], ...] = (
     (0.35, 3, 0, play),
     (0.20, 5, 0, play),
     (0.05, 7, 0, play),
@@ -42,15 +45,15 @@
     (0.005, 5, 50, play),
     (0.15, 3, 0, play_cuts),
     (0.075, 5, 0, play_cuts),
-    (0.12, 5, 0, play_elections),
+    (0.10, 5, 0, play_elections),
+    (0.02, 3, 0, play_losses),
 )
 
 
 def one(task: tuple[int, int, int, str]) -> tuple[str, int, int]:
     seed, voters, followers, name = task
-    schedule = {"play": play, "play_cuts": play_cuts, "play_elections": play_elections}[name]
     try:
-        world = schedule(seed, voters, followers)
+        world = SCHEDULES[name](seed, voters, followers)
     except Violation as found:
         return f"{name} {voters}+{followers}: {found}", 0, 0
     return "", world.checks.longest_us, len(world.checks.entries)
@@ -58,7 +61,7 @@
 
 def many(count: int, jobs: int, plot: Path | None, first: int) -> int:
     tasks = [
-        (first + seed, voters, followers, schedule.__name__)
+        (first + seed, voters, followers, schedule.name)
         for share, voters, followers, schedule in PLAN
         for seed in range(int(count * share))
     ]
--- a/rosedeal/standins/relay.py
+++ b/rosedeal/standins/relay.py
@@ -1,5 +1,7 @@
-"""A TCP relay with faults on command: cut, refuse, hold (open and silent), delay. It reads nothing of what it
-passes on, so it stands in front of anything, TLS too."""
+"""A TCP relay with faults on command: cut, refuse, hold (open and silent), delay, trickle.
+
+It reads nothing of what it passes on, so it stands in front of anything, TLS too.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +14,7 @@
         self.address = ("127.0.0.1", 0)
         self.held = False
         self.delay_s = 0.0
+        self.piece = 0  # bytes that are passed on at once, a thousandth of a second apart; 0: all
         self.listener: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -72,6 +75,10 @@
                     await self.released.wait()
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
+                while self.piece and len(data) > self.piece:
+                    sink.write(data[: self.piece])
+                    data = data[self.piece :]
+                    await asyncio.sleep(0.001)
                 sink.write(data)
                 await sink.drain()
         except OSError:
--- a/rosedeal/standins/rig.py
+++ b/rosedeal/standins/rig.py
@@ -3,7 +3,7 @@
 Each has a folder, a process of its own (`badgergap serve`) and a relay on each link to another member;
 boxes are `App`s in this process, so what reached them is a ledger that dies with nobody. Faults: kill -9,
 SIGSTOP and SIGCONT, folders wiped and put back from a copy, links cut one way or both, delayed, trickled,
-duplicated in pieces, reset. A `Timeline` draws them from a seed, and says what it did.
+reset. A `Timeline` draws them from a seed, and says what it did.
 """
 
 from __future__ import annotations
@@ -269,7 +269,7 @@
 
     rig: Rig
     seed: int
-    faults: Sequence[str] = ("kill", "stop", "cut", "deaf", "delay", "reset")
+    faults: Sequence[str] = ("kill", "stop", "cut", "deaf", "delay", "trickle", "reset")
     said: list[str] = field(default_factory=list)
     away: list[tuple[str, float, float]] = field(default_factory=list)  # killed or stopped: name, from, to
 
@@ -324,6 +324,9 @@
             case "delay":
                 for relay in gateway.links.values():
                     relay.delay_s = 0.2
+            case "trickle":
+                for relay in gateway.links.values():
+                    relay.piece = 3
             case "reset":
                 for relay in gateway.links.values():
                     relay.cut()
@@ -332,4 +335,4 @@
         it.go_on(gateway)
         it.cut(gateway, False)
         for relay in gateway.links.values():
-            relay.delay_s = 0.0
+            relay.delay_s, relay.piece = 0.0, 0
--- a/tests/agreement/guards.py
+++ b/tests/agreement/guards.py
@@ -16,6 +16,7 @@
 from tests.agreement.simulation import (
     Node,
     Recorded,
+    Schedule,
     Violation,
     World,
     play,
@@ -142,7 +143,7 @@
     seed: int  # the first that found it, of those from 0 on
     voters: int
     finds: str  # part of what is then said
-    play: Callable[..., World] = play
+    play: Schedule = play
     kind: type[Recorded] = Recorded
     world: Callable[..., World] = World
 
--- a/tests/agreement/simulation.py
+++ b/tests/agreement/simulation.py
@@ -465,151 +465,130 @@
                 self.boot(node)
 
 
-def play(
-    seed: int,
-    voters: int = 3,
-    learners: int = 0,
-    faults_us: int = 20 * S,
-    kind: type[Recorded] = Recorded,
-    world_of: Callable[..., World] = World,
-) -> World:
-    """One schedule to its end. Raises Violation."""
-    world = world_of(seed, voters, learners, kind)
-    world.run(3 * S)
-    while world.now < faults_us:
-        world.trouble()
-        world.run(world.now + world.random.randrange(50 * MS, 1200 * MS))
-    world.calm()
-    world.run(world.now + CALM_US)
-    finish(world)
-    return world
-
-
-def play_cuts(
-    seed: int,
-    voters: int = 3,
-    learners: int = 0,
-    faults_us: int = 30 * S,
-    kind: type[Recorded] = Recorded,
-    world_of: Callable[..., World] = World,
-) -> World:
+@dataclass(frozen=True)
+class Schedule:
+    """Faults, step by step, for so long, then calm. Raises Violation."""
+
+    name: str
+    step: Callable[[World], None]
+    faults_us: int
+
+    def __call__(
+        self,
+        seed: int,
+        voters: int = 3,
+        learners: int = 0,
+        kind: type[Recorded] = Recorded,
+        world_of: Callable[..., World] = World,
+    ) -> World:
+        world = world_of(seed, voters, learners, kind)
+        world.run(3 * S)
+        while world.now < self.faults_us:
+            self.step(world)
+        world.calm()
+        world.run(world.now + CALM_US)
+        finish(world)
+        return world
+
+
+def leader_of(world: World) -> Node | None:
+    return next((n for n in world.nodes.values() if n.member is not None and n.member.raft.leads), None)
+
+
+def anything(world: World) -> None:
+    """One fault, or one wish, by chance."""
+    world.trouble()
+    world.run(world.now + world.random.randrange(50 * MS, 1200 * MS))
+
+
+def cuts(world: World) -> None:
     """Members that are cut off, stopped or started anew just as something contradicting is published."""
-    world = world_of(seed, voters, learners, kind)
     chance = world.random
-    world.run(3 * S)
-    while world.now < faults_us:
-        world.slow_us, world.loss = chance.choice(((5 * MS, 0.0), (300 * MS, 0.0), (40 * MS, 0.25)))
-        nodes = list(world.nodes.values())
-        node = chance.choice(nodes)
-        match chance.randrange(4):
-            case 0:
-                world.stop(node, chance.randrange(2 * S, 5 * S))
-            case 1:
-                world.crash(node)
-                world.after(chance.randrange(50 * MS, 500 * MS), partial(world.boot_if_down, node))
-            case _:
-                cut = {(node.name, n) for n in world.nodes} | {(n, node.name) for n in world.nodes}
-                world.cuts |= cut
-                world.after(chance.randrange(S, 5 * S), partial(world.cuts.difference_update, cut))
-        world.run(world.now + chance.randrange(300 * MS))
-        leader = next((n for n in nodes if n.member is not None and n.member.raft.leads), None)
-        if leader is not None and leader is not node and chance.random() < 0.5:
-            world.crash(leader)
-            world.after(chance.randrange(50 * MS, 2 * S), partial(world.boot_if_down, leader))
-        for _ in range(chance.randrange(1, 4)):
-            body = f'{{"limits":{{"open_requests":{chance.randrange(1, 900)}}}}}'
-            world.publish(chance.choice(nodes), "settings", body)
-            world.run(world.now + chance.randrange(10 * MS, 400 * MS))
-        world.run(world.now + chance.randrange(2 * S, 4 * S))
-    world.calm()
-    world.run(world.now + CALM_US)
-    finish(world)
-    return world
-
-
-def play_elections(
-    seed: int,
-    voters: int = 5,
-    learners: int = 0,
-    faults_us: int = 30 * S,
-    kind: type[Recorded] = Recorded,
-    world_of: Callable[..., World] = World,
-) -> World:
+    world.slow_us, world.loss = chance.choice(((5 * MS, 0.0), (300 * MS, 0.0), (40 * MS, 0.25)))
+    nodes = list(world.nodes.values())
+    node = chance.choice(nodes)
+    match chance.randrange(4):
+        case 0:
+            world.stop(node, chance.randrange(2 * S, 5 * S))
+        case 1:
+            world.crash(node)
+            world.after(chance.randrange(50 * MS, 500 * MS), partial(world.boot_if_down, node))
+        case _:
+            cut = {(node.name, n) for n in world.nodes} | {(n, node.name) for n in world.nodes}
+            world.cuts |= cut
+            world.after(chance.randrange(S, 5 * S), partial(world.cuts.difference_update, cut))
+    world.run(world.now + chance.randrange(300 * MS))
+    leader = leader_of(world)
+    if leader is not None and leader is not node and chance.random() < 0.5:
+        world.crash(leader)
+        world.after(chance.randrange(50 * MS, 2 * S), partial(world.boot_if_down, leader))
+    for _ in range(chance.randrange(1, 4)):
+        body = f'{{"limits":{{"open_requests":{chance.randrange(1, 900)}}}}}'
+        world.publish(chance.choice(nodes), "settings", body)
+        world.run(world.now + chance.randrange(10 * MS, 400 * MS))
+    world.run(world.now + chance.randrange(2 * S, 4 * S))
+
+
+def elections(world: World) -> None:
     """Leaders that die as they publish, voters that die as they vote, on slow disks, and back at once."""
-    world = world_of(seed, voters, learners, kind)
     chance = world.random
-    world.run(3 * S)
-    while world.now < faults_us:
-        nodes = list(world.nodes.values())
-        world.slow_us = chance.choice((5 * MS, 60 * MS, 250 * MS))
-        for node in nodes:
-            node.slow_disk = chance.random() < 0.5
-        cut = chance.choice(nodes)
-        pairs = {(cut.name, n) for n in world.nodes} | {(n, cut.name) for n in world.nodes}
-        world.cuts |= pairs
-        world.after(chance.randrange(100 * MS, 2 * S), partial(world.cuts.difference_update, pairs))
-        leader = next((n for n in nodes if n.member is not None and n.member.raft.leads), None)
-        if leader is not None:
-            for _ in range(chance.randrange(3)):
-                world.publish(leader, chance.choice(("out", "back")), f"box{chance.randrange(4)}")
-            world.run(world.now + chance.randrange(120 * MS))
-            world.crash(leader)
-            world.after(chance.randrange(5 * MS, 1500 * MS), partial(world.boot_if_down, leader))
-        for _ in range(chance.randrange(5)):
-            node = chance.choice(nodes)
-            delay = chance.randrange(450 * MS, 1300 * MS)
-            world.after(delay, partial(world.crash, node))
-            world.after(delay + chance.randrange(MS, 30 * MS), partial(world.boot_if_down, node))
-        world.run(world.now + chance.randrange(200 * MS, 1800 * MS))
-    world.calm()
-    world.run(world.now + CALM_US)
-    finish(world)
-    return world
-
-
-def play_losses(
-    seed: int,
-    voters: int = 3,
-    learners: int = 0,
-    faults_us: int = 24 * S,
-    kind: type[Recorded] = Recorded,
-    world_of: Callable[..., World] = World,
-) -> World:
+    nodes = list(world.nodes.values())
+    world.slow_us = chance.choice((5 * MS, 60 * MS, 250 * MS))
+    for node in nodes:
+        node.slow_disk = chance.random() < 0.5
+    cut = chance.choice(nodes)
+    pairs = {(cut.name, n) for n in world.nodes} | {(n, cut.name) for n in world.nodes}
+    world.cuts |= pairs
+    world.after(chance.randrange(100 * MS, 2 * S), partial(world.cuts.difference_update, pairs))
+    leader = leader_of(world)
+    if leader is not None:
+        for _ in range(chance.randrange(3)):
+            world.publish(leader, chance.choice(("out", "back")), f"box{chance.randrange(4)}")
+        world.run(world.now + chance.randrange(120 * MS))
+        world.crash(leader)
+        world.after(chance.randrange(5 * MS, 1500 * MS), partial(world.boot_if_down, leader))
+    for _ in range(chance.randrange(5)):
+        node = chance.choice(nodes)
+        delay = chance.randrange(450 * MS, 1300 * MS)
+        world.after(delay, partial(world.crash, node))
+        world.after(delay + chance.randrange(MS, 30 * MS), partial(world.boot_if_down, node))
+    world.run(world.now + chance.randrange(200 * MS, 1800 * MS))
+
+
+def losses(world: World) -> None:
     """A folder wiped, put back or not yet synced just after an agreement, and who else holds it cut off."""
-    world = world_of(seed, voters, learners, kind)
     chance = world.random
-    world.run(4 * S)
-    while world.now < faults_us:
-        leader = next((n for n in world.nodes.values() if n.member is not None and n.member.raft.leads), None)
-        rest = [n for n in world.nodes.values() if n is not leader and n.name[0] == "v"]
-        copied = chance.choice(rest)
-        if leader is not None and world.wiped_few(copied):
-            others = [n.name for n in rest if n is not copied]
-            away = {(n, m) for n in others for m in world.nodes} | {
-                (m, n) for n in others for m in world.nodes
-            }
-            copied.copy = (copied.id, copy.deepcopy(copied.disk.durable))
-            world.cuts |= away
-            loses = chance.choice((world.restore, world.wipe, world.crash))
-            copied.slow_disk = loses == world.crash
-            world.publish(leader, "out", f"box{world.now}")
-            world.run(world.now + chance.randrange(40 * MS, 400 * MS))
-            loses(copied)
-            copied.slow_disk = False
-            alone = {(leader.name, n) for n in world.nodes} | {(n, leader.name) for n in world.nodes}
-            world.cuts = alone
-            world.boot_if_down(copied)
-            world.run(world.now + 3 * S)
-            world.cuts.clear()
-        world.run(world.now + 2 * S)
-        leader = next((n for n in world.nodes.values() if n.member is not None and n.member.raft.leads), None)
-        if leader is not None:
-            world.do(leader, partial(world.change, node=leader, name=copied.name, do="replace"))
-        world.run(world.now + 4 * S)
-    world.calm()
-    world.run(world.now + CALM_US)
-    finish(world)
-    return world
+    leader = leader_of(world)
+    rest = [n for n in world.nodes.values() if n is not leader and n.name[0] == "v"]
+    copied = chance.choice(rest)
+    if leader is not None and world.wiped_few(copied):
+        others = [n.name for n in rest if n is not copied]
+        away = {(n, m) for n in others for m in world.nodes} | {(m, n) for n in others for m in world.nodes}
+        copied.copy = (copied.id, copy.deepcopy(copied.disk.durable))
+        world.cuts |= away
+        loses = chance.choice((world.restore, world.wipe, world.crash))
+        copied.slow_disk = loses == world.crash
+        world.publish(leader, "out", f"box{world.now}")
+        world.run(world.now + chance.randrange(40 * MS, 400 * MS))
+        loses(copied)
+        copied.slow_disk = False
+        alone = {(leader.name, n) for n in world.nodes} | {(n, leader.name) for n in world.nodes}
+        world.cuts = alone
+        world.boot_if_down(copied)
+        world.run(world.now + 3 * S)
+        world.cuts.clear()
+    world.run(world.now + 2 * S)
+    leader = leader_of(world)
+    if leader is not None:
+        world.do(leader, partial(world.change, node=leader, name=copied.name, do="replace"))
+    world.run(world.now + 4 * S)
+
+
+play = Schedule("anything", anything, 20 * S)
+play_cuts = Schedule("cuts", cuts, 30 * S)
+play_elections = Schedule("elections", elections, 30 * S)
+play_losses = Schedule("losses", losses, 24 * S)
+SCHEDULES = {each.name: each for each in (play, play_cuts, play_elections, play_losses)}
 
 
 def finish(world: World) -> None:
