Let a member that was taken out hear of it, and come back where it is let in again

A member taken out never learnt it from its own log, so `group add` could not bring it back, and a leader went on keeping leases from one that it had let in again (Grants.leaving held its identity: member._on_hello). Whoever asks for votes and is no member is told so, says hello as a new one would, and learns under its old identity. A version whose load fails for any reason stops the member with words; before, its task died.

--- a/rosedeal/agreement/member.py
+++ b/rosedeal/agreement/member.py
@@ -338,7 +338,7 @@
             case Hello():
                 self._on_hello(now_us, sender, name, message)
             case Turned():
-                if not self.is_in and message.why != self.turned:
+                if message.why != self.turned:
                     self.turned = message.why
                     self.out.append(Shout(f"not let into the group by {name}: {message.why}"))
             case Ask():
@@ -350,6 +350,7 @@
                 mine = message.life == self.life
                 if mine and message.term >= self.raft.term and sender == self.raft.leader:
                     self.lease.take(now_us, message.stamp_us, message.floor)
+                    self.turned = ""
             case Wish():
                 self._on_wish(now_us, sender, message.publish)
             case Steer():
@@ -369,6 +370,8 @@
                 self.looked = (now_us, message)
             case _:
                 self.raft.receive(now_us, sender, message)
+                if isinstance(message, raft.PreVote) and self.raft.settled:
+                    self._turn_away(now_us, sender, name)
         self._carry(now_us)
         self._ask(now_us)  # at once where a version has come
         if self.raft.leads:
@@ -596,7 +599,8 @@
         )
 
     def _hello(self, now_us: int) -> None:
-        if now_us < self.hello_at or self.is_in or self.halted:
+        # One that was taken out learns it by being turned away: its own log may never tell.
+        if now_us < self.hello_at or (self.is_in and not self.turned) or self.halted:
             return
         self.hello_at = now_us + HELLO_US
         own = self.settings
@@ -639,18 +643,23 @@
             return
         if self.raft.agreed_config() is None or any(peer.id == sender for peer in self.raft.config):
             return
+        self._grants(now_us).leaving.discard(sender)  # it may have been taken out before, under this leader
         # In the place of an earlier one who only learnt; an earlier voter stays until it is replaced.
         rest = [peer for peer in self.raft.config if peer.name != name or peer.votes]
         self._configure(now_us, (*rest, Peer(sender, name, hello.zone, False)))
         self.out.append(Shout(f"{name} comes in as {sender}, and learns"))
 
-    def _why_not(self, now_us: int, sender: str, name: str, hello: Hello) -> str:
+    def _turn_away(self, now_us: int, sender: str, name: str) -> None:
+        """Tell one that takes itself for a voter that it is no member any more."""
+        if self.raft.agreed_config() and not any(peer.id == sender for peer in self.raft.config):
+            why = f"{name} is no member of the group any more"
+            self._send(sender, Turned(self._why_not(now_us, sender, name, None) or why), name)
+
+    def _why_not(self, now_us: int, sender: str, name: str, hello: Hello | None) -> str:
         if name in self.state.barred:
             return f"{name} was taken out of the group; `group add {name}` lets it in again"
-        if hello.group and hello.group != self.state.group:
+        if hello is not None and hello.group and hello.group != self.state.group:
             return f"it is of another group, {hello.group}"
-        if hello.group and not any(peer.id == sender for peer in self.raft.config):
-            return "it was taken out of the group, or its folder is an old one: empty it"
         for peer in self.raft.config:
             if peer.name == name and peer.id != sender and self._is_alive(now_us, peer.id):
                 return f"another member called {name} is alive"
--- a/rosedeal/agreement/room.py
+++ b/rosedeal/agreement/room.py
@@ -333,7 +333,7 @@
 
     def _send(self, send: member.Send) -> None:
         if self.links is not None and isinstance(send.message, member.Turned):
-            self.links.answer(send.id, send.message)
+            self.links.answer(send.id, send.message)  # it may have another's name, or no address here
         elif self.links is not None:
             self.links.send(send.name, send.id, send.message)
 
@@ -367,7 +367,9 @@
             tables = read_tables(whole.settings)
             try:
                 await self.again(lambda old: self.loader.adopt(tables, old))
-            except ConfigError as error:
+            except Exception as error:
+                if not isinstance(error, ConfigError):
+                    log.exception("version %d could not be loaded", whole.number)
                 if it is self.member:
                     it.cannot_load(whole.number, str(error))
                     self.settle()
--- a/tests/agreement/test_process.py
+++ b/tests/agreement/test_process.py
@@ -132,6 +132,16 @@
             assert head.startswith(b"HTTP/1.1 503") and b"retry-after" in head.lower()
             it.cut(b, False)
             await it.settled(version=3)
+            # Taken out it is refused, and says so; let in again it learns, and votes once it is told to.
+            out = await asyncio.to_thread(run, "group", "remove", b.name, "--file", str(a.file))
+            assert out.returncode == 0, out.stderr
+            await it.until(lambda: "was taken out of the group" in b.log(), "it hears that it is out")
+            for _ in range(2):
+                back = await asyncio.to_thread(run, "group", "add", b.name, "--file", str(c.file))
+                assert back.returncode == 0, back.stderr
+                await it.settled(version=3)
+            lines = (await it.status(c))["members"]
+            assert sorted(m["name"] for m in lines if m["votes"]) == sorted(it.gateways), lines
 
     asyncio.run(play())
 
