Check that a gateway without a group loads nothing of it; keep a rig's publishes with its load

Off by default and imported only where on: small-site.toml checked, and the platform's entry, with neither rosedeal.agreement nor rosedeal.store nor xxhash in the process.

--- a/benchmarks/group_faults.py
+++ b/benchmarks/group_faults.py
@@ -20,8 +20,7 @@
 
 from benchmarks.common import quantile
 from rosedeal.standins.rig import Timeline, rig
-from tests.agreement.load import ON_THE_WAY_S, Load, join
-from tests.agreement.test_process import BOUND_S, publish
+from tests.agreement.load import BOUND_S, ON_THE_WAY_S, Load, join, publish
 
 FAULTS = ("kill", "kill", "stop", "stop", "cut", "cut", "deaf", "delay", "reset", "wipe", "copy")
 
--- a/tests/agreement/load.py
+++ b/tests/agreement/load.py
@@ -8,10 +8,13 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
+from rosedeal.admin import AdminError, NoAnswer, NoGateway
+from rosedeal.site.read import read_tables, shared
 from rosedeal.standins.net import read_message
 from rosedeal.standins.rig import Gateway, Rig
 
 GIVE_UP_S = 6.0  # classes are given up after 5 s
+BOUND_S = 3.0
 ON_THE_WAY_S = 0.15  # from a gateway's decision to the box's ledger, on a busy machine
 
 
@@ -102,3 +105,28 @@
             if older < newer and last - first > longest:
                 longest, pair = last - first, (older, newer)
     return Joined(spans, [number for number, times in effects.items() if times > 1], longest, pair)
+
+
+def versioned(it: Rig, number: int) -> dict[str, object]:
+    """Settings under which every request says that number to its box."""
+    text = it.settings().replace(
+        'class = "pages"\n[[box]]', f'class = "pages"\nput_before = "/v{number}"\n[[box]]'
+    )
+    return shared(read_tables(text, "test"))
+
+
+async def publish(it: Rig, gateway: Gateway, number: int, within_s: float = 10.0) -> int:
+    """The version; 0 if it is not known to be one."""
+    try:
+        result = await asyncio.to_thread(
+            gateway.ask,
+            "publish",
+            tables=versioned(it, number),
+            by="test",
+            reason=f"number {number}",
+            within_s=within_s,
+            timeout_s=within_s + 15.0,
+        )
+    except (AdminError, NoAnswer, NoGateway):
+        return 0
+    return int(result["version"])
--- a/tests/agreement/test_process.py
+++ b/tests/agreement/test_process.py
@@ -13,38 +13,9 @@
 
 import pytest
 
-from rosedeal.admin import AdminError, NoAnswer, NoGateway
-from rosedeal.site.read import read_tables, shared
 from rosedeal.standins.registry import LiveRegistry
-from rosedeal.standins.rig import Gateway, Rig, Timeline, rig
-from tests.agreement.load import ON_THE_WAY_S, Load, join
-
-BOUND_S = 3.0
-
-
-def versioned(it: Rig, number: int) -> dict[str, object]:
-    """Settings under which every request says that number to its box."""
-    text = it.settings().replace(
-        'class = "pages"\n[[box]]', f'class = "pages"\nput_before = "/v{number}"\n[[box]]'
-    )
-    return shared(read_tables(text, "test"))
-
-
-async def publish(it: Rig, gateway: Gateway, number: int, within_s: float = 10.0) -> int:
-    """The version; 0 if it is not known to be one."""
-    try:
-        result = await asyncio.to_thread(
-            gateway.ask,
-            "publish",
-            tables=versioned(it, number),
-            by="test",
-            reason=f"number {number}",
-            within_s=within_s,
-            timeout_s=within_s + 15.0,
-        )
-    except (AdminError, NoAnswer, NoGateway):
-        return 0
-    return int(result["version"])
+from rosedeal.standins.rig import Gateway, Timeline, rig
+from tests.agreement.load import BOUND_S, ON_THE_WAY_S, Load, join, publish
 
 
 def run(*words: str) -> subprocess.CompletedProcess[str]:
@@ -53,6 +24,20 @@
     )
 
 
+def test_a_gateway_without_a_group_loads_nothing_of_it() -> None:
+    shipped = Path(__file__).parents[2] / "deploy" / "small-site.toml"
+    program = f"""
+import sys
+from pathlib import Path
+from rosedeal.cli.serve import check
+import rosedeal.__main__
+check(Path({str(shipped)!r}), {{}})
+found = [name for name in sys.modules if name.startswith(("rosedeal.agreement", "rosedeal.store", "xxhash"))]
+assert not found, found
+"""
+    subprocess.run([sys.executable, "-c", program], check=True, cwd=shipped.parents[1], timeout=60)
+
+
 def test_what_an_operator_does_holds_at_all_members(tmp_path: Path) -> None:
     """Drain, publish, diff, rollback and conflicts at different members; a file that says otherwise loses."""
 
