Take no voter out while those who would be left could agree on nothing

Four of 5,250 schedules ended without a leader: a voter was being taken out while another one's folder was lost, and the change, once in the log of its leader, could be agreed by nobody, the one taken out included. The leader now makes such a change only while a majority of those who would be left is heard (member._could_agree); the schedules count a change under way when they choose whom to wipe.

--- a/rosedeal/agreement/member.py
+++ b/rosedeal/agreement/member.py
@@ -26,6 +26,7 @@
 
 HELLO_US = 300_000
 FRESH_US = 2_000_000
+HEARD_US = 300_000  # three signs of life: who was heard within it is there now
 ALIVE_US = 5_000_000  # a member that was heard of within this time keeps its name
 CHECK_US = 2_000_000  # for the members to say whether they can load a version
 OPEN_LIMIT = 64  # publishes that wait for the members' word
@@ -745,8 +746,11 @@
         if goes:
             gone = goes[0]
             grants.leaving.add(gone.id)
-            # Nobody is taken out who could still act: whoever leads next would not know of its lease.
-            if gone.id == self.id or grants.is_over(now_us, gone.id):
+            # Nobody is taken out who could still act: whoever leads next would not know of its lease. Nor
+            # while those who would be left could agree on nothing, this change included: that could not be
+            # undone.
+            over = gone.id == self.id or grants.is_over(now_us, gone.id)
+            if over and self._could_agree(now_us, [p.id for p in config if p.votes and p.id != gone.id]):
                 self._configure(now_us, tuple(peer for peer in config if peer.id != gone.id))
             return
         fresh = next((peer for peer in there if not peer.votes), None)
@@ -761,6 +765,16 @@
             return
         self.changes.pop(0)
 
+    def _could_agree(self, now_us: int, voters: list[str]) -> bool:
+        """Whether a majority of these is heard at this moment."""
+        follows = self.raft.follows
+        heard = [
+            id
+            for id in voters
+            if id == self.id or (id in follows and now_us - follows[id].heard_us < HEARD_US)
+        ]
+        return len(heard) >= raft.majority(len(voters))
+
     # Publishing, at the leader
 
     def _on_wish(self, now_us: int, origin: str, publish: Publish) -> None:
--- a/tests/agreement/simulation.py
+++ b/tests/agreement/simulation.py
@@ -451,6 +451,9 @@
         configs = {n.member.raft.config for n in self.nodes.values() if n.member is not None}
         for n in self.nodes.values():
             configs.add(raft.Raft(n.id, n.disk.durable, 0, self.random).config)
+            for change in n.member.changes if n.member is not None else ():  # it may be agreed any moment
+                if change.do in ("remove", "replace"):
+                    configs |= {tuple(p for p in c if p.name != change.name) for c in tuple(configs)}
         there = {n.id for n in self.nodes.values() if n is not node}
         votings = [{peer.id for peer in config if peer.votes} for config in configs if config]
         return bool(votings) and all(len(ids & there) > len(ids) // 2 for ids in votings)
