Ask a group's member for the right to act once an event, and the clock at each request

The room now keeps until when the answer holds, and drops it at whatever happens to the member; a process that was stopped finds the time over.

--- a/rosedeal/agreement/room.py
+++ b/rosedeal/agreement/room.py
@@ -115,6 +115,7 @@
         self.acting_on: Whole = Whole()
         self.heard: Whole = Whole()  # the newest, in force or not
         self.epoch = 0
+        self.until_us = 0  # the right to act that was found last holds until then, unless something happens
         # Hosts that were taken out here, and are not out by the group's word yet.
         self.going_out: dict[str, asyncio.Task[str]] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -294,7 +295,8 @@
             await asyncio.sleep(TICK_S)
 
     def settle(self) -> None:
-        """Carry out what the member wants done."""
+        """Carry out what the member wants done. Called after whatever happens to it."""
+        self.until_us = 0  # a floor may have risen: the right to act is asked of the member anew
         it, writer = self.member, self.writer
         if it is None or writer is None:
             return
@@ -346,8 +348,14 @@
 
     def acting(self) -> int:
         """The epoch of the rules in force, or -1: this gateway may not act. Asked at each request."""
+        now = clock_us()
+        if now < self.until_us:
+            return self.epoch
         it = self.member
-        return self.epoch if it is not None and it.may_act(clock_us()) else -1
+        if it is None or not it.may_act(now):
+            return -1
+        self.until_us = now + it.lease_left_us(now)
+        return self.epoch
 
     async def _load(self) -> None:
         """Have the gateway act on the newest version there is to act on."""
