Say once that a gateway has failed on a call; drop a constant that nothing used

Read again: the answer to a fault stood twice in the admin socket's room, and FORCE_US was left over from an earlier way to force. Behaviour is as it was; style, types and the admin socket's tests pass.

--- a/rosedeal/admin/room.py
+++ b/rosedeal/admin/room.py
@@ -50,6 +50,7 @@
 UNREAD_S = 60.0  # a connection whose other end reads nothing for so long is closed
 KEEP_S = 2.0  # the longest that an answer waits for the disk
 KEEP_AGAIN_S = 10.0  # until what could not be kept is tried again
+FAULT = Failure(code="failed", text="a fault in the gateway, which is in its log")
 PENDING = 64  # wishes of one connection that wait for the disk
 
 
@@ -312,8 +313,7 @@
             connection.write(protocol.failure(request.id, refused.failure))
         except Exception:
             log.exception("failed on a request at the admin socket: %.300r", line)
-            text = "a fault in the gateway, which is in its log"
-            connection.write(protocol.failure(request.id, Failure(code="failed", text=text)))
+            connection.write(protocol.failure(request.id, FAULT))
 
     def subscribe(self, connection: Connection, number: str) -> None:
         if connection not in self.subscribers and len(self.subscribers) >= SUBSCRIBERS:
@@ -338,8 +338,7 @@
             connection.write(protocol.failure(request.id, Failure(code="refused", text=str(refused))))
         except Exception:
             log.exception("failed on a call of the group: %.100r", request.op)
-            text = "a fault in the gateway, which is in its log"
-            connection.write(protocol.failure(request.id, Failure(code="failed", text=text)))
+            connection.write(protocol.failure(request.id, FAULT))
         else:
             connection.write(protocol.reply(request.id, result))
         finally:
--- a/rosedeal/agreement/room.py
+++ b/rosedeal/agreement/room.py
@@ -51,7 +51,6 @@
 PUBLISH_S = 10.0  # for a publish to come to an end
 DISK_AGAIN_S = 5.0  # until a folder whose disk has failed is opened anew
 STATUS_S = 1.0  # for the leader to say what it knows
-FORCE_US = 5_000_000
 GROUP = "the group"
 
 
