Order a member's processes by a count on its disk, so that a late word shuts none out

Traced: its process was killed and back within 30 ms, and the new one's question overtook the old one's on a slow link. The leader had never heard of the old process, took its late word for a newer one's, and from then on ignored the living one (Grants.ask, `before`). Ruled out: the log and versions, which were all there; the lease's length.

Processes of a member are ordered now by the number of batches that its log has seen, which is durable and grows with each opening; a word of a lesser one counts for nothing.

Also: words of other subsystems in the group's log and on its links (Keep, Carried), for Copies. They are written only where something uses them.

--- a/rosedeal/agreement/frames.py
+++ b/rosedeal/agreement/frames.py
@@ -23,6 +23,7 @@
 
 from rosedeal.agreement.member import (
     Ask,
+    Carried,
     Check,
     Checked,
     Grant,
@@ -65,7 +66,7 @@
 
     to: str
     message: (
-        Hello | Turned | Ask | Grant | Wish | Steer | Lost | Check | Checked | Look | Looked
+        Hello | Turned | Ask | Grant | Wish | Steer | Lost | Check | Checked | Look | Looked | Carried
         | PreVote | PreVoted | Vote | Voted | Append | Appended | Part | Parted | Disown
     )  # fmt: skip
 
--- a/rosedeal/agreement/lease.py
+++ b/rosedeal/agreement/lease.py
@@ -14,14 +14,12 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 DRIFT = 0.01  # two clocks' rates differ by no more than this share, each from true time
 SHARE = 0.8  # of the stated time that a lease lasts; the rest is for drift, stalls and the way to a box
-LIVES = 8  # processes of a member that are remembered, so that their late words count no more
 ASKS = 8  # questions in a lease
 
 
@@ -69,8 +67,7 @@
 
     stamp_us: int = 0  # of the question to be answered
     came_us: int = -1  # when it came; -1: none is open
-    life: int = 0  # of its process
-    before: deque[int] = field(default_factory=lambda: deque(maxlen=LIVES))  # what it was before
+    life: int = 0  # of its process: those that came before have less, and their late words count no more
     newest_us: int = -(1 << 60)  # the stamp of the newest question
     heard_us: int = -(1 << 60)
     until_us: int = 0  # it may act until then; microseconds of the leader's clock
@@ -100,11 +97,10 @@
 
     def ask(self, now_us: int, id: str, question: Question) -> None:
         account = self.account(id)
-        if question.life in account.before:
+        if question.life < account.life:
             return
         account.heard_us = now_us
-        if question.life != account.life:  # started anew, with another clock
-            account.before.append(account.life)
+        if question.life > account.life:  # started anew, with another clock
             account.life, account.newest_us, account.came_us = question.life, question.stamp_us, -1
         if question.stamp_us < account.newest_us:
             return  # overtaken by a newer one
--- a/rosedeal/agreement/links.py
+++ b/rosedeal/agreement/links.py
@@ -74,7 +74,8 @@
         self.listener = await self.loop.create_server(lambda: Incoming(self), *listen, backlog=256)
         return cast(Address, self.listener.sockets[0].getsockname()[:2])
 
-    def send(self, name: str, id: str, message: Message) -> None:
+    def send(self, name: str, id: str, message: Message, most: int = UNSENT_BYTES) -> None:
+        """It is lost where more than `most` bytes wait to be sent."""
         address = self.addresses.get(name)
         if address is None or self.ended:
             return
@@ -83,7 +84,7 @@
             if talk is not None:
                 talk.close()
             talk = self.talks[name] = Talk(self, name, address)
-        talk.say(id, message)
+        talk.say(id, message, most)
 
     def answer(self, id: str, message: Message) -> None:
         """To one that cannot be dialed, on the link that it has made itself."""
@@ -202,7 +203,7 @@
         self.task: asyncio.Task[None] | None = None
         self.closed = False
 
-    def say(self, id: str, message: Message) -> None:
+    def say(self, id: str, message: Message, most: int = UNSENT_BYTES) -> None:
         now = self.links.loop.time()
         transport = self.transport
         if transport is None or self.talker is None or transport.is_closing():
@@ -215,7 +216,7 @@
         if self.stuck_at is not None and now - self.stuck_at > STUCK_S:
             transport.abort()
             return
-        if transport.get_write_buffer_size() > UNSENT_BYTES:
+        if transport.get_write_buffer_size() > most:
             return
         frame = self.talker.frame(id, message)
         self.links.bytes_out += len(frame)
--- a/rosedeal/agreement/member.py
+++ b/rosedeal/agreement/member.py
@@ -126,7 +126,14 @@
     lines: tuple[Line, ...]
 
 
-Talk = Hello | Turned | Ask | Grant | Wish | Steer | Lost | Check | Checked | Look | Looked
+class Carried(msgspec.Struct, frozen=True, array_like=True, tag="carried"):
+    """What a subsystem says to the same one at another member."""
+
+    room: str
+    data: bytes
+
+
+Talk = Hello | Turned | Ask | Grant | Wish | Steer | Lost | Check | Checked | Look | Looked | Carried
 Message = raft.Message | Talk
 
 
@@ -177,6 +184,15 @@
     outcome: Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """For a subsystem, from the same one at another member."""
+
+    name: str
+    room: str
+    data: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Shout:
     """A line for the log and for people. Said once for each change."""
@@ -191,7 +207,7 @@
     why: str
 
 
-Todo = Save | Send | Load | Heard | Examine | First | Settled | Shout | Reborn
+Todo = Save | Send | Load | Heard | Examine | First | Settled | Passed | Shout | Reborn
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,9 +266,18 @@
     grants_of: type[Grants] = Grants
 
     def __init__(
-        self, settings: Settings, id: str, disk: Durable, now_us: int, random: random.Random
+        self,
+        settings: Settings,
+        id: str,
+        disk: Durable,
+        now_us: int,
+        random: random.Random,
+        life: int = 1,
     ) -> None:
-        """Raises Unreadable for a folder of a later program version."""
+        """`life`: more than that of any process with this identity before; it is counted on the disk.
+
+        Raises Unreadable for a folder of a later program version.
+        """
         self.settings, self.id = settings, id
         self.raft = self.consensus(id, disk, now_us, random)
         self.state = State()
@@ -260,7 +285,7 @@
             self.state.restore(disk.snapshot.state)
         self.lease = self.leases(0)
         self.grants: Grants | None = None  # of a leader
-        self.life = random.getrandbits(53)
+        self.life = life
         self.halted = ""  # why this member can go no further; it never acts then
         self.turned = ""  # why it was not let in
         self.now_us = now_us
@@ -370,6 +395,9 @@
                     self._send(sender, Looked(self.raft.term, self.lines(now_us)))
             case Looked():
                 self.looked = (now_us, message)
+            case Carried():
+                self.out.append(Passed(name, message.room, message.data))
+                return
             case _:
                 self.raft.receive(now_us, sender, message)
                 if isinstance(message, raft.PreVote) and self.raft.settled:
@@ -416,6 +444,12 @@
         elif self.raft.leader:
             self._send(self.raft.leader, Wish(command))
 
+    def keep(self, now_us: int, room: str, number: int, data: bytes) -> None:
+        """A subsystem's next word for the log, at the leader. It may be lost: it is there once it is read."""
+        if self.raft.settled and not self.halted:
+            self._propose_command(now_us, state.Keep(room, number, data))
+            self._carry(now_us)
+
     def examined(self, now_us: int, id: str, why: str) -> None:
         asker = self.examining.pop(id, "")
         if asker == self.id:
--- a/rosedeal/agreement/room.py
+++ b/rosedeal/agreement/room.py
@@ -23,7 +23,7 @@
 
 from rosedeal.agreement import durable, member, relation
 from rosedeal.agreement.following import Following
-from rosedeal.agreement.links import Links
+from rosedeal.agreement.links import UNSENT_BYTES, Links
 from rosedeal.agreement.member import Line, Member, Settings, read_tables
 from rosedeal.agreement.raft import Durable, Save
 from rosedeal.agreement.state import (
@@ -71,6 +71,16 @@
         """What this gateway's own file says of the same."""
 
 
+class Guest(Protocol):
+    """Another subsystem that stands on the group: its words go over the group's links and into its log."""
+
+    def heard(self, name: str, data: bytes) -> None:
+        """From the same one at the member of that name."""
+
+    def agreed(self) -> None:
+        """Something in the group's log, or the member itself, may have changed."""
+
+
 @dataclass(frozen=True, slots=True)
 class Options:
     settings: Settings
@@ -123,6 +133,7 @@
         self.following: Following | None = None
         self.led_at = clock_us()  # when a leader was known last
         self.founding = ""  # the publish of the first version
+        self.guests: dict[str, Guest] = {}
         self.ended = False
 
     # The room
@@ -226,7 +237,12 @@
             lambda why: self._failed(life, why),
         )
         self.member = Member(
-            self.options.settings, self.id, disk, clock_us(), random.Random(secrets.randbits(64))
+            self.options.settings,
+            self.id,
+            disk,
+            clock_us(),
+            random.Random(secrets.randbits(64)),
+            self.log.next,  # each opening writes at least one batch
         )
         self.settle()
 
@@ -324,6 +340,10 @@
                     wish = self.wishes.get(todo.outcome.id)
                     if wish is not None and not wish.done():
                         wish.set_result(todo.outcome)
+                case member.Passed():
+                    guest = self.guests.get(todo.room)
+                    if guest is not None:
+                        guest.heard(todo.name, todo.data)
                 case member.Shout():
                     self._say(todo.text)
                 case member.Reborn():
@@ -331,6 +351,25 @@
                     self.member = None
                     self._spawn(self._anew(0.0, lost=True))
                     return
+        for guest in self.guests.values():
+            guest.agreed()
+
+    # Guests
+
+    def pass_on(self, name: str, room: str, data: bytes) -> None:
+        """To the member of that name, as far as a link can be had; it may be lost. Consensus goes first."""
+        if self.links is not None and not self.ended:
+            self.links.send(name, "", member.Carried(room, data), UNSENT_BYTES // 2)
+
+    def word(self, room: str) -> tuple[int, bytes]:
+        """What a guest's rooms agreed on last, with its number; 0: nothing yet."""
+        return self.member.state.rooms.get(room, (0, b"")) if self.member is not None else (0, b"")
+
+    def keep(self, room: str, number: int, data: bytes) -> None:
+        """Have the group agree on a guest's next word. Only at the leader; it may be lost."""
+        if self.member is not None:
+            self.member.keep(clock_us(), room, number, data)
+            self.settle()
 
     def _send(self, send: member.Send) -> None:
         if self.links is not None and isinstance(send.message, member.Turned):
--- a/rosedeal/agreement/state.py
+++ b/rosedeal/agreement/state.py
@@ -21,6 +21,8 @@
 OUT_LIMIT = 1000  # hosts out by hand
 WAITING_LIMIT = 64  # versions that are known and wait to come into force
 BARRED_LIMIT = 1000
+ROOMS_LIMIT = 16  # other subsystems that keep a word in the log
+ROOM_LIMIT = 512 * 1024  # bytes of one such word
 
 OUT_ALREADY, BACK_ALREADY = "it is out by hand already", "it is not out by hand"
 
@@ -55,7 +57,15 @@
     version: int
 
 
-Command = Publish | Enforce | Bar
+class Keep(msgspec.Struct, frozen=True, array_like=True, tag="keep"):
+    """A subsystem's word, in place of its last one. It loses unless it is the next of its numbers."""
+
+    room: str
+    number: int
+    data: bytes
+
+
+Command = Publish | Enforce | Bar | Keep
 
 
 class Version(msgspec.Struct, frozen=True, array_like=True):
@@ -107,6 +117,7 @@
     barred: list[str]
     contradiction_us: int
     format: int = 1
+    rooms: dict[str, tuple[int, bytes]] = {}
 
 
 FORMAT = 1
@@ -137,6 +148,7 @@
         self.bodies: OrderedDict[int, str] = OrderedDict()
         self.enforced = 0
         self.outcomes: OrderedDict[str, Outcome] = OrderedDict()
+        self.rooms: dict[str, tuple[int, bytes]] = {}  # the words of other subsystems, with their numbers
 
     def apply(self, data: bytes) -> Outcome | None:
         """What became of a publish. Raises Unreadable; then nothing has changed, and this member is stuck."""
@@ -157,8 +169,16 @@
             case Bar():
                 self.barred = [name for name in self.barred if name != command.name][-BARRED_LIMIT + 1 :]
                 self.barred += [command.name] * command.barred
+            case Keep():
+                self._keep(command)
         return None
 
+    def _keep(self, command: Keep) -> None:
+        before, _ = self.rooms.get(command.room, (0, b""))
+        fits = len(command.data) <= ROOM_LIMIT and (before or len(self.rooms) < ROOMS_LIMIT)
+        if command.number == before + 1 and fits:
+            self.rooms[command.room] = (command.number, command.data)
+
     @property
     def acting(self) -> Whole:
         return self.steps[0] if self.steps else self.newest
@@ -250,6 +270,7 @@
                 self.group,
                 self.barred,
                 self.contradiction_us,
+                rooms=self.rooms,
             )
         )
 
@@ -266,3 +287,4 @@
         self.heads = deque(kept.heads, maxlen=VERSIONS_KEPT)
         self.bodies, self.enforced = OrderedDict(sorted(kept.bodies.items())), kept.enforced
         self.outcomes = OrderedDict((outcome.id, outcome) for outcome in kept.outcomes)
+        self.rooms = dict(kept.rooms)
--- a/tests/agreement/simulation.py
+++ b/tests/agreement/simulation.py
@@ -197,6 +197,7 @@
             copy.deepcopy(node.disk.durable),
             self.local(node),
             random.Random(self.random.random()),
+            node.life,
         )
         node.member = member
         # Type: ignore[method-assign].
--- a/tests/agreement/test_frames.py
+++ b/tests/agreement/test_frames.py
@@ -99,14 +99,17 @@
     it = State("g")
     for number in range(5):
         it.apply(state.encode(Publish(f"p{number}", "out", f"box{number}", "me", "", -1, bool(number % 2))))
+    it.apply(state.encode(state.Keep("copies", 1, b"first")))
+    it.apply(state.encode(state.Keep("copies", 3, b"not the next one")))
     other = State()
     other.restore(it.snapshot())
+    assert other.rooms == {"copies": (1, b"first")}
     assert other.snapshot() == it.snapshot() and other.acting.number == it.acting.number == 1
     again = state.encode(Publish("p4", "out", "box4", "me", "", -1, False))
     outcome = other.apply(again)  # said twice, done once
     assert outcome is not None and outcome.version == 5 and other.newest.number == 5
     kept = msgspec.msgpack.decode(it.snapshot())
-    kept[-1] = state.FORMAT + 1
+    kept[state.Kept.__struct_fields__.index("format")] = state.FORMAT + 1
     with pytest.raises(Unreadable, match="format 2"):
         other.restore(msgspec.msgpack.encode(kept))
 
