--- a/rosedeal/agreement/relation.py
+++ b/rosedeal/agreement/relation.py
@@ -9,7 +9,8 @@
                        class, tenant, rewriting, certificate); the share of a request's pools that falls to 0;
                        a box that is gone, has another address, pool or protocol; a limit that is lower (open
                        requests, attempts, upload, times a request may take); a class that may be repeated
-                       less, or for a shorter time; a host that is out; a pool's authority or discovery;
+                       less, or for a shorter time; keyed requests that are kept for a shorter time, or
+                       begin or cease to be; a host that is out; a pool's authority or discovery;
                        whatever this program does not know
 does not contradict    weights, worth, wanted times, comments, order of boxes; limits that are higher; a new
                        class, pool or box; a host that is put back; a route behind all others
@@ -50,7 +51,7 @@
 }
 RISING: Mapping[str, frozenset[str]] = {
     "class": frozenset(("given_up_after", "repeats_dropped_for")),
-    "route": frozenset(("upload_limit", "answer_within", "whole_within")),
+    "route": frozenset(("upload_limit", "answer_within", "whole_within", "once")),
     "limits": frozenset(("open_requests", "attempts")),
     "fleet": frozenset(("at_once",)),
 }
--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -248,6 +248,7 @@
     done: bool = False
     streaming: bool = False
     members: int = 1  # clients that wait for its answer
+    only: tuple[int, ...] = ()  # servers that may have it; empty: all
 
 
 def judges(server: Server, klass: int) -> tuple[Breaker, Breaker]:
@@ -461,7 +462,7 @@
                 self.served = [n / 2 for n in self.served]
         return Request(
             event.request, event.klass, event.key, self.now_us + event.patience_us,
-            self.now_us + max(0, klass.aim_us - used_us), size, first_try,
+            self.now_us + max(0, klass.aim_us - used_us), size, first_try, only=event.only,
         )
 
     def used_us(self, event: RequestArrived) -> int:
@@ -861,9 +862,14 @@
         Hardly random for classes worth more than most: chance costs them more than a little unevenness costs
         the rest.
         """
-        if self.returned and not request.attempts and (back := self.returned_server(request)) is not None:
+        first = not request.attempts and not request.only
+        if self.returned and first and (back := self.returned_server(request)) is not None:
             return back
         candidates = self.allowed_servers(request) if request.attempts else self.subset(request.klass)
+        if request.only:
+            tried = [a.server for a in request.attempts]
+            named = [s for s in self.ranked if s.entry.server in request.only and s not in tried]
+            candidates = [s for s in named if self.is_eligible(s, request.klass)]
         repeatable = self.settings.classes[request.klass].effect is not Effect.UNSAFE
         keenness = KEEN if self.keen[request.klass] else 1.0
         weights: list[tuple[float, Server]] = []
--- a/rosedeal/cli/web.py
+++ b/rosedeal/cli/web.py
@@ -124,6 +124,7 @@
                 whole_s=table.whole_within / 1e6 if table.whole_within is not None else None,
                 needs_certificate=table.client_certificate == "required",
                 join=table.join,
+                once_us=int(table.once or 0),
                 spare=str(table.spare) if table.spare is not None else None,
                 failing=failing(table.failing),
                 tenant=(tenants[table.tenant or ""], (table.tenant or "").encode()),
--- /dev/null
+++ b/rosedeal/copies/clock.py
@@ -0,0 +1,58 @@
+"""The group's clock: what expiry goes by, so that all copies agree and no wall clock is trusted. Pure.
+
+The leader adds a `Tick` to the group's log every STEP_US: the last one's time and what its own monotonic
+clock has counted since it heard of that. Each member goes on from the last tick by its own clock. A leader
+that has not heard the last tick in this life (all were restarted) knows of no time in between: the clock
+stands still for it, and `sure_since_us` says that more may have passed. So a promise may last longer, never
+shorter.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+STEP_US = 5_000_000
+
+
+class Tick(msgspec.Struct, frozen=True, array_like=True):
+    now_us: int = 0
+    sure_since_us: int = 0  # the clock has gone on without a break since then
+
+
+_ticks: msgspec.msgpack.Decoder[Tick] = msgspec.msgpack.Decoder(Tick)
+
+
+class GroupClock:
+    def __init__(self) -> None:
+        self.tick = Tick()
+        self.number = 0  # of the tick in the log
+        self.heard_us = 0  # by this member's clock
+        self.live = False  # it was heard as it came, and not read from a log
+
+    def hear(self, local_us: int, number: int, data: bytes, live: bool) -> None:
+        """Raises MsgspecError for what a later program has written."""
+        if number <= self.number or not data:
+            return
+        self.tick = _ticks.decode(data)
+        self.number, self.heard_us, self.live = number, local_us, live
+
+    def now_us(self, local_us: int) -> int:
+        """At most the true time that has gone on since the group's first, but for drift."""
+        return self.tick.now_us + (max(0, local_us - self.heard_us) if self.live else 0)
+
+    @property
+    def agreed_us(self) -> int:
+        """What all who have read as far in the log agree on."""
+        return self.tick.now_us
+
+    def sure_since_us(self) -> int:
+        """Since when no more time has passed than the clock says; far off where this member cannot tell."""
+        return self.tick.sure_since_us if self.live else 1 << 62
+
+    def next(self, local_us: int) -> tuple[int, bytes] | None:
+        """The next tick and its number, where it is time for one. Of the leader."""
+        if self.live and local_us - self.heard_us < STEP_US:
+            return None
+        now = self.now_us(local_us)
+        sure = self.tick.sure_since_us if self.live else now
+        return self.number + 1, msgspec.msgpack.encode(Tick(now, sure))
--- /dev/null
+++ b/rosedeal/copies/once.py
@@ -0,0 +1,324 @@
+"""One request with a key at one gateway: what it does with the key's record, and when. Pure.
+
+The rules, stated once:
+
+1. Nothing of it goes to a box before a record that names claim and box is kept by a majority (`launch`).
+2. A box's answer goes to the client once it is kept. If it cannot be kept in the client's time, the client
+   hears that the request is in doubt, and the keeping goes on.
+3. Whoever comes with the same key while a claim is begun waits for that gateway, as long as that says that
+   it is at it. If it says nothing, or has gone, the claim is put in doubt, by a change that anybody sees.
+4. What is in doubt is never run anew, but for at boxes that drop repeats of its key.
+5. A claim that was never sent is freed by its gateway alone, and `Keeper.ended` says so to who asks first.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from rosedeal.copies import record as records
+from rosedeal.copies.keeper import Keeper
+from rosedeal.copies.proposer import FULL, Grip, Result
+from rosedeal.copies.record import Do, Fields, Record, Repeats
+
+SEND_SHARE = 0.5  # of the time a key is kept, after which a claim is not sent any more
+KEEP_US = 30_000_000  # for which an outcome is tried to be kept, whoever still waits
+FREE_US = 5_000_000
+POLL_US = (30_000, 200_000)  # between two questions to a claim's gateway
+RESERVE_US = 60_000  # before the client's time is over, when it hears how it stands
+
+
+class End(Enum):
+    """How it ends for the client, where it is not with an answer of a box."""
+
+    TOO_LONG = "done, and its answer was too long to be kept"
+    OTHER = "the key is that of another request"
+    UNDER_WAY = "a request with this key is under way"
+    DOUBT = "a request with this key may have run, and nobody can say whether it did"
+    UNREACHABLE = "the copies of this key cannot be reached"
+    FULL = "too many keys are kept already"
+
+
+class Runner(Protocol):
+    """What is done for it."""
+
+    def run(self, only: tuple[int, ...] | None) -> None:
+        """Give the request to the decisions. `only`: the boxes that may have it."""
+
+    def withdraw(self) -> None:
+        """Take it back from them; no attempt of it is at a box."""
+
+    def give(self, record: Record) -> None:
+        """The final answer, as it is kept."""
+
+    def end(self, how: End, record: Record | None) -> None:
+        """The final answer is the gateway's own."""
+
+    def after(self, delay_us: int, what: Callable[[], None]) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    key: bytes
+    digest: bytes
+    tenant: str
+    label: str
+    keep_us: int
+    repeats: Repeats
+
+
+class Once:
+    def __init__(
+        self, keeper: Keeper, runner: Runner, request: Request, now_us: Callable[[], int], until_us: int
+    ) -> None:
+        """`now_us`: the keeper's clock; `until_us`: when its client has gone."""
+        self.keeper, self.runner, self.request, self.now_us = keeper, runner, request, now_us
+        self.until_us = until_us
+        self.claim = ""
+        self.record: Record | None = None  # this run's own, as it was kept last or is about to be
+        self.kept = False  # `record` is kept by a majority
+        self.grip: Grip | None = None
+        self.claimed_us = 0
+        self.out = 0  # attempts at boxes
+        self.ran = False  # one that is over may have run
+        self.launched = False  # the claim may be in the record
+        self.running = False
+        self.over = False  # the client has its answer, or has gone
+        self.polls = 0
+
+    def begin(self) -> None:
+        self._look()
+
+    @property
+    def sent(self) -> bool:
+        return self.ran or self.out > 0
+
+    def left_us(self) -> int:
+        return self.until_us - self.now_us()
+
+    # The record
+
+    def _look(self) -> None:
+        if self.over:
+            return
+        left = self.left_us() - RESERVE_US
+        if left <= 0:
+            self._end(End.UNREACHABLE, None)
+            return
+        self.keeper.change(self.now_us(), self.request.key, lambda there: None, self._looked, left)
+
+    def _looked(self, result: Result) -> None:
+        if self.over:
+            return
+        if result.why:
+            self._end(End.FULL if result.why == FULL else End.UNREACHABLE, None)
+            return
+        keeper, request, there = self.keeper, self.request, result.record
+        now = keeper.clock.now_us(self.now_us())
+        hole = keeper.is_hole(request.key)
+        match records.judge(there, request.digest, now, request.repeats, hole, keeper.clock.sure_since_us()):
+            case Do.RUN:
+                self._run(result.grip, None, now)
+            case Do.AGAIN:
+                self._run(result.grip, there, now)
+            case Do.GIVE:
+                assert there is not None
+                self.over = True
+                self.runner.give(there)
+            case Do.ASK:
+                assert there is not None
+                self._ask(there)
+            case Do.OTHER:
+                self._end(End.OTHER, there)
+            case Do.TOO_LONG:
+                self._end(End.TOO_LONG, there)
+            case Do.DOUBT:
+                self._end(End.DOUBT, there)
+
+    def _run(self, grip: Grip | None, doubt: Record | None, now_us: int) -> None:
+        request, keeper = self.request, self.keeper
+        self.claim = keeper.claim()
+        self.record = records.begun(
+            self.claim,
+            keeper.options.name,
+            keeper.life,
+            request.digest,
+            request.tenant,
+            request.label,
+            now_us,
+            request.keep_us,
+            doubt,
+        )
+        self.grip, self.kept, self.running = grip, False, True
+        self.out, self.ran, self.launched = 0, False, False
+        self.claimed_us = self.now_us()
+        only = doubt.boxes if doubt is not None and not request.repeats.anywhere else None
+        self.runner.run(only)
+
+    def _wanted(self, record: Record) -> Callable[[Record | None], Record | None]:
+        """Have the register hold this, where the table of `record.py` lets it follow."""
+
+        def change(there: Record | None) -> Record | None:
+            now = self.keeper.clock.now_us(self.now_us())
+            if there is not None and records.is_over(there, now):
+                there = None
+            return record if records.follows(there, record) else None
+
+        return change
+
+    # Its own run
+
+    def launch(self, box: int, go: Callable[[bool], None]) -> None:
+        """An attempt is about to go to a box. `go(False)`: it may not, now or ever; it was never sent."""
+        before, claim = self.record, self.claim
+        if not self.running or before is None:
+            go(False)
+            return
+        record = records.sent_to(before, box)
+        if self.kept and record == before:
+            self._go(claim, go)
+            return
+        self.record, self.launched = record, True
+        self.keeper.working(claim)
+
+        def done(result: Result) -> None:
+            self.grip = result.grip
+            if result.record == record and not result.why:
+                self.kept = True
+                self._go(claim, go)
+                return
+            go(False)
+            if self.running and self.claim == claim:
+                self._beaten(result)
+
+        left = max(0, self.left_us() - RESERVE_US)
+        self.keeper.change(self.now_us(), self.request.key, self._wanted(record), done, left, self.grip)
+
+    def _go(self, claim: str, go: Callable[[bool], None]) -> None:
+        # A process that was stopped meanwhile may find that others have long given the claim up.
+        age = self.now_us() - self.claimed_us
+        fit = self.running and claim == self.claim and age < self.request.keep_us * SEND_SHARE
+        record, clock = self.record, self.keeper.clock
+        if record is not None and record.again:
+            now = clock.now_us(self.now_us())
+            fit = fit and records.may_ask_again(record, now, self.request.repeats, clock.sure_since_us())
+        self.out += fit
+        go(fit)
+
+    def attempt_over(self, may_have_run: bool) -> None:
+        """Of one that went to a box."""
+        self.out -= 1
+        self.ran = self.ran or may_have_run
+
+    def _beaten(self, result: Result) -> None:
+        """The record is another's, or could not be kept: nothing of this attempt was sent."""
+        self.running = False
+        self._leave_claim()
+        self.runner.withdraw()
+        if result.why:
+            how = End.FULL if result.why == FULL else End.UNREACHABLE
+            self._end(End.DOUBT if self.sent else how, self.record)
+        else:
+            self._look()
+
+    def _leave_claim(self) -> None:
+        """Say what became of the claim to whoever asks; and in the record, as far as it got there."""
+        record = self.record
+        if record is None or not self.launched:
+            return
+        self.keeper.ended(self.claim, "ran" if self.sent else "never")
+        after = records.doubted(record) if self.sent else records.freed(record)
+
+        def change(there: Record | None) -> Record | None:
+            return after if there is not None and records.follows(there, after) else None
+
+        self.keeper.change(self.now_us(), self.request.key, change, lambda result: None, FREE_US)
+
+    def answered(self, status: int, headers: Fields, body: bytes) -> None:
+        """A box has answered, whole. `give` or `end` follows once it is kept, or can't be in time."""
+        if not self.running or self.record is None:
+            return
+        self.running = False
+        record = records.done(self.record, status, headers, body)
+        self._keep(record)
+
+    def _keep(self, record: Record) -> None:
+        def done(result: Result) -> None:
+            there = result.record
+            self.keeper.ended(self.claim, "ran")
+            if self.over:
+                return
+            if not result.why and there is not None and there.state == "done":
+                if there.claim == record.claim and not record.whole:
+                    self.over = True
+                    self.runner.give(record)
+                elif there.digest == record.digest and there.whole:
+                    self.over = True
+                    self.runner.give(there)
+                else:
+                    self._end(End.TOO_LONG, there)
+            else:
+                self._end(End.DOUBT, there)
+
+        self.record = record
+        self.runner.after(max(0, self.left_us() - RESERVE_US), self._out_of_time)
+        self.keeper.change(self.now_us(), self.request.key, self._wanted(record), done, KEEP_US, self.grip)
+
+    def _out_of_time(self) -> None:
+        if not self.over:
+            self._end(End.DOUBT, self.record)
+
+    def gave_up(self) -> None:
+        """The decisions have ended it with an answer of their own, which the client has from them."""
+        self.over = True
+        if self.running:
+            self.running = False
+            self._leave_claim()
+
+    def left(self) -> None:
+        """The client has gone. What may have been sent goes on, so that its outcome is kept."""
+        self.over = True
+        if self.running and not self.sent:
+            self.running = False
+            self._leave_claim()
+            self.runner.withdraw()
+
+    # Another's run
+
+    def _ask(self, there: Record) -> None:
+        self.keeper.ask(self.now_us(), there, lambda state: self._told(there, state))
+
+    def _told(self, there: Record, state: str) -> None:
+        if self.over:
+            return
+        if state == "working":
+            low, high = POLL_US
+            delay = min(low << min(self.polls, 8), high)
+            self.polls += 1
+            if self.left_us() - RESERVE_US <= delay:
+                self._end(End.UNDER_WAY, there)
+            else:
+                self.runner.after(delay, self._look)
+            return
+        after = records.freed(there) if state == "never" else records.doubted(there)
+
+        def change(now: Record | None) -> Record | None:
+            # Only if nothing has come of it meanwhile.
+            return after if now == there else None
+
+        def done(result: Result) -> None:
+            if not self.over:
+                if result.why:
+                    self._end(End.UNREACHABLE, None)
+                else:
+                    self._looked(result)
+
+        left = max(0, self.left_us() - RESERVE_US)
+        self.keeper.change(self.now_us(), self.request.key, change, done, left)
+
+    def _end(self, how: End, record: Record | None) -> None:
+        if not self.over:
+            self.over = True
+            self.runner.end(how, record)
--- /dev/null
+++ b/rosedeal/copies/record.py
@@ -0,0 +1,200 @@
+"""What is kept of one key, and who may make what of it. Pure.
+
+=========  ==================================================================  ======================
+state      what it says                                                        what may follow
+=========  ==================================================================  ======================
+(nothing)  nobody has sent a request with this key to a box                    begun
+begun      the claim's gateway may have sent it to `boxes`                     begun, free, done, doubt
+free       that claim never ran, by the word of the gateway that made it       begun
+done       it ran, and this was the box's answer                               nothing, until it expires
+doubt      it may have run; whoever knew has gone                              done, begun (boxes know keys)
+=========  ==================================================================  ======================
+
+`done` is final. Only the claim's own gateway says `free`, and only of a claim that it never sent; anybody may
+make `begun` a `doubt`, since that promises nothing; what is known later by the claim's gateway mends it.
+Times are of the group's clock (`clock.py`), microseconds.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from enum import Enum
+from typing import Literal
+
+import msgspec
+
+BODY_LIMIT = 64 * 1024  # bytes of an answer that is kept
+HEAD_LIMIT = 16 * 1024
+LABEL_LIMIT = 64  # characters of a key that are kept for people
+BOXES_LIMIT = 16
+LAG_US = 3_000_000  # that a member's clock may be behind another's, beside drift: it hears of ticks late
+SLACK_US = 30_000_000  # that a record outlives its promise: clocks drift, and are told of in steps
+
+Fields = tuple[tuple[bytes, bytes], ...]
+Name = Literal["begun", "free", "done", "doubt"]
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    state: Name
+    claim: str  # drawn by who runs it, once for each run
+    owner: str  # the member that runs it, or ran it
+    life: int  # of that member's process
+    digest: bytes  # of the request: another with the same key is refused
+    tenant: str
+    label: str  # the key, for people
+    at_us: int  # when it was first begun
+    expires_us: int
+    boxes: tuple[int, ...] = ()  # those that may have run it
+    again: bool = False  # begun once more, at boxes that know its key
+    status: int = 0
+    headers: Fields = ()
+    body: bytes = b""
+    whole: bool = True  # False: the answer was longer than what is kept
+
+    @property
+    def size(self) -> int:
+        """Bytes to be held for it; one that is begun has its answer's room already."""
+        answer = sum(len(name) + len(value) + 8 for name, value in self.headers) + len(self.body)
+        return 256 + (BODY_LIMIT if self.state == "begun" else answer)
+
+
+_records: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
+
+
+def encode(record: Record) -> bytes:
+    return msgspec.msgpack.encode(record)
+
+
+def decode(data: bytes) -> Record:
+    """Raises MsgspecError."""
+    return _records.decode(data)
+
+
+def key_of(tenant: str, route: str, key: bytes) -> bytes:
+    """Where a client's key is kept: apart for each tenant and route."""
+    parts = b"\0".join((tenant.encode(), route.encode(), key))
+    return hashlib.blake2b(parts, digest_size=16, person=b"badgergap-copies").digest()
+
+
+def digest_of(method: bytes, target: bytes, credentials: bytes, body: bytes) -> bytes:
+    """What a repetition must have in common with the first: also who asks, as far as that is said."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (method, target, credentials, body):
+        digest.update(len(part).to_bytes(8, "little") + part)
+    return digest.digest()
+
+
+def is_over(record: Record, now_us: int) -> bool:
+    return now_us >= record.expires_us + SLACK_US
+
+
+class Do(Enum):
+    RUN = "run"  # nobody has: claim it
+    GIVE = "give"  # its answer
+    TOO_LONG = "too long"  # it is done, and its answer was not kept
+    OTHER = "other"  # the key is another request's
+    ASK = "ask"  # somebody runs it: ask that gateway
+    AGAIN = "again"  # in doubt, and its boxes know keys: ask them
+    DOUBT = "doubt"  # in doubt
+
+
+@dataclass(frozen=True, slots=True)
+class Repeats:
+    """What a class says of repeats of a key: boxes drop them for so long, all of them or only their own."""
+
+    window_us: int = 0  # 0: they do not know keys
+    anywhere: bool = True
+
+
+def judge(
+    record: Record | None, digest: bytes, now_us: int, repeats: Repeats, hole: bool, sure_since_us: int
+) -> Do:
+    """What becomes of a request with this key.
+
+    `hole`: copies of this part were lost beyond repair; `sure_since_us`: the group's clock is known to have
+    gone on without a break since then, so that no more time has passed than it says.
+    """
+    if record is None or is_over(record, now_us):
+        return Do.DOUBT if hole else Do.RUN
+    if record.digest != digest:
+        return Do.OTHER
+    match record.state:
+        case "done":
+            return Do.GIVE if record.whole else Do.TOO_LONG
+        case "begun":
+            return Do.ASK
+        case "free":
+            return Do.DOUBT if hole else Do.RUN
+    return Do.AGAIN if may_ask_again(record, now_us, repeats, sure_since_us) else Do.DOUBT
+
+
+def may_ask_again(record: Record, now_us: int, repeats: Repeats, sure_since_us: int) -> bool:
+    """Whether its boxes certainly still know the key: a tenth of the time is left for the way and drift."""
+    known = bool(record.boxes) and record.at_us >= sure_since_us
+    return known and max(0, now_us - record.at_us) + LAG_US < repeats.window_us * 9 // 10
+
+
+def begun(
+    claim: str,
+    owner: str,
+    life: int,
+    digest: bytes,
+    tenant: str,
+    label: str,
+    now_us: int,
+    keep_us: int,
+    before: Record | None = None,
+) -> Record:
+    """A claim, with no box yet. `before`: the record in doubt that it settles."""
+    if before is not None:
+        return msgspec.structs.replace(
+            before, state="begun", claim=claim, owner=owner, life=life, again=True, status=0
+        )
+    return Record("begun", claim, owner, life, digest, tenant, label[:LABEL_LIMIT], now_us, now_us + keep_us)
+
+
+def sent_to(record: Record, box: int) -> Record:
+    """The claim, about to be sent to a further box."""
+    if box in record.boxes:
+        return record
+    return msgspec.structs.replace(record, boxes=(*record.boxes, box)[-BOXES_LIMIT:])
+
+
+def done(record: Record, status: int, headers: Fields, body: bytes) -> Record:
+    """It ran, with this answer; one that is too long is not kept."""
+    size = sum(len(name) + len(value) for name, value in headers)
+    whole = len(body) <= BODY_LIMIT and size <= HEAD_LIMIT
+    return msgspec.structs.replace(
+        record,
+        state="done",
+        status=status,
+        headers=headers if whole else (),
+        body=body if whole else b"",
+        whole=whole,
+    )
+
+
+def doubted(record: Record) -> Record:
+    return msgspec.structs.replace(record, state="doubt")
+
+
+def freed(record: Record) -> Record:
+    """That claim never ran. Where it was to settle a doubt, the doubt stands."""
+    if record.again:
+        return doubted(record)
+    return msgspec.structs.replace(record, state="free", boxes=())
+
+
+def follows(before: Record | None, after: Record) -> bool:
+    """Whether a record may take the place of another one that has not expired: the table above."""
+    if before is None or before.state == "free":
+        return after.state == "begun"
+    if before.state == "done":
+        return after == before
+    own = after.claim == before.claim
+    if after.state == "free":
+        return own and before.state == "begun"
+    if after.state in ("done", "doubt"):
+        return own
+    return (own and before.state == "begun") or (before.state == "doubt" and after.again)
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -127,6 +127,7 @@
     is_retry: bool = False
     tenant: int = 0
     is_write: bool = False
+    only: tuple[int, ...] = ()  # the hosts that may have it; empty: all
     elsewhere: Elsewhere | None = None
     answered: Callable[[], None] | None = None  # told just before the final answer is given
     passes_failures: bool = True  # a host's own failure is the answer where nothing better came of it
@@ -405,6 +406,7 @@
                 asked.is_retry,
                 asked.tenant,
                 asked.is_write,
+                asked.only,
             )
         )
         return request
--- a/rosedeal/interface.py
+++ b/rosedeal/interface.py
@@ -270,6 +270,7 @@
     is_retry: bool = False
     tenant: int = 0
     is_write: bool = False
+    only: tuple[int, ...] = ()  # the servers that may have it, where not all may
 
 
 @dataclass(slots=True, frozen=True)
--- a/rosedeal/ordinary/plan.py
+++ b/rosedeal/ordinary/plan.py
@@ -45,6 +45,7 @@
     whole_s: float | None = None  # from the head of the request to the end of the answer
     needs_certificate: bool = False  # of the client
     join: bool = False  # reads that are the same share one request to a box
+    once_us: int = 0  # for which what a request with a key did is kept; 0: it is not
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosedeal/ordinary/turn.py
+++ b/rosedeal/ordinary/turn.py
@@ -53,6 +53,10 @@
     began_at: float = 0.0  # when the request arrived at its first pool; loop time
     route: str = ""
     join: Join | None = None  # where its route lets it share one request to a box
+    once: Guard | None = None  # where its route has keyed requests run once, for `once_us`
+    once_us: int = 0
+    only: tuple[int, ...] = ()  # the boxes that may have it; empty: all
+    gate: Gate | None = None  # asked before each attempt
 
     @property
     def answer_s(self) -> float:
@@ -82,6 +86,27 @@
         """A request that may change something is being answered."""
 
 
+class Guard(Protocol):
+    """Has requests with a key run once, whichever gateway they come to."""
+
+    def start(self, turn: Turn, client: Client, ways: Guide) -> bool:
+        """False: this one has no key."""
+
+
+class Gate(Protocol):
+    """Lets an attempt go to a host once it may."""
+
+    def __call__(
+        self,
+        upstream: Upstream,
+        server: int,
+        timeout_s: float,
+        books: Books,
+        begin: Callable[[float, Books], Tried],
+    ) -> Exchange:
+        """`begin` sends it, with so many seconds left."""
+
+
 class Guide(Protocol):
     """What a turn needs of the one who knows the ways."""
 
@@ -112,7 +137,10 @@
     def start(self, ways: Guide, client: Client) -> None:
         """The request has its way: it arrives once its body is whole, or as much of it as is held."""
         self.ways, self.client = ways, client
-        if self.way is None or self.way.join is None or not self.way.join.start(self, client, ways):
+        way = self.way
+        if way is not None and way.once is not None and way.once.start(self, client, ways):
+            return
+        if way is None or way.join is None or not way.join.start(self, client, ways):
             self.start_alone(ways, client)
 
     def start_alone(self, ways: Guide, client: Client) -> None:
@@ -155,8 +183,14 @@
             second = Exchange(b"", books.ended)
             ways.loop.call_soon(second.never_sent)
             return second
-        self.exchange = ways.carry(upstream, server, timeout_s, wanted, books)
-        return self.exchange
+
+        def begin(left_s: float, told: Books) -> Tried:
+            self.exchange = ways.carry(upstream, server, left_s, wanted, told)
+            return self.exchange
+
+        if way.gate is not None:
+            return way.gate(upstream, server, timeout_s, books, begin)
+        return begin(timeout_s, books)
 
     def abandon(self) -> None:
         """Nobody waits for it any more."""
--- a/rosedeal/ordinary/ways.py
+++ b/rosedeal/ordinary/ways.py
@@ -15,7 +15,7 @@
 from rosedeal.interface import Effect
 from rosedeal.ordinary.heads import request_id
 from rosedeal.ordinary.plan import WebPlan, choose, turns_to_spare
-from rosedeal.ordinary.turn import Carry, Join, Turn, Way
+from rosedeal.ordinary.turn import Carry, Guard, Join, Turn, Way
 from rosedeal.routes import BadPath, read_host, read_target
 
 READS = (b"GET", b"HEAD", b"OPTIONS")
@@ -29,6 +29,7 @@
         self.plan, self.pools, self.loop, self.carry = plan, pools, loop, carry
         self.random = random.Random(seed)
         self.joins: Join | None = None  # set while a route of the plan joins
+        self.once: Guard | None = None  # set where this gateway keeps copies
         self.alt_svc = b""  # where else the site is served, for those who come over TLS (RFC 7838)
         self.id_base, self.ids = secrets.token_hex(6).encode(), 0
 
@@ -76,6 +77,8 @@
             spare,
             route=to.route.name,
             join=self.joins if to.join else None,
+            once=self.once if to.once_us else None,
+            once_us=to.once_us,
         )
         return None
 
@@ -131,6 +134,7 @@
             headers=b"",
             launch=launch,
             tenant=way.tenant[0],
+            only=way.only,
             elsewhere=elsewhere if way.spare is not None else None,
             answered=self.wrote(turn),
         )
--- a/rosedeal/site/read.py
+++ b/rosedeal/site/read.py
@@ -21,6 +21,7 @@
     BoxTable,
     CertificateTable,
     ClassTable,
+    CopiesTable,
     EtcdTable,
     Fleet,
     GroupTable,
@@ -47,6 +48,7 @@
     "etcd": EtcdTable,
     "group": GroupTable,
     "group.member": MemberTable,
+    "copies": CopiesTable,
     "class": ClassTable,
     "box": BoxTable,
     "http": HttpTable,
@@ -174,6 +176,7 @@
         found += _of_etcd(site.etcd)
     if site.group is not None:
         found += _of_group(site.group, site)
+    found += _of_copies(site)
     found += of_web(site)
     if site.fleet.overload_within < 1_000:
         found.append(("fleet.overload_within", 'found less than "1ms"; allowed: "1ms" or more'))
@@ -200,6 +203,24 @@
     return found
 
 
+def _of_copies(site: Site) -> list[tuple[str, str]]:
+    found: list[tuple[str, str]] = []
+    if site.copies is not None and site.group is None:
+        found.append(("copies", "means nothing without [group], whose members hold them"))
+    if site.copies is not None and site.copies.memory < 1_000_000:
+        found.append(("copies.memory", 'found less than "1MB"; allowed: "1MB" or more'))
+    for number, route in enumerate(site.routes):
+        if route.once is None:
+            continue
+        if site.copies is None:
+            found.append((f"route[{number}].once", "needs [copies], which keeps what has run"))
+        if not 10_000_000 <= route.once <= 86_400_000_000:
+            found.append((f"route[{number}].once", 'allowed: from "10s" to "24h"'))
+        if route.spare is not None:
+            found.append((f"route[{number}].once", "stands beside a spare pool; allowed: one of them"))
+    return found
+
+
 def _of_etcd(etcd: EtcdTable) -> list[tuple[str, str]]:
     found: list[tuple[str, str]] = []
     if (etcd.certificate is None) is not (etcd.key is None):
--- a/rosedeal/site/schema.py
+++ b/rosedeal/site/schema.py
@@ -242,6 +242,7 @@
     whole_within: Duration | None = None  # for request and answer together; None: as long as both sides go on
     upload_limit: Size | None = None  # None: that of [http]
     join: bool = False  # GET and HEAD that are the same, at the same time, share one request to a box
+    once: Duration | None = None  # what a request with an Idempotency-Key did is kept so long; needs [copies]
     failing: Annotated[list[Failing], msgspec.Meta(max_length=64)] = msgspec.field(
         default_factory=lambda: ["5xx"]
     )
@@ -299,12 +300,23 @@
     )
 
 
+class CopiesTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """What this gateway holds for others is copied to members of its group. Needs [group]."""
+
+    copies: Annotated[int, msgspec.Meta(ge=1, le=7)] = 3  # of each record; the leader's word counts
+    records: Annotated[int, msgspec.Meta(ge=100, le=10_000_000)] = 200_000  # that this member holds
+    memory: Size = Size(256_000_000)  # that they may have
+    tenant_share: Annotated[float, msgspec.Meta(gt=0.0, le=1.0)] = 0.5  # of both that one tenant may have
+    refill: Annotated[int, msgspec.Meta(ge=10, le=1_000_000)] = 4000  # records a second, to fill or mend
+
+
 class Site(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     site: SiteTable
     limits: Limits = Limits()
     fleet: Fleet = Fleet()
     etcd: EtcdTable | None = None
     group: GroupTable | None = None
+    copies: CopiesTable | None = None
     http: HttpTable | None = None
     https: HttpsTable | None = None
     http3: Http3Table | None = None
--- a/rosedeal/web/room.py
+++ b/rosedeal/web/room.py
@@ -10,7 +10,7 @@
 from rosedeal.gateway.config import Address, Config
 from rosedeal.gateway.pools import PoolPlan, Pools
 from rosedeal.gateway.proxy import Observer, Proxy
-from rosedeal.ordinary.turn import Carry, Join
+from rosedeal.ordinary.turn import Carry, Guard, Join
 from rosedeal.ordinary.ways import Ways
 from rosedeal.gateway.back import carry
 from rosedeal.web.door import Door
@@ -38,6 +38,7 @@
         """
         self.carry, self.joins = carry, joins
         self.read, self.observer, self.certificates = read, observer, certificates
+        self.once: Guard | None = None  # set before the start
         self.listens_tls: Address | None = None
         self.pools: Pools | None = None
         self.ways: Ways | None = None
@@ -58,6 +59,7 @@
         proxy = self.pools.main
         await self.pools.apply(pools, proxy.config)
         self.ways = Ways(plan, self.pools, proxy.loop, proxy.config.seed, self.carry)
+        self.ways.once = self.once
         self.set_joins(plan)
         self.door = Door(self.ways, proxy.loop)
         self.listens = await self.door.start()
--- /dev/null
+++ b/tests/copies/simulation.py
@@ -0,0 +1,768 @@
+"""Members that keep copies, in simulated time: the real keepers on a network, disks and clocks that fail by a
+seed; clients that repeat elsewhere; boxes with ledgers.
+
+The group's agreement is a log that all members read, some later than others, and one of them leads: that it
+is so is what `tests/agreement` shows. The first thing found wrong raises `Violation` with seed and time.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from rosedeal.copies import record as records
+from rosedeal.copies.keeper import Keeper, Options, Save, Send, Wish
+from rosedeal.copies.once import End, Once, Request
+from rosedeal.copies.proposer import Change, Done, Grip, Op, Proposer, Result
+from rosedeal.copies.record import Record, Repeats, digest_of
+from rosedeal.copies.register import Bounds
+from tests.agreement.simulation import MS, S, Violation
+from tests.copies.history import NEVER, Step, order_of
+
+TICK_US = 25 * MS
+LEASE_US = 2_400 * MS
+PATIENCE_US = 4 * S
+PARTS = 4
+KEEP_US = 600 * S
+
+
+class Watched(Proposer):
+    """Shows the checks what each change saw and what it left."""
+
+    tried: Callable[[Op, list[tuple[Record | None, Record | None]], int, Result | None], None]
+    now: Callable[[], int]
+    tries: dict[int, tuple[Op, list[tuple[Record | None, Record | None]], int]]  # under way
+
+    def change(
+        self, now_us: int, key: bytes, change: Change, done: Done, until_us: int, grip: Grip | None = None
+    ) -> Op:
+        seen: list[tuple[Record | None, Record | None]] = []
+        began = self.now()
+
+        def watched(there: Record | None) -> Record | None:
+            wanted = change(there)
+            seen.append((there, there if wanted is None else wanted))
+            return wanted
+
+        def over(result: Result) -> None:
+            self.tried(op, seen, began, result)
+            done(result)
+
+        op = super().change(now_us, key, watched, over, until_us, grip)
+        self.tries[op.number] = (op, seen, began)
+        return op
+
+    def _finish(self, op: Op, result: Result) -> None:
+        self.tries.pop(op.number, None)
+        super()._finish(op, result)
+
+
+class Watch(Keeper):
+    """A keeper with such a proposer. Tests put ones in its place that lack a guard."""
+
+    proposers: type[Watched] = Watched
+
+    def __init__(self, *given: object) -> None:
+        super().__init__(*given)  # type: ignore[arg-type]
+        self.proposer = self.proposers(self.life, self._say, self.chance)
+        self.proposer.tries = {}
+
+
+class Disk:
+    def __init__(self) -> None:
+        self.durable: list[bytes] = []
+        self.waiting: list[Save] = []
+        self.lies = False
+
+    def crash(self, chance: random.Random) -> None:
+        for save in self.waiting[: chance.randrange(len(self.waiting) + 1)]:
+            self.durable += save.lines
+        self.waiting.clear()
+
+
+@dataclass(eq=False)
+class Node:
+    name: str
+    zone: str
+    rate: float
+    offset_us: int
+    holder: str
+    disk: Disk = field(default_factory=Disk)
+    keeper: Watch | None = None
+    once: type[Once] = Once
+    life: int = 0
+    stopped_until: int = 0
+    inbox: list[Callable[[], None]] = field(default_factory=list)
+    held: list[Send] = field(default_factory=list)
+    applied: int = 0  # of the group's log
+    in_touch_us: int = 0  # when it last was; what its lease goes by
+    slow_disk: bool = False
+    broken: bool = False
+    removed: bool = False
+
+
+@dataclass
+class Asked:
+    """One request of a client, and what came of it."""
+
+    key: bytes
+    node: str
+    at: int
+    ended: int = NEVER
+    how: str = ""  # "given", "own" or the `End`
+    body: bytes = b""
+
+
+@dataclass
+class Box:
+    name: str
+    number: int
+    fault: str = ""  # "silent", "full"
+
+
+class Client:
+    """One key: asks, and repeats elsewhere until it has an answer, or has had enough."""
+
+    def __init__(self, world: World, key: bytes, wants: int) -> None:
+        self.world, self.key, self.wants = world, key, wants
+        self.tries = 0
+
+    def ask(self) -> None:
+        world = self.world
+        self.tries += 1
+        node = world.random.choice(list(world.nodes.values()))
+        Run(world, node, self.key, self.ended).begin()
+
+    def ended(self, asked: Asked) -> None:
+        again = asked.how != "given" or self.world.random.random() < 0.3
+        if again and self.tries < self.wants:
+            self.world.after(self.world.random.randrange(10 * MS, 900 * MS), self.ask)
+
+
+class Run:
+    """A request at a gateway, and the decisions that pick its boxes, as far as they matter here."""
+
+    def __init__(self, world: World, node: Node, key: bytes, ended: Callable[[Asked], None]) -> None:
+        self.world, self.node, self.ended = world, node, ended
+        self.asked = Asked(key, node.name, world.now)
+        self.life = node.life
+        self.only: tuple[int, ...] | None = None
+        self.attempts = 0
+        self.turn = 0  # of the decisions: what an earlier one was told counts no more
+        self.over = False
+        world.asked.append(self.asked)
+        keeper = node.keeper
+        world.after(PATIENCE_US, lambda: self.finish("left"))
+        if keeper is None or node.stopped_until > world.now or not world.may_act(node):
+            world.after(MS, lambda: self.finish("refused"))
+            return
+        request = Request(
+            key,
+            digest_of(b"POST", b"/", b"", key),
+            "",
+            key.hex(),
+            world.keep_us,
+            Repeats(60 * S, True) if world.boxes_know else Repeats(),
+        )
+        until = world.local(node) + PATIENCE_US - 20 * MS
+        self.once = node.once(keeper, self, request, lambda: world.local(node), until)
+
+    def begin(self) -> None:
+        if not self.over and hasattr(self, "once"):
+            self.world.do(self.node, self.life, lambda keeper: self.once.begin())
+
+    def finish(self, how: str, body: bytes = b"") -> None:
+        if not self.over:
+            self.over = True
+            if how == "left" and hasattr(self, "once"):
+                self.world.do(self.node, self.life, lambda keeper: self.once.left())
+            self.asked.ended, self.asked.how, self.asked.body = self.world.now, how, body
+            self.ended(self.asked)
+
+    # As `Runner`
+
+    def run(self, only: tuple[int, ...] | None) -> None:
+        self.only, self.attempts = only, 0
+        self.turn += 1
+        self.later(self.world.random.randrange(100, 2 * MS), self.attempt)
+
+    def withdraw(self) -> None:
+        self.turn += 1
+
+    def give(self, record: Record) -> None:
+        self.finish("given", record.body)
+
+    def end(self, how: End, record: Record | None) -> None:
+        self.finish(how.name)
+
+    def after(self, delay_us: int, what: Callable[[], None]) -> None:
+        node, life = self.node, self.life
+        self.world.after(delay_us, lambda: self.world.do(node, life, lambda keeper: what()))
+
+    # Decisions
+
+    def later(self, delay_us: int, what: Callable[[], None]) -> None:
+        turn = self.turn
+        self.after(delay_us, lambda: what() if turn == self.turn else None)
+
+    def attempt(self) -> None:
+        world = self.world
+        self.attempts += 1
+        boxes = [box for box in world.boxes if self.only is None or box.number in self.only]
+        if self.attempts > 3 or not boxes:
+            self.give_up()
+            return
+        box = world.random.choice(boxes)
+        turn = self.turn
+        self.once.launch(box.number, lambda may: self.go(turn, box, may))
+
+    def go(self, turn: int, box: Box, may: bool) -> None:
+        world = self.world
+        if not may:
+            return
+        if turn != self.turn or not world.may_act(self.node):
+            self.once.attempt_over(False)
+            if turn == self.turn:
+                self.give_up()
+            return
+        if box.fault == "full" or world.random.random() < 0.1:
+            self.later(world.random.randrange(500, 5 * MS), partial(self.back, box, "full"))
+            return
+        reaches = box.fault != "silent" and world.random.random() < 0.9
+        if reaches:
+            key, claim = self.asked.key, self.once.claim
+            delay = world.random.randrange(200, 30 * MS)
+            world.after(delay, lambda: world.effect(box, key, claim))
+        told = reaches and world.random.random() < 0.85
+        how = "answer" if told else "lost"
+        self.later(
+            world.random.randrange(30 * MS, 80 * MS if told else 900 * MS), partial(self.back, box, how)
+        )
+
+    def back(self, box: Box, how: str) -> None:
+        if how == "answer":
+            body = self.world.answer_of(self.asked.key)
+            self.once.answered(200, (), body)
+            self.once.attempt_over(True)
+        elif how == "full":
+            self.once.attempt_over(False)
+            self.attempt()
+        else:
+            self.once.attempt_over(True)
+            if self.world.boxes_know and self.world.random.random() < 0.5:
+                self.attempt()
+            else:
+                self.give_up()
+
+    def give_up(self) -> None:
+        if not self.over:
+            self.once.gave_up()
+            self.finish("own")
+
+
+class World:
+    def __init__(
+        self,
+        seed: int,
+        nodes: int = 5,
+        copies: int = 3,
+        boxes_know: bool = False,
+        keeper: type[Watch] = Watch,
+        once: type[Once] = Once,
+        keep_us: int = KEEP_US,
+        zones: int = 3,
+        checked: bool = True,
+    ) -> None:
+        self.seed, self.random, self.now = seed, random.Random(seed), 0
+        self.kind, self.copies, self.boxes_know, self.keep_us = keeper, copies, boxes_know, keep_us
+        self.checked = checked
+        self.order = itertools.count()
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.log: list[tuple[str, int, bytes]] = []
+        self.numbers: dict[str, int] = defaultdict(int)
+        self.leader = ""
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss, self.slow_us, self.twice = 0.0, 4 * MS, 0.0
+        self.ids = itertools.count(1)
+        self.boxes = [Box(f"box-{n}", n + 1) for n in range(3)]
+        self.effects: dict[bytes, list[tuple[int, str]]] = defaultdict(list)
+        self.dropped = 0
+        self.asked: list[Asked] = []
+        self.steps: dict[bytes, list[Step]] = defaultdict(list)
+        self.lost_majority = False  # more was lost at once than is promised to hold
+        self.messages = 0
+        self.nodes = {
+            f"n{n}": Node(
+                f"n{n}",
+                f"z{n % zones}" if zones else "",
+                1.0 + self.random.uniform(-0.01, 0.01),
+                self.random.randrange(1000 * S),
+                f"h{next(self.ids)}",
+                once=once,
+            )
+            for n in range(nodes)
+        }
+        for node in self.nodes.values():
+            self.boot(node)
+        self.after(0, self.lead)
+
+    # Time, as in `tests/agreement`
+
+    def after(self, delay_us: int, what: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (self.now + delay_us, next(self.order), what))
+
+    def run(self, until_us: int) -> None:
+        while self.events and self.events[0][0] <= until_us:
+            self.now, _, what = heapq.heappop(self.events)
+            what()
+        self.now = until_us
+
+    def local(self, node: Node) -> int:
+        return int(self.now * node.rate) + node.offset_us
+
+    def fail(self, text: str) -> None:
+        raise Violation(f"seed {self.seed}, at {self.now / S:.2f} s: {text}")
+
+    # Processes
+
+    def boot(self, node: Node) -> None:
+        node.life += 1
+        node.held, node.stopped_until, node.applied, node.broken = [], 0, 0, False
+        keeper = node.keeper = self.kind(
+            Options(node.name, node.zone, self.copies, 4000, Bounds(), parts=PARTS, longest_us=self.keep_us),
+            node.holder,
+            list(node.disk.durable),
+            self.local(node),
+            random.Random(self.random.random()),
+        )
+        life, watch = node.life, keeper.proposer
+        assert isinstance(watch, Watched)
+        watch.tried = self.op_over
+        watch.now = lambda: self.now
+        self.settle(node)
+        self.tick(node, life)
+
+    def boot_if_down(self, node: Node) -> None:
+        if node.keeper is None and not node.removed:
+            self.boot(node)
+
+    def tick(self, node: Node, life: int) -> None:
+        if node.keeper is None or node.life != life:
+            return
+        if node.stopped_until <= self.now:
+            self.read_log(node)
+        self.do(node, life, lambda keeper: keeper.tick(self.local(node)))
+        self.after(TICK_US + self.random.randrange(4 * MS), lambda: self.tick(node, life))
+
+    def do(self, node: Node, life: int, what: Callable[[Watch], None]) -> None:
+        if node.keeper is None or node.life != life:
+            return
+        if node.stopped_until > self.now:
+            node.inbox.append(lambda: self.do(node, life, what))
+            return
+        node.keeper.now_us = self.local(node)
+        what(node.keeper)
+        self.settle(node)
+
+    def settle(self, node: Node) -> None:
+        keeper, life = node.keeper, node.life
+        assert keeper is not None
+        for todo in keeper.take():
+            match todo:
+                case Save():
+                    if not node.disk.waiting:
+                        most = 300 * MS if node.slow_disk else 8 * MS
+                        self.after(self.random.randrange(MS, most), lambda: self.flush(node, life))
+                    node.disk.waiting.append(todo)
+                case Send():
+                    if todo.after > keeper.durable:
+                        node.held.append(todo)
+                    else:
+                        self.send(node, todo)
+                case Wish():
+                    if node.name == self.leader and todo.number == self.numbers[todo.kind] + 1:
+                        self.numbers[todo.kind] = todo.number
+                        self.log.append((todo.kind, todo.number, todo.data))
+
+    def flush(self, node: Node, life: int) -> None:
+        if node.keeper is None or node.life != life or not node.disk.waiting:
+            return
+        if node.stopped_until > self.now:
+            node.inbox.append(lambda: self.flush(node, life))
+            return
+        saves, node.disk.waiting = node.disk.waiting, []
+        if node.broken:
+            node.keeper.failed("full")
+            node.held.clear()
+            self.settle(node)
+            return
+        for save in saves:
+            if not (node.disk.lies and self.random.random() < 0.3):
+                node.disk.durable += save.lines
+        token = saves[-1].token
+        node.keeper.saved(self.local(node), token)
+        ready = [send for send in node.held if send.after <= token]
+        node.held = [send for send in node.held if send.after > token]
+        for send in ready:
+            self.send(node, send)
+        self.settle(node)
+
+    def send(self, node: Node, send: Send) -> None:
+        to = self.nodes.get(send.name)
+        self.messages += 1
+        if to is None or (to is not node and (node.name, to.name) in self.cuts):
+            return
+        if to is not node and self.random.random() < self.loss:
+            return
+        for _ in range(2 if to is not node and self.random.random() < self.twice else 1):
+            delay = self.random.randrange(100, max(200, self.slow_us)) if to is not node else 10
+            self.after(delay, partial(self.deliver, to, to.life, node.name, send))
+
+    def deliver(self, to: Node, life: int, name: str, send: Send) -> None:
+        self.do(to, life, lambda keeper: keeper.receive(self.local(to), name, send.word))
+
+    # The group
+
+    def in_touch(self, node: Node) -> bool:
+        """Whether it reaches a majority of the members."""
+        if node.keeper is None or node.stopped_until > self.now or node.removed:
+            return False
+        reached = sum(
+            other.keeper is not None
+            and other.stopped_until <= self.now
+            and (node.name, other.name) not in self.cuts
+            and (other.name, node.name) not in self.cuts
+            for other in self.nodes.values()
+            if not other.removed
+        )
+        return 2 * reached > sum(not other.removed for other in self.nodes.values())
+
+    def may_act(self, node: Node) -> bool:
+        return self.now - node.in_touch_us < LEASE_US and not node.removed
+
+    def lead(self) -> None:
+        led = self.nodes.get(self.leader)
+        if led is None or not self.in_touch(led):
+            able = [node for node in self.nodes.values() if self.in_touch(node)]
+            self.leader = self.random.choice(able).name if able else ""
+        self.after(300 * MS, self.lead)
+
+    def read_log(self, node: Node) -> None:
+        if not self.in_touch(node):
+            return
+        node.in_touch_us = self.now
+        keeper = node.keeper
+        assert keeper is not None
+        # Some read it later than others.
+        upto = len(self.log) if self.random.random() < 0.8 else node.applied
+        live = node.applied > 0 or not self.log
+        for kind, number, data in self.log[node.applied : upto]:
+            if kind == "time":
+                keeper.ticked(self.local(node), number, data, live)
+            else:
+                keeper.agreed(self.local(node), number, data)
+        node.applied = max(node.applied, upto)
+        members = [each.name for each in self.nodes.values() if not each.removed]
+        keeper.led_by(self.local(node), self.leader, self.leader == node.name, members)
+
+    # Boxes
+
+    def effect(self, box: Box, key: bytes, claim: str) -> None:
+        if self.boxes_know and self.effects[key]:
+            self.dropped += 1
+            if self.now - self.effects[key][0][0] < 60 * S:
+                return
+        self.effects[key].append((self.now, claim))
+        if len(self.effects[key]) > 1:
+            first = self.effects[key][-2][0]
+            if self.now - first < self.keep_us:
+                self.fail(f"an effect twice: {key.hex()}, {self.effects[key]}")
+
+    def answer_of(self, key: bytes) -> bytes:
+        return b"%b/%d" % (key.hex().encode(), len(self.effects[key]))
+
+    # What is seen
+
+    def op_over(
+        self, op: Op, seen: list[tuple[Record | None, Record | None]], began: int, result: Result | None
+    ) -> None:
+        """What a change may have made of its register, and what it did; `result` None: its process died."""
+        if not self.checked:
+            return
+        steps = self.steps[op.key]
+        moves = [(_short(there), _short(left)) for there, left in seen]
+        made = result is not None and not result.why
+        steps += [Step(s, t, began) for s, t in dict.fromkeys(moves[: len(moves) - made]) if s != t]
+        if result is not None and made:
+            left = _short(result.record)
+            saw = moves[-1][0] if moves and moves[-1][1] == left else left
+            steps.append(Step(saw, left, began, self.now))
+
+    # Faults
+
+    def crash(self, node: Node) -> None:
+        if node.keeper is not None:
+            watch = node.keeper.proposer
+            assert isinstance(watch, Watched)
+            for op, seen, began in watch.tries.values():
+                self.op_over(op, seen, began, None)
+            node.keeper = None
+            node.life += 1
+            node.disk.crash(self.random)
+            node.inbox.clear()
+
+    def wipe(self, node: Node) -> None:
+        self.crash(node)
+        node.disk, node.holder = Disk(), f"h{next(self.ids)}"
+
+    def stop(self, node: Node, for_us: int) -> None:
+        node.stopped_until = max(node.stopped_until, self.now + for_us)
+        life = node.life
+        self.after(for_us + 1, lambda: self.go_on(node, life))
+
+    def go_on(self, node: Node, life: int) -> None:
+        if node.life != life or node.stopped_until > self.now:
+            return
+        inbox, node.inbox = node.inbox, []
+        for what in inbox:
+            what()
+
+    def cut(self, node: Node, for_us: int, both: bool = True) -> None:
+        pairs = {(node.name, other) for other in self.nodes}
+        if both:
+            pairs |= {(other, node.name) for other in self.nodes}
+        self.cuts |= pairs
+        self.after(for_us, partial(self.cuts.difference_update, pairs))
+
+
+def _short(record: Record | None) -> object:
+    return None if record is None else records.encode(record)
+
+
+# Schedules
+
+
+def anything(world: World) -> None:
+    """Faults of all kinds by chance, on a network that loses, delays and repeats."""
+    chance = world.random
+    world.loss, world.twice = chance.choice(((0.0, 0.0), (0.02, 0.02), (0.15, 0.1)))
+    world.slow_us = chance.choice((4 * MS, 30 * MS, 120 * MS))
+    for _ in range(chance.randrange(4, 12)):
+        trouble(world)
+        for _ in range(chance.randrange(3)):
+            ask(world)
+        world.run(world.now + chance.randrange(20 * MS, 1500 * MS))
+
+
+def trouble(world: World) -> None:
+    chance = world.random
+    node = chance.choice(list(world.nodes.values()))
+    lasts = chance.randrange(200 * MS, 6 * S)
+    match chance.randrange(12):
+        case 0 | 1:
+            world.cut(node, lasts, both=chance.random() < 0.7)
+        case 2 | 3:
+            world.stop(node, chance.choice((lasts, 10 * S)))
+        case 4 | 5:
+            world.crash(node)
+            world.after(chance.randrange(50 * MS, 3 * S), partial(world.boot_if_down, node))
+        case 6:
+            for each in list(world.nodes.values())[: chance.choice((2, 3, 9))]:
+                world.crash(each)
+                world.after(chance.randrange(50 * MS, S), partial(world.boot_if_down, each))
+        case 7:
+            node.slow_disk = not node.slow_disk
+        case 8 | 9:
+            lose(world, node)
+        case 10:
+            node.broken = True
+            world.after(lasts, partial(mend, world, node))
+        case 11:
+            box = chance.choice(world.boxes)
+            box.fault = chance.choice(("", "silent", "full"))
+
+
+def lose(world: World, node: Node) -> None:
+    """The machine goes with its disk, unless another one's copies are not whole yet: one at a time."""
+    if whole(world) or world.lost_majority:
+        world.wipe(node)
+        world.after(world.random.randrange(50 * MS, 2 * S), partial(world.boot_if_down, node))
+
+
+def mend(world: World, node: Node) -> None:
+    """A disk that refused is opened anew."""
+    if node.broken:
+        node.broken = False
+        if node.keeper is not None:
+            world.crash(node)
+            world.boot(node)
+
+
+def whole(world: World) -> bool:
+    """Whether every seat is held, by disks that have read what they should: what a further loss leaves."""
+    placements = [node.keeper.placement for node in world.nodes.values() if node.keeper is not None]
+    if not placements:
+        return False
+    newest = max(placements, key=lambda placement: placement.epoch)
+    held = {seat.name: seat.holder for seat in newest.seats}
+    there = all(held.get(node.name) == node.holder for node in world.nodes.values() if not node.removed)
+    return newest.epoch > 0 and newest.before is None and there and in_step(world)
+
+
+def in_step(world: World) -> bool:
+    """Whether all copies of each part are alike."""
+    for node in world.nodes.values():
+        if node.keeper is None or node.broken or node.keeper.passes or node.disk.waiting:
+            return False
+    for part in range(PARTS):
+        keepers = [node.keeper for node in world.nodes.values() if node.keeper is not None]
+        sums = {k.shelf.sums_of(part) for k in keepers if part in k.parts}
+        if len(sums) > 1:
+            return False
+    return True
+
+
+def ask(world: World, key: bytes | None = None) -> None:
+    chance = world.random
+    if key is None:
+        old = sorted({asked.key for asked in world.asked})
+        fresh = bytes([chance.randrange(256), chance.randrange(256)]) + len(world.asked).to_bytes(4, "big")
+        key = fresh if not old or chance.random() < 0.7 else chance.choice(old)
+    for _ in range(2 if chance.random() < 0.3 else 1):
+        Client(world, key, chance.randrange(1, 6)).ask()
+
+
+def crossing(world: World) -> None:
+    """Repetitions at several gateways at once, and the one that runs it dies, stops or is cut off."""
+    chance = world.random
+    world.slow_us = chance.choice((4 * MS, 30 * MS))
+    for _ in range(3):
+        ask(world)
+        world.run(world.now + chance.randrange(60 * MS))
+        key = world.asked[-1].key
+        node = world.nodes[world.asked[-1].node]
+        match chance.randrange(4):
+            case 0:
+                world.crash(node)
+                world.after(chance.randrange(100 * MS, 4 * S), partial(world.boot_if_down, node))
+            case 1:
+                world.stop(node, chance.randrange(S, 8 * S))
+            case 2:
+                world.cut(node, chance.randrange(S, 6 * S))
+        for _ in range(chance.randrange(1, 4)):
+            ask(world, key)
+            world.run(world.now + chance.randrange(200 * MS))
+        world.run(world.now + chance.randrange(2 * S))
+
+
+def moves(world: World) -> None:
+    """Disks lost one after the other while keys are written, with members cut off and away as seats move."""
+    chance = world.random
+    for _ in range(3):
+        for _ in range(chance.randrange(1, 4)):
+            ask(world)
+        world.run(world.now + chance.randrange(200 * MS))
+        away = chance.choice(list(world.nodes.values()))
+        chance.choice((world.stop, world.cut))(away, chance.randrange(S, 6 * S))
+        node = chance.choice([each for each in world.nodes.values() if each is not away])
+        lose(world, node)
+        for _ in range(chance.randrange(1, 4)):
+            ask(world)
+            world.run(world.now + chance.randrange(800 * MS))
+        if chance.random() < 0.5:
+            world.crash(node)
+            world.after(chance.randrange(100 * MS, S), partial(world.boot_if_down, node))
+        world.run(world.now + chance.randrange(3 * S))
+
+
+def ruin(world: World) -> None:
+    """Two machines with their disks at once: what was kept is given or in doubt, and never run anew."""
+    chance = world.random
+    for _ in range(chance.randrange(3, 8)):
+        ask(world)
+    world.run(world.now + chance.randrange(300 * MS, 2 * S))
+    world.lost_majority = True
+    for node in chance.sample(list(world.nodes.values()), 2):
+        world.wipe(node)
+        world.after(chance.randrange(50 * MS, 2 * S), partial(world.boot_if_down, node))
+    for _ in range(6):
+        ask(world)
+        ask(world, chance.choice(world.asked).key)
+        world.run(world.now + chance.randrange(2 * S))
+
+
+@dataclass(frozen=True)
+class Schedule:
+    name: str
+    trouble: Callable[[World], None]
+
+    def __call__(self, seed: int, nodes: int = 5, copies: int = 3, **given: object) -> World:
+        world = World(seed, nodes, copies, boxes_know=seed % 3 == 0, **given)  # type: ignore[arg-type]
+        world.run(6 * S)
+        self.trouble(world)
+        calm(world)
+        finish(world)
+        return world
+
+
+def calm(world: World) -> None:
+    world.loss = world.twice = 0.0
+    world.slow_us = 4 * MS
+    world.cuts.clear()
+    world.run(world.now + 12 * S)  # whoever was stopped goes on by itself
+    for node in world.nodes.values():
+        node.slow_disk = node.disk.lies = False
+        mend(world, node)
+        world.boot_if_down(node)
+    for box in world.boxes:
+        box.fault = ""
+    for _ in range(30):
+        world.run(world.now + 3 * S)
+        if whole(world):
+            break
+    else:
+        world.fail("the copies are not whole after a long calm")
+
+
+def finish(world: World) -> None:
+    """Every key asked for once more: what was given is given again, and nothing runs twice."""
+    given: dict[bytes, bytes] = {}
+    for asked in sorted(world.asked, key=lambda asked: asked.ended):
+        if asked.how == "given" and given.setdefault(asked.key, asked.body) != asked.body:
+            world.fail(f"{asked.key.hex()} was given {given[asked.key]!r}, and then {asked.body!r}")
+    keys, known = sorted({asked.key for asked in world.asked}), set(given)
+    runs = [
+        Run(world, node, key, lambda asked: None) for key in keys for node in list(world.nodes.values())[:2]
+    ]
+    for run in runs:
+        run.begin()
+    world.run(world.now + 6 * S)
+    for asked in [run.asked for run in runs]:
+        if asked.how not in ("given", "own", "DOUBT", "UNDER_WAY"):
+            world.fail(f"{asked.key.hex()} at {asked.node} ends as {asked.how} in a calm")
+        if asked.key in known and not world.lost_majority and asked.how != "given":
+            world.fail(f"{asked.key.hex()} was given before, and at {asked.node} is {asked.how}")
+        if asked.how == "given" and given.setdefault(asked.key, asked.body) != asked.body:
+            world.fail(f"{asked.key.hex()} was given {given[asked.key]!r}, and now {asked.body!r}")
+    if world.checked and not world.lost_majority:
+        for node in world.nodes.values():
+            world.crash(node)  # what is under way is told of
+        for key, steps in world.steps.items():
+            if order_of(steps) is None:
+                world.fail(f"no order explains what was seen of {key.hex()}: {steps}")
+
+
+SCHEDULES = {
+    each.name: each
+    for each in (
+        Schedule("anything", anything),
+        Schedule("crossing", crossing),
+        Schedule("moves", moves),
+        Schedule("ruin", ruin),
+    )
+}
