--- /dev/null
+++ b/tests/copies/dying.py
@@ -0,0 +1,65 @@
+"""`badgergap` that kills itself at the n-th step of what it does for keyed requests. For tests only.
+
+    python -m tests.copies.dying NUMBER serve FILE ...
+
+Steps are counted from the first keyed request on: each word that goes out, each write to the log before and
+after, each attempt that may go, each answer that is kept, each that is given.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from typing import Any
+
+STEPS = [
+    ("rosedeal.copies.room", "CopiesRoom", "_send"),
+    ("rosedeal.copies.room", "CopiesRoom", "_write"),
+    ("rosedeal.copies.room", "CopiesRoom", "_durable"),
+    ("rosedeal.copies.room", "CopiesRoom", "_hear"),
+    ("rosedeal.store.log", "Log", "append"),
+    ("rosedeal.copies.guard", "Held", "go"),
+    ("rosedeal.copies.guard", "Seat", "answered"),
+    ("rosedeal.copies.guard", "Seat", "reply"),
+]
+
+
+def main() -> int:
+    last = int(sys.argv[1])
+    count = {"steps": 0, "on": 0}
+
+    def step() -> None:
+        count["steps"] += count["on"]
+        if count["on"] and count["steps"] >= last:
+            os.kill(os.getpid(), signal.SIGKILL)
+
+    def wrap(kind: Any, name: str) -> None:
+        before = getattr(kind, name)
+
+        def call(self: Any, *given: Any, **named: Any) -> Any:
+            step()
+            result = before(self, *given, **named)
+            step()
+            return result
+
+        setattr(kind, name, call)
+
+    for module, kind, name in STEPS:
+        wrap(getattr(__import__(module, fromlist=[kind]), kind), name)
+    from rosedeal.copies.guard import Guard
+
+    start = Guard.start
+
+    def begin(self: Any, *given: Any) -> bool:
+        count["on"] = 1
+        return start(self, *given)
+
+    setattr(Guard, "start", begin)  # noqa: B010
+    from rosedeal.cli.main import main as run
+
+    return run(sys.argv[2:])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
