Find each guard of copies that is taken out; shift members and join late in schedules

On the way: two members taken out of the group in one breath threw away copies that both still held; `group remove` of a member that lives is refused while its copies are being moved.

--- a/rosedeal/agreement/calls.py
+++ b/rosedeal/agreement/calls.py
@@ -11,11 +11,13 @@
 
 from rosedeal.agreement import relation
 from rosedeal.agreement.member import Line, Steer, read_tables
-from rosedeal.agreement.room import PUBLISH_S, GroupRoom, Refused, clock_us, encode_tables
+from rosedeal.agreement.room import PUBLISH_S, STATUS_S, GroupRoom, Refused, clock_us, encode_tables
 from rosedeal.agreement.state import Publish, Version
 
 WAIT_MOST_S = 120.0
 CHANGE_S = 15.0
+CHANGE_AGAIN_S = 3.0
+ALIVE_MS = 2000  # a member that was heard within this is there
 HISTORY = 50
 
 Arguments = Mapping[str, Any]
@@ -185,13 +187,23 @@
     async def change(self, arguments: Arguments) -> Any:
         """Carried out by the leader, whichever member is asked; returns once it is done."""
         wish = Steer(uuid.uuid4().hex, str(arguments["name"]), str(arguments["do"]))
+        if wish.do == "remove":
+            alive = any(0 <= line.heard_ms < ALIVE_MS for line in await self._named(wish.name))
+            against = [guest.against(wish.name) for guest in self.room.guests.values()] if alive else []
+            if any(against):
+                raise Refused("; ".join(why for why in against if why))
         outcome = await self.room.steer(wish, PUBLISH_S)
         if outcome is None:
             raise Refused("no leader has taken it up: see `group status`")
         if not outcome.version:
             raise Refused(outcome.why)
-        deadline = asyncio.get_running_loop().time() + CHANGE_S
-        while asyncio.get_running_loop().time() < deadline:
+        loop = asyncio.get_running_loop()
+        deadline, again = loop.time() + CHANGE_S, loop.time() + CHANGE_AGAIN_S
+        while loop.time() < deadline:
+            if loop.time() >= again:
+                # A leader that comes after knows of no change that was begun; said twice it is done once.
+                again = loop.time() + CHANGE_AGAIN_S
+                await self.room.steer(Steer(uuid.uuid4().hex, wish.name, wish.do), STATUS_S)
             lines = await self.room.lines()
             there = [line for line in lines if line.name == wish.name]
             done = {
@@ -204,6 +216,9 @@
             await asyncio.sleep(0.1)
         raise Refused("it is under way and not done: see `group status`, and say it again")
 
+    async def _named(self, name: str) -> list[Line]:
+        return [line for line in await self.room.lines() if line.name == name]
+
     async def force(self, arguments: Arguments) -> Any:
         it = self.room.member
         why = "this gateway is no member at the moment" if it is None else it.force(clock_us())
--- a/rosedeal/agreement/room.py
+++ b/rosedeal/agreement/room.py
@@ -80,6 +80,9 @@
     def agreed(self) -> None:
         """Something in the group's log, or the member itself, may have changed."""
 
+    def against(self, name: str) -> str:
+        """Why a member that lives should not be taken out of the group now; or nothing."""
+
 
 @dataclass(frozen=True, slots=True)
 class Options:
--- a/rosedeal/copies/keeper.py
+++ b/rosedeal/copies/keeper.py
@@ -118,6 +118,9 @@
 
 
 class Keeper:
+    shelves: type[Shelf] = Shelf  # tests put ones in their place that lack a guard
+    proposers: type[Proposer] = Proposer
+
     def __init__(
         self, options: Options, holder: str, lines: Iterable[bytes], now_us: int, chance: random.Random
     ) -> None:
@@ -125,10 +128,10 @@
         self.options, self.holder, self.chance = options, holder, chance
         self.now_us = now_us
         self.life = chance.getrandbits(52)
-        self.shelf = Shelf(lines, options.bounds, options.parts)
+        self.shelf = self.shelves(lines, options.bounds, options.parts)
         self.clock = GroupClock()
         self.placement = Placement()
-        self.proposer = Proposer(self.life, self._say, chance)
+        self.proposer = self.proposers(self.life, self._say, chance)
         self.number = 0  # of the placement in the log
         self.token = 0  # of the newest save
         self.entered = 0  # the save before which nothing may be said in this epoch
@@ -225,7 +228,7 @@
 
     def reopen(self, holder: str, lines: Iterable[bytes]) -> None:
         """The folder was opened anew, after its disk had failed. Raises MsgspecError, as at the start."""
-        self.shelf = Shelf(lines, self.options.bounds, self.options.parts)
+        self.shelf = self.shelves(lines, self.options.bounds, self.options.parts)
         self.holder, self.broken = holder, ""
         self.saving, self.held, self.durable, self.entered = [], [], self.token, 0
         self._sit()
--- a/rosedeal/copies/room.py
+++ b/rosedeal/copies/room.py
@@ -211,6 +211,14 @@
         if number > it.number:
             it.agreed(clock_us(), number, data)
 
+    def against(self, name: str) -> str:
+        it = self.keeper
+        if it is None or it.placement.before is None:
+            return ""
+        if all(seat.name != name for seat in (*it.placement.seats, *it.placement.before)):
+            return ""
+        return f"{name} holds copies that are being moved: wait until `badgergap copies status` says ok"
+
     async def _tick(self) -> None:
         while True:
             it, member = self.keeper, self.group.member
--- a/tests/copies/simulation.py
+++ b/tests/copies/simulation.py
@@ -36,7 +36,11 @@
 
     tried: Callable[[Op, list[tuple[Record | None, Record | None]], int, Result | None], None]
     now: Callable[[], int]
-    tries: dict[int, tuple[Op, list[tuple[Record | None, Record | None]], int]]  # under way
+
+    def __init__(self, *given: object) -> None:
+        super().__init__(*given)  # type: ignore[arg-type]
+        # What is under way: its change, what it saw and wanted, since when.
+        self.tries: dict[int, tuple[Op, list[tuple[Record | None, Record | None]], int]] = {}
 
     def change(
         self, now_us: int, key: bytes, change: Change, done: Done, until_us: int, grip: Grip | None = None
@@ -65,12 +69,7 @@
 class Watch(Keeper):
     """A keeper with such a proposer. Tests put ones in its place that lack a guard."""
 
-    proposers: type[Watched] = Watched
-
-    def __init__(self, *given: object) -> None:
-        super().__init__(*given)  # type: ignore[arg-type]
-        self.proposer = self.proposers(self.life, self._say, self.chance)
-        self.proposer.tries = {}
+    proposers = Watched
 
 
 class Disk:
@@ -103,7 +102,8 @@
     in_touch_us: int = 0  # when it last was; what its lease goes by
     slow_disk: bool = False
     broken: bool = False
-    removed: bool = False
+    removed: bool = False  # from the group; its process and disk are as they were
+    lags_until: int = 0  # in reading the group's log, though it has a lease
 
 
 @dataclass
@@ -456,6 +456,8 @@
         if not self.in_touch(node):
             return
         node.in_touch_us = self.now
+        if node.lags_until > self.now:
+            return
         keeper = node.keeper
         assert keeper is not None
         # Some read it later than others.
@@ -609,7 +611,7 @@
         return False
     newest = max(placements, key=lambda placement: placement.epoch)
     held = {seat.name: seat.holder for seat in newest.seats}
-    there = all(held.get(node.name) == node.holder for node in world.nodes.values() if not node.removed)
+    there = held == {node.name: node.holder for node in world.nodes.values() if not node.removed}
     return newest.epoch > 0 and newest.before is None and there and in_step(world)
 
 
@@ -679,20 +681,78 @@
         world.run(world.now + chance.randrange(3 * S))
 
 
+def shifts(world: World) -> None:
+    """Members taken out of the group and let in again with what they held, some late to hear of it."""
+    chance = world.random
+    for _ in range(4):
+        for node in world.nodes.values():
+            if chance.random() < 0.5:
+                node.lags_until = world.now + chance.randrange(2 * S)
+        out = [node for node in world.nodes.values() if node.removed]
+        if out and chance.random() < 0.6:
+            chance.choice(out).removed = False
+        elif len(out) < 2 and whole(world):  # else the group refuses it
+            chance.choice([node for node in world.nodes.values() if not node.removed]).removed = True
+        for _ in range(6):
+            ask(world, None if chance.random() < 0.5 else bytes([chance.randrange(256), chance.randrange(4)]))
+            world.run(world.now + chance.randrange(400 * MS))
+        if chance.random() < 0.5:
+            node = chance.choice(list(world.nodes.values()))
+            chance.choice((world.stop, world.cut))(node, chance.randrange(S, 4 * S))
+        world.run(world.now + chance.randrange(2 * S))
+    for node in world.nodes.values():
+        node.removed = False
+
+
+def joins(world: World) -> None:
+    """Two members come back at once and take the majority of a part, of which one gateway has not heard."""
+    chance = world.random
+    for _ in range(2):
+        pair = chance.sample(list(world.nodes.values()), 2)
+        for node in pair:
+            settle(world)
+            node.removed = True
+        settle(world)
+        late = chance.choice([node for node in world.nodes.values() if not node.removed])
+        late.lags_until = world.now + 2 * S
+        for node in pair:
+            node.removed = False
+        world.run(world.now + chance.randrange(200 * MS, 1500 * MS))
+        for n in range(8):
+            key = bytes([n * 32, chance.randrange(256), world.now % 251])
+            for node in (late, chance.choice(list(world.nodes.values()))):
+                Run(world, node, key, lambda asked: None).begin()
+                world.run(world.now + chance.randrange(30 * MS))
+        world.run(world.now + 2 * S)
+
+
+def settle(world: World) -> None:
+    for _ in range(20):
+        world.run(world.now + 300 * MS)
+        if whole(world):
+            return
+
+
 def ruin(world: World) -> None:
     """Two machines with their disks at once: what was kept is given or in doubt, and never run anew."""
     chance = world.random
-    for _ in range(chance.randrange(3, 8)):
-        ask(world)
+    placed = next(n.keeper.placement for n in world.nodes.values() if n.keeper is not None)
+    part = chance.randrange(PARTS)
+    holders = [world.nodes[seat.name] for seat in placed.sets(part)[0]]
+    blind = holders.pop(chance.randrange(3)) if chance.random() < 0.7 else None
+    if blind is not None:  # what is written now, the third one knows nothing of
+        world.cut(blind, 3 * S)
+    for n in range(chance.randrange(3, 8)):
+        ask(world, bytes([part * 256 // PARTS + chance.randrange(256 // PARTS), n]) if n % 2 else None)
     world.run(world.now + chance.randrange(300 * MS, 2 * S))
     world.lost_majority = True
-    for node in chance.sample(list(world.nodes.values()), 2):
+    for node in holders if blind is not None else chance.sample(list(world.nodes.values()), 2):
         world.wipe(node)
         world.after(chance.randrange(50 * MS, 2 * S), partial(world.boot_if_down, node))
     for _ in range(6):
         ask(world)
         ask(world, chance.choice(world.asked).key)
-        world.run(world.now + chance.randrange(2 * S))
+        world.run(world.now + chance.randrange(6 * S))
 
 
 @dataclass(frozen=True)
@@ -700,8 +760,10 @@
     name: str
     trouble: Callable[[World], None]
 
-    def __call__(self, seed: int, nodes: int = 5, copies: int = 3, **given: object) -> World:
-        world = World(seed, nodes, copies, boxes_know=seed % 3 == 0, **given)  # type: ignore[arg-type]
+    def __call__(
+        self, seed: int, nodes: int = 5, copies: int = 3, kind: type[World] = World, **given: object
+    ) -> World:
+        world = kind(seed, nodes, copies, boxes_know=seed % 3 == 0, **given)  # type: ignore[arg-type]
         world.run(6 * S)
         self.trouble(world)
         calm(world)
@@ -762,6 +824,8 @@
         Schedule("anything", anything),
         Schedule("crossing", crossing),
         Schedule("moves", moves),
+        Schedule("shifts", shifts),
+        Schedule("joins", joins),
         Schedule("ruin", ruin),
     )
 }
