--- a/rosedeal/cli/group_words.py
+++ b/rosedeal/cli/group_words.py
@@ -152,6 +152,8 @@
 listen = "127.0.0.1:{peer}"
 key = "group.key"
 {members}
+[copies]
+
 # From here on the group's word counts, once it has agreed on something.
 [[class]]
 name = "pages"
@@ -159,10 +161,22 @@
 given_up_after = "10s"
 repeats = "by-method"
 
+[[class]]
+name = "slips"
+wanted_within = "1s"
+given_up_after = "10s"
+
 [[route]]
 name = "everything"
 class = "pages"
 
+# A request with an Idempotency-Key runs once: docs/operators/copies.md
+[[route]]
+name = "slips"
+methods = ["POST"]
+class = "slips"
+once = "10min"
+
 [[box]]
 name = "box-1"
 address = "127.0.0.1:9001"
@@ -179,6 +193,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         members = "".join(
             f'[[group.member]]\nname = "{name}"\naddress = "127.0.0.1:{7101 + number}"\n'
+            f'zone = "rack-{number + 1}"\n'
             for number, name in enumerate("abc")
         )
         for number, name in enumerate("abc"):
--- a/rosedeal/copies/calls.py
+++ b/rosedeal/copies/calls.py
@@ -94,7 +94,12 @@
             "in_doubt": max((report.doubt for report in lines.values()), default=0),
             "clock_s": it.clock.now_us(it.now_us) // 1_000_000,
             "seats": seats,
-            "here": {"keys": len(self.guard.keys), "by_end": dict(self.guard.counts)},
+            "here": {
+                "keys": len(self.guard.keys),
+                "by_end": dict(self.guard.counts),
+                "log_bytes": self.room.log.length if self.room.log is not None else 0,
+                "syncs": self.room.log.syncs if self.room.log is not None else 0,
+            },
         }
 
     async def find(self, arguments: Arguments) -> Any:
