--- a/tests/agreement/simulation.py
+++ b/tests/agreement/simulation.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from typing import Protocol
 
 from rosedeal.agreement import raft
 from rosedeal.agreement.member import Examine, First, Known, Load, Member, Reborn, Send, Settings, Settled
@@ -134,15 +135,39 @@
             del self.overlap_since[pair]
 
 
-class World:
+class Clocked(Protocol):
+    rate: float
+    offset_us: int
+
+
+class Timed:
+    """Simulated time, and what happens in it, in order."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.order = itertools.count()
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+
+    def after(self, delay_us: int, what: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (self.now + delay_us, next(self.order), what))
+
+    def run(self, until_us: int) -> None:
+        while self.events and self.events[0][0] <= until_us:
+            self.now, _, what = heapq.heappop(self.events)
+            what()
+        self.now = until_us
+
+    def local(self, node: Clocked) -> int:
+        return int(self.now * node.rate) + node.offset_us
+
+
+class World(Timed):
     def __init__(
         self, seed: int, voters: int = 3, learners: int = 0, member: type[Recorded] = Recorded
     ) -> None:
+        super().__init__()
         self.random = random.Random(seed)
         self.kind = member
-        self.now = 0
-        self.order = itertools.count()
-        self.events: list[tuple[int, int, Callable[[], None]]] = []
         self.checks = Checks(seed)
         self.cuts: set[tuple[str, str]] = set()
         self.loss, self.slow_us, self.twice = 0.0, 5 * MS, 0.0
@@ -174,18 +199,6 @@
         self.ids += 1
         return f"id{self.ids}"
 
-    def after(self, delay_us: int, what: Callable[[], None]) -> None:
-        heapq.heappush(self.events, (self.now + delay_us, next(self.order), what))
-
-    def run(self, until_us: int) -> None:
-        while self.events and self.events[0][0] <= until_us:
-            self.now, _, what = heapq.heappop(self.events)
-            what()
-        self.now = until_us
-
-    def local(self, node: Node) -> int:
-        return int(self.now * node.rate) + node.offset_us
-
     # A node's process
 
     def boot(self, node: Node) -> None:
--- a/tests/copies/simulation.py
+++ b/tests/copies/simulation.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
 from collections import defaultdict
@@ -21,7 +20,7 @@
 from rosedeal.copies.proposer import Change, Done, Grip, Op, Proposer, Result
 from rosedeal.copies.record import Record, Repeats, digest_of
 from rosedeal.copies.register import Bounds
-from tests.agreement.simulation import MS, S, Violation
+from tests.agreement.simulation import MS, S, Timed, Violation
 from tests.copies.history import NEVER, Step, order_of
 
 TICK_US = 25 * MS
@@ -265,7 +264,7 @@
             self.finish("own")
 
 
-class World:
+class World(Timed):
     def __init__(
         self,
         seed: int,
@@ -279,11 +278,10 @@
         checked: bool = True,
         parts: int = PARTS,
     ) -> None:
-        self.seed, self.random, self.now = seed, random.Random(seed), 0
+        super().__init__()
+        self.seed, self.random = seed, random.Random(seed)
         self.kind, self.copies, self.boxes_know, self.keep_us = keeper, copies, boxes_know, keep_us
         self.checked, self.parts = checked, parts
-        self.order = itertools.count()
-        self.events: list[tuple[int, int, Callable[[], None]]] = []
         self.log: list[tuple[str, int, bytes]] = []
         self.numbers: dict[str, int] = defaultdict(int)
         self.leader = ""
@@ -313,20 +311,6 @@
             self.boot(node)
         self.after(0, self.lead)
 
-    # Time, as in `tests/agreement`
-
-    def after(self, delay_us: int, what: Callable[[], None]) -> None:
-        heapq.heappush(self.events, (self.now + delay_us, next(self.order), what))
-
-    def run(self, until_us: int) -> None:
-        while self.events and self.events[0][0] <= until_us:
-            self.now, _, what = heapq.heappop(self.events)
-            what()
-        self.now = until_us
-
-    def local(self, node: Node) -> int:
-        return int(self.now * node.rate) + node.offset_us
-
     def fail(self, text: str) -> None:
         raise Violation(f"seed {self.seed}, at {self.now / S:.2f} s: {text}")
 
