Let a promise wait for the reserve that it rests on; end claims that are long over

The counter that covers promises (Shelf.reserve) was raised in memory with the first promise and on disk some ms later; the second promise in between waited for nothing (Keeper._on_prepare). Ruled out: accepts (on disk before they are said), epochs (one only). A claim two minutes over its time counts as one that may have run.

--- a/rosedeal/copies/keeper.py
+++ b/rosedeal/copies/keeper.py
@@ -36,6 +36,7 @@
 FETCH_BYTES = 256 * 1024
 FETCH_KEYS = 500
 ROUNDS = 256  # undecided keys that are settled at a time
+STUCK_US = 120_000_000  # for a run to end, after its client's time
 CLAIMS_LIMIT = 20_000  # whose end is remembered
 FREEZE_US = 500_000  # that what is to be accepted is held back at the most
 SNAPSHOT_US = 60_000_000  # that a frozen shelf is kept for who asked
@@ -134,13 +135,14 @@
         self.proposer = self.proposers(self.life, self._say, chance)
         self.number = 0  # of the placement in the log
         self.token = 0  # of the newest save
-        self.entered = 0  # the save before which nothing may be said in this epoch
+        self.entered = 0  # the save before which nothing may be said, of this epoch and this reserve
+        self.reserved = self.shelf.reserve
         self.durable = 0
         self.saving: list[bytes] = []
         self.out: list[Todo] = []
         self.broken = ""  # why nothing can be kept here
         self.stuck = ""  # a later program's word, which this one does not guess at
-        self.claims: OrderedDict[str, str] = OrderedDict()  # this gateway's own: what became of each
+        self.claims: OrderedDict[str, tuple[str, int]] = OrderedDict()  # this gateway's own
         self.asks: dict[int, Asking] = {}
         self.held: list[tuple[str, Accept]] = []  # while frozen
         self.frosts: dict[int, Frost] = {}
@@ -231,6 +233,7 @@
         self.shelf = self.shelves(lines, self.options.bounds, self.options.parts)
         self.holder, self.broken = holder, ""
         self.saving, self.held, self.durable, self.entered = [], [], self.token, 0
+        self.reserved = self.shelf.reserve
         self._sit()
         self.behind = set(self.parts)
         line = self.shelf.enter(self.placement.epoch)
@@ -274,20 +277,27 @@
         """A name for a run that nobody has had."""
         return f"{self.options.name}/{self.chance.getrandbits(63):x}"
 
-    def working(self, claim: str) -> None:
-        self.claims[claim] = "working"
+    def working(self, claim: str, until_us: int) -> None:
+        """A run of this gateway's is at it. One that is long over its time may have run."""
+        self.claims[claim] = ("working", until_us + STUCK_US)
 
     def ended(self, claim: str, state: str) -> None:
         """`state`: "ran" or "never"; it is told to whoever asks."""
-        self.claims[claim] = state
+        self.claims[claim] = (state, 0)
         self.claims.move_to_end(claim)
         while len(self.claims) > CLAIMS_LIMIT:
             oldest = next(iter(self.claims))
-            if self.claims[oldest] == "working":
+            if self.claims[oldest][0] == "working":
                 self.claims.move_to_end(oldest)
                 break
             del self.claims[oldest]
 
+    def _told(self, word: Ask, now_us: int) -> str:
+        state, until_us = self.claims.get(word.claim, ("gone", 0))
+        if word.life != self.life:
+            return "gone"
+        return "ran" if state == "working" and now_us > until_us else state
+
     def ask(self, now_us: int, record: Record, told: Callable[[str], None]) -> None:
         """What the gateway of a claim says of it: "working", "ran", "never", "gone"; "silent": nothing."""
         self.proposer.number += 1
@@ -349,8 +359,7 @@
             case Fetched():
                 self._on_fetched(now_us, word)
             case Ask():
-                state = self.claims.get(word.claim, "gone") if word.life == self.life else "gone"
-                self.out.append(Send(name, Told(word.op, state)))
+                self.out.append(Send(name, Told(word.op, self._told(word, now_us))))
             case Told():
                 asking = self.asks.pop(word.op, None)
                 if asking is not None:
@@ -370,6 +379,12 @@
     def _serves(self, holder: str, epoch: int) -> bool:
         return holder == self.holder and epoch == self.shelf.epoch and not self.broken and not self.stuck
 
+    def _save(self, lines: Iterable[bytes]) -> None:
+        self.saving += lines
+        if self.shelf.reserve != self.reserved:
+            # What is promised under the new reserve, by this word or the next, rests on it.
+            self.reserved, self.entered = self.shelf.reserve, self.token + 1
+
     def _tell(self, name: str, word: Word, rests: bool = True) -> None:
         """Not before what it rests on is on disk; nor is anything said in an epoch that is not."""
         after = self.token + bool(self.saving) if rests else self.entered
@@ -380,7 +395,7 @@
             return
         epoch = self.shelf.epoch
         reply = self.shelf.prepare(word.key, word.ballot) if word.epoch == epoch else register.Reply(False)
-        self.saving += reply.save
+        self._save(reply.save)
         said = Promised(
             word.op, epoch, self.holder, word.ballot, reply.ok, reply.accepted, reply.value, reply.promised
         )
@@ -394,7 +409,7 @@
         reply = register.Reply(False)
         if word.epoch == epoch:
             reply = self.shelf.accept(word.key, word.ballot, word.prior, word.value)
-        self.saving += reply.save
+        self._save(reply.save)
         said = Accepted(word.op, epoch, self.holder, word.ballot, reply.ok, reply.promised, reply.full)
         # Said again it may still be on its way to the disk: behind all that is.
         self._tell(name, said, reply.ok)
--- a/rosedeal/copies/once.py
+++ b/rosedeal/copies/once.py
@@ -188,7 +188,7 @@
             self._go(claim, go)
             return
         self.record, self.launched = record, True
-        self.keeper.working(claim)
+        self.keeper.working(claim, self.until_us)
 
         def done(result: Result) -> None:
             self.grip = result.grip
--- a/tests/copies/simulation.py
+++ b/tests/copies/simulation.py
@@ -259,9 +259,8 @@
                 self.give_up()
 
     def give_up(self) -> None:
-        if not self.over:
-            self.once.gave_up()
-            self.finish("own")
+        self.once.gave_up()
+        self.finish("own")
 
 
 class World(Timed):
