Call a part behind only where it lacks more than what is just under way

A part counts as behind now where two looks in a row, or one that misses 16 records, found something; it is looked at again soon all the same.

--- a/rosedeal/copies/keeper.py
+++ b/rosedeal/copies/keeper.py
@@ -35,6 +35,7 @@
 MARKS_LIMIT = 6000  # of one answer
 FETCH_BYTES = 256 * 1024
 FETCH_KEYS = 500
+MANY = 16  # records that a part lacks at one look: more than what is just under way
 ROUNDS = 256  # undecided keys that are settled at a time
 STUCK_US = 120_000_000  # for a run to end, after its client's time
 CLAIMS_LIMIT = 20_000  # whose end is remembered
@@ -149,7 +150,10 @@
         # Repair
         self.filled: set[int] = set()  # in this epoch
         self.looked_us: dict[int, int] = {}  # when each part was last compared to the end
-        self.behind: set[int] = set()
+        self.again: set[int] = (
+            set()
+        )  # parts where the last look found something: they are looked at again soon
+        self.behind: set[int] = set()  # and of these, where it was more than what is just under way
         self.passes: dict[int, Pass] = {}
         self.beginning = False
         self.quiet_us: dict[str, int] = {}  # until when a seat that said nothing is not waited for
@@ -204,6 +208,7 @@
         if placement.before is None:
             # It was read by a majority: the rest is for the ordinary looks.
             self.behind &= set(self.parts)
+            self.again &= set(self.parts)
         self.proposer.place(now_us, placement)
         move = "moving" if placement.before is not None else "settled"
         names = ", ".join(seat.name for seat in placement.seats)
@@ -235,7 +240,7 @@
         self.saving, self.held, self.durable, self.entered = [], [], self.token, 0
         self.reserved = self.shelf.reserve
         self._sit()
-        self.behind = set(self.parts)
+        self.behind, self.again = set(self.parts), set(self.parts)
         line = self.shelf.enter(self.placement.epoch)
         if line:
             self.saving.append(line)
@@ -437,7 +442,7 @@
             return
         self.beginning = True
         moving = self.placement.before is not None
-        most = PASSES if moving or self.behind else 1
+        most = PASSES if moving or self.again else 1
         while len(self.passes) < most:
             parts = self._next_parts(now_us, moving, most - len(self.passes))
             if not parts:
@@ -457,10 +462,10 @@
         again = [
             part
             for part in free
-            if part in self.behind and now_us - self.looked_us.get(part, -SCRUB_US) >= SCRUB_US // 30
+            if part in self.again and now_us - self.looked_us.get(part, -SCRUB_US) >= SCRUB_US // 30
         ]
         due.sort(key=lambda part: self.looked_us.get(part, -SCRUB_US))
-        return [*again, *(part for part in due if part not in self.behind)][:most]
+        return [*again, *(part for part in due if part not in self.again)][:most]
 
     def _begin_pass(self, now_us: int, part: int) -> None:
         filling = self.placement.before is not None and part not in self.filled
@@ -585,10 +590,12 @@
     def _end_pass(self, now_us: int, each: Pass) -> None:
         self.passes.pop(each.part, None)
         self.looked_us[each.part] = now_us
-        if (each.lacked and not each.filling) or self.seen.get(each.part):
+        found = each.lacked if not each.filling else 0
+        if found and (each.part in self.again or found >= MANY):
             self.behind.add(each.part)  # until a look finds nothing
-        else:
+        elif not found:
             self.behind.discard(each.part)
+        (self.again.add if found or self.seen.get(each.part) else self.again.discard)(each.part)
         if each.filling:
             self.filled.add(each.part)
             if len(self.filled) == len(self.parts):
