Restart each gateway in turn under keyed load; a last resort for a keyed request

A planned restart of three gateways with keyed requests going on: no effect twice, no answer changed, nothing in doubt. A fault in the rooms of copies could have left a client without an answer: it has one 0.4 s after its time now, logged.

--- a/rosedeal/copies/guard.py
+++ b/rosedeal/copies/guard.py
@@ -34,6 +34,7 @@
 READS = (b"GET", b"HEAD", b"OPTIONS")
 BODY_LIMIT = 256 * 1024
 WAITING = 1024
+LAST_RESORT_S = 0.4  # after the client's time: later than whatever else ends a request
 SEATS = 8192
 STATE = b"idempotency-state"  # of an answer of the gateway's own
 # Outcomes after which a request has certainly not run.
@@ -115,9 +116,9 @@
         self.once: Once | None = None
         self.line: Line | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.last_resort: asyncio.TimerHandle | None = None
         self.over = False  # the client has its answer, or has gone
         self.inner: Turn | None = None
-        self.attempts: set[Held] = set()
         # Of a box's answer
         self.whole: Answer | None = None  # as the decisions were told of it
         self.head: AnswerHead | None = None
@@ -155,6 +156,8 @@
         digest = records.digest_of(
             turn.method, way.path + way.query, turn.by_name.get(b"authorization", b""), self.body
         )
+        left_s = (self.until_us - clock_us()) / 1e6
+        self.last_resort = self.loop.call_later(left_s + LAST_RESORT_S, self.answer_at_last)
         line = self.guard.keys.get(self.key)
         if line is None:
             self.line = self.guard.keys[self.key] = Line(digest)
@@ -166,8 +169,16 @@
         else:
             self.line = line
             line.waiting.append(self)
-            left = (self.until_us - clock_us()) / 1e6
-            self.timer = self.loop.call_later(max(0.0, left - 0.05), self.waited_out)
+            self.timer = self.loop.call_later(max(0.0, left_s - 0.05), self.waited_out)
+
+    def answer_at_last(self) -> None:
+        """Guards against a fault here that would leave the client with no answer at all."""
+        if not self.over and self.head is None:
+            log.warning("a keyed request had no answer at its deadline")
+            once = self.once
+            self.reply(own_answer(End.DOUBT if once is not None and once.sent else End.UNREACHABLE, None))
+            if once is not None:
+                once.left()
 
     def waited_out(self) -> None:
         self.reply(own_answer(End.UNDER_WAY, None))
@@ -219,8 +230,9 @@
         self.guard.count(how)
         self.turn.joined = None
         self.turn.upload.on_ready = None
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.last_resort):
+            if timer is not None:
+                timer.cancel()
         line = self.line
         if line is None:
             return
--- a/tests/copies/test_process.py
+++ b/tests/copies/test_process.py
@@ -240,3 +240,26 @@
             assert len(judged.in_doubt) + len(judged.unanswered) < judged.keys / 4, judged
 
     played(play)
+
+
+def test_a_planned_restart_of_each_in_turn_loses_and_doubts_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with rig(tmp_path, zones=3, copies="copies = 3\n", shared=keyed()) as it:
+            await it.settled()
+            await placed(it)
+            load, over = Keyed(it, 25.0, seed=5), asyncio.Event()
+            work = asyncio.create_task(load.play(over))
+            for gateway in it:
+                assert gateway.process is not None
+                gateway.process.terminate()
+                assert await asyncio.to_thread(gateway.process.wait, 20.0) == 0
+                it.run(gateway)
+                await it.settled()
+                await placed(it)
+            over.set()
+            await work
+            judged = load.judge()
+            assert judged.keys > 100 and not judged.twice and not judged.changed, judged
+            assert not judged.in_doubt and not judged.unanswered, judged
+
+    played(play)
