--- a/rosedeal/copies/keeper.py
+++ b/rosedeal/copies/keeper.py
@@ -22,8 +22,20 @@
 from rosedeal.copies.record import Record
 from rosedeal.copies.register import BUCKETS, Bounds, Entry, Item, Shelf
 from rosedeal.copies.repair import GIVE_UP_US, Pass
-from rosedeal.copies.words import Accept, Accepted, Ask, Compare, Compared, Fetch, Fetched, Prepare, Promised
-from rosedeal.copies.words import Report, Told, Word
+from rosedeal.copies.words import (
+    Accept,
+    Accepted,
+    Ask,
+    Compare,
+    Compared,
+    Fetch,
+    Fetched,
+    Prepare,
+    Promised,
+    Report,
+    Told,
+    Word,
+)
 
 REPORT_US = 500_000
 FRESH_US = 2_500_000  # who has reported within it is there
@@ -40,6 +52,9 @@
 ROUNDS = 256  # undecided keys that are settled at a time
 STUCK_US = 120_000_000  # for a run to end, after its client's time
 CLAIMS_LIMIT = 20_000  # whose end is remembered
+WAIT_AGAIN_US = 400_000  # until other seats are asked again
+ROUND_PAUSE_US = 500_000  # where more were undecided than are settled at a time
+QUIET_US = 10_000_000  # for which a seat that said nothing is not waited for
 FREEZE_US = 500_000  # that what is to be accepted is held back at the most
 SNAPSHOT_US = 60_000_000  # that a frozen shelf is kept for who asked
 
@@ -706,8 +721,3 @@
 
     def snapshots(self, name: str, word: Word) -> None:
         """What a snapshot that is taken here is told; its taker listens."""
-
-
-WAIT_AGAIN_US = 400_000  # until other seats are asked again
-ROUND_PAUSE_US = 500_000
-QUIET_US = 10_000_000
