Look again at a key whose claim came too late to be sent

Seen: one of 11,000 further schedules of copies (moves): a request in doubt was claimed anew at boxes that know keys, and their time was over when the claim was kept. The attempt was not sent, rightly (Once._go), and nobody was told; on the streams the decisions would have tried the next boxes in vain. It looks again now, and hears that it is in doubt.

--- a/rosedeal/copies/once.py
+++ b/rosedeal/copies/once.py
@@ -214,6 +214,8 @@
             fit = fit and records.may_ask_again(record, now, self.request.repeats, clock.sure_since_us())
         self.out += fit
         go(fit)
+        if not fit and self.running and claim == self.claim:
+            self._beaten(Result())  # its time is over: whoever looks now says what that means
 
     def attempt_over(self, may_have_run: bool) -> None:
         """Of one that went to a box."""
