--- a/rosedeal/copies/proposer.py
+++ b/rosedeal/copies/proposer.py
@@ -92,10 +92,6 @@
         self._begin(now_us, op)
         return op
 
-    def drop(self, op: Op) -> None:
-        """Nobody waits for it any more; what was said may still take effect."""
-        self.ops.pop(op.number, None)
-
     def place(self, now_us: int, placement: Placement) -> None:
         """A new epoch: every round begins anew in it."""
         self.placement = placement
--- a/rosedeal/copies/register.py
+++ b/rosedeal/copies/register.py
@@ -274,9 +274,6 @@
             found.append((key, entry.ballot, entry.value))
         return found, gone
 
-    def count_of(self, part: int) -> int:
-        return sum(len(self.buckets.get(part * BUCKETS + n, ())) for n in range(BUCKETS))
-
 
 def bucket_of(key: bytes, parts: int) -> int:
     return part_of(key, parts) * BUCKETS + (key[1] >> 4)
