Ask again for what a spoilt line told, and at once where a watch fell silent or was reset

A new service that takes the call and says nothing is asked again after 1.5 s, as a move counts as told after 4 s. Tests: five, each seen failing with discovery.py as it was.

--- a/rosedeal/gateway/discovery.py
+++ b/rosedeal/gateway/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import math
+import re
 from typing import Any, cast
 
 import httptools
@@ -26,8 +27,14 @@
 # that fail are made again here, so that the balancer's growing waits do not add up to more than that.
 MOVE_RETRY_S = 0.2
 MOVE_S = 10.0
+MOVE_ANSWER_S = 1.5  # the same for a new service that takes a call and says nothing to it
 LINE_LIMIT = 8 * 1024 * 1024
-REOPEN_S = 0.5  # of a pushed list, where the balancer does not ask
+# Of a pushed list, where the balancer does not ask: what changes meanwhile counts as told, and the agent
+# answers at once and at no cost. So the first call after a watch has ended is made at once, the next ones
+# more slowly.
+REOPEN_S, REOPEN_MOST_S = 0.02, 0.5
+SPOILT_MOST = 3  # answers in a row that cannot be read whole, after which what can be read has to do
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 STATUSES = {"active": ServerStatus.READY, "leaving": ServerStatus.DRAINING, "left": ServerStatus.GONE}
 
@@ -68,6 +75,33 @@
     return News(full if raw.get("snapshot", True) else ListKind.DELTA, tuple(entries))
 
 
+class Messages:
+    """Cuts what a watch says into messages: one a line, or indented over several lines."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []  # of a message that is not whole
+        self.depth = 0  # brackets of it that are open
+
+    def take(self, line: bytes) -> bytes | None:
+        """The message that this line ends, if it ends one. Raises ValueError for what can be none.
+
+        An empty line is a sign of life. Guards against one in the midst of a message: that will never be
+        whole, and would swallow those that follow.
+        """
+        if not line.strip():
+            if self.lines:
+                self.lines, self.depth = [], 0
+                raise ValueError("a message without its end")
+            return None
+        bare = STRING.sub(b"", line)
+        self.lines.append(line)
+        self.depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+        if self.depth > 0:
+            return None
+        message, self.lines, self.depth = b"\n".join(self.lines), [], 0
+        return message
+
+
 class Call(asyncio.Protocol):
     """One call to discovery: a watch that goes on, or the whole list once."""
 
@@ -79,7 +113,11 @@
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
+        self.messages = Messages()
+        self.kept = 0  # bytes of a message that is not whole
         self.over = False
+        self.silent = False  # that is why it is over
+        self.answered = False  # it has said something of the list, or that there is nothing new
         self.silence: asyncio.TimerHandle | None = None
         self.task = discovery.loop.create_task(self.open())
 
@@ -102,7 +140,12 @@
     def heard(self) -> None:
         if self.silence is not None:
             self.silence.cancel()
-        self.silence = self.discovery.loop.call_later(SILENCE_S, self.fail, "silent for too long")
+        moved = self.watch and not self.answered and self.discovery.moving_until
+        self.silence = self.discovery.loop.call_later(MOVE_ANSWER_S if moved else SILENCE_S, self.fall_silent)
+
+    def fall_silent(self) -> None:
+        self.silent = True
+        self.fail("silent for too long")
 
     def data_received(self, data: bytes) -> None:
         self.heard()
@@ -123,14 +166,15 @@
         if self.over:
             return
         self.buffer += body
-        if len(self.buffer) > LINE_LIMIT:
+        self.answered = True
+        if len(self.buffer) + self.kept > LINE_LIMIT:
             self.fail("a line too long")
         elif self.watch:
             *lines, rest = self.buffer.split(b"\n")
             self.buffer = rest
             for line in lines:
-                if line.strip() and not self.over:
-                    self.read(bytes(line))
+                if not self.over:
+                    self.read_line(bytes(line))
 
     def on_message_complete(self) -> None:
         if self.over:
@@ -142,10 +186,21 @@
             if not self.read(bytes(self.buffer)):
                 self.discovery.failed(self)
 
+    def read_line(self, line: bytes) -> None:
+        try:
+            message = self.messages.take(line)
+        except ValueError as error:
+            log.warning("skipped what discovery said: %s", error)
+            self.discovery.spoilt(self)
+            message = None
+        self.kept = sum(map(len, self.messages.lines))
+        if message is not None and not self.read(message):
+            self.discovery.spoilt(self)
+
     def read(self, text: bytes) -> bool:
         try:
             self.discovery.told(json.loads(text), self)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             log.warning("skipped what discovery said: %s: %.200r", error, text)
             return False
         return True
@@ -190,6 +245,10 @@
         self.fading: Call | None = None  # the watch on the service before, until the new one has answered
         self.moving_until = 0.0  # loop time; 0 once the new service has answered
         self.fetches: set[Call] = set()
+        self.behind = False  # something was said that could not be read: `index` stands before it
+        self.spoils = 0  # answers in a row that could not be read whole
+        self.failures = 0  # of a pushed list: watches in a row that have ended with nothing said
+        self.closed = False
 
     def start(self) -> None:
         """Begin with the list as last held; a pushed list comes without being asked for."""
@@ -244,15 +303,41 @@
 
     def told(self, raw: Any, call: Call) -> None:
         news = parse_list(raw, self.names)
-        if call is not self.fading:
-            self.index = _index(raw)
-        if call is self.current and self.moving_until:
+        whole = len(news.entries) == len(raw["endpoints"])
+        if call.watch:
+            self.failures = 0
+        if call is self.current and (self.moving_until or self.fading is not None):
             self.moving_until = 0.0
+            self.behind = False  # the answer begins where `index` stands
             if self.fading is not None:
                 self.fading.end()
                 self.fading = None
         self.fetches = {call for call in self.fetches if not call.over}
+        if whole and call is self.current:
+            self.spoils = 0
+        if call is not self.fading and not self.behind and (whole or self.spoils >= SPOILT_MOST):
+            self.index = _index(raw)
         self.news(news)
+        if not whole:
+            self.spoilt(call)
+
+    def spoilt(self, call: Call) -> None:
+        """Something was said that cannot be read: ask for it again, and hear this watch out meanwhile.
+
+        Guards against news that the number of the next version would hide: it would never be told again.
+        A second time the whole list is asked for; what still cannot be read then is left to `SPOILT_MOST`.
+        """
+        if call is not self.current or self.spoils >= SPOILT_MOST or self.moving_until:
+            return
+        self.spoils += 1
+        self.behind = True
+        if self.spoils > 1:
+            self.index = 0
+        if self.fading is not None:
+            self.fading.end()
+        log.info("discovery: what could not be read is asked for again")
+        self.fading = call
+        self.open_watch()
 
     def failed(self, call: Call) -> None:
         self.fetches.discard(call)
@@ -266,14 +351,26 @@
                 return
             self.moving_until = 0.0
             if self.pushed:
-                self.loop.call_later(REOPEN_S, self.watch, True)
+                wait_s = min(REOPEN_S * 2**self.failures, REOPEN_MOST_S)
+                self.failures = min(self.failures + 1, 16)
+                self.loop.call_later(wait_s, self.reopen_pushed)
+                return
+            if call.silent and call.answered:
+                # What it misses counts as told so long after it fell silent that no wait of the balancer's,
+                # which grows with the time that the settings give for asking, may come on top.
+                self.open_watch()
                 return
         self.news(News(ListKind.ERROR))
 
+    def reopen_pushed(self) -> None:
+        if self.current is None and not self.closed:
+            self.open_watch()
+
     def describe(self) -> str:
         return "{}:{}, version {}".format(*self.address, self.index)
 
     def close(self) -> None:
+        self.closed = True
         self.stop_watch()
         for call in self.fetches:
             call.end()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
 from rosedeal.gateway import discovery
 from rosedeal.gateway.config import parse_address
 from rosedeal.gateway.sources import host_id
-from rosedeal.interface import FetchList, ListKind, ServerList, ServerStatus
+from rosedeal.interface import FetchList, ListKind, ServerList, ServerStatus, WatchList
 from tests.sockets import Gateway, Registry, chunk, entry, gateway, news, run, settings
 
 
@@ -231,3 +234,127 @@
             third.stop()
 
     run(test())
+
+
+PUSHED = {**settings(), "membershipMode": "pushed"}
+STEADY = {**settings(), "contract": {"mustAskInUs": 3_600_000_000, "stopSendingWithinUs": 0}}
+
+
+def test_a_watch_that_falls_silent_is_opened_anew_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """However long the settings let a list stand: what a silent watch misses counts as told soon after."""
+
+    async def test() -> None:
+        async with gateway(settings=STEADY) as it:
+            await told(it)
+            it.proxy.carry_out(WatchList())
+            _, watch = await it.registry.watches.get()
+            monkeypatch.setattr(discovery, "SILENCE_S", 0.05)
+            watch.write(chunk(news(entry("h1", it.host.address), index=12)))
+            assert await told(it) == (ListKind.DELTA, ["h1 ready"])
+            first, watch = await it.registry.watches.get()
+            assert "index=12" in first
+            watch.write(chunk(news(entry("h1", it.host.address, "leaving"), index=13)))
+            assert await told(it) == (ListKind.DELTA, ["h1 draining"])
+
+    run(test())
+
+
+@pytest.mark.parametrize("bad", ["no json", '{"endpoints":{}}', news(7, index=43)[:-1], '{"index":43,'])
+def test_what_a_spoilt_line_told_is_asked_for_again(bad: str) -> None:
+    """The number of the next version hid it: the drain that it told of was never heard."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk(news(index=42)))
+            assert await told(it) == (ListKind.DELTA, [])
+            watch.write(chunk(bad + "\n") + chunk("\n"))
+            first, again = await it.registry.watches.get()
+            assert "index=42" in first
+            await told_empty(it, bad)
+            watch.write(chunk(news(entry("h2", it.host.address), index=44)))  # the old one is heard meanwhile
+            assert await told(it) == (ListKind.DELTA, ["h2 ready"])
+            again.write(chunk(news(entry("h0", it.host.address, "leaving"), index=44)))
+            assert await told(it) == (ListKind.DELTA, ["h0 draining"])
+            again.close()
+            assert await told(it) == (ListKind.ERROR, [])
+            first, _ = await it.registry.watches.get()
+            assert "index=44" in first
+
+    run(test())
+
+
+async def told_empty(it: Gateway, bad: str) -> None:
+    if "endpoints" in bad and "{}" not in bad:  # what could be read of it was told
+        assert await told(it) == (ListKind.DELTA, [])
+
+
+def test_a_line_that_stays_spoilt_is_asked_for_so_often_and_no_more() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            asked = []
+            for _ in range(discovery.SPOILT_MOST + 1):
+                first, watch = await it.registry.watches.get()
+                asked.append(int(first.partition("index=")[2].split()[0]))
+                watch.write(chunk(news(entry("h1", "nowhere"), entry("h2", it.host.address), index=9)))
+                assert await told(it) == (ListKind.DELTA, ["h2 ready"])
+            assert asked == [7, 7, 0, 0] and it.registry.watches.empty()
+            assert it.proxy.discovery is not None and it.proxy.discovery.index == 9
+            watch.write(chunk(news(entry("h3", it.host.address), index=10)))
+            assert await told(it) == (ListKind.DELTA, ["h3 ready"])
+
+    run(test())
+
+
+def test_a_list_may_come_indented_and_cut_anywhere() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            for step, indent in ((1, 2), (7, 0), (4096, 1)):
+                raw = json.loads(news(entry("h1", it.host.address, since_ms=step), index=step))
+                raw["why"] = 'a "name" with } and [ in it \\'
+                text = json.dumps(raw, indent=indent) + "\n\n" + news(index=step + 1)
+                for begin in range(0, len(text), step):
+                    watch.write(chunk(text[begin : begin + step]))
+                event = await it.event(ServerList)
+                assert [s.started_us for s in event.servers] == [step * 1000]
+                assert await told(it) == (ListKind.DELTA, [])
+            assert it.registry.watches.empty()
+
+    run(test())
+
+
+def test_a_pushed_list_that_is_reset_is_asked_for_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What the agent has counts as told whether or not a watch is open: half a second was too long."""
+
+    async def test() -> None:
+        async with gateway(settings=PUSHED) as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk(news(index=8)))
+            assert await told(it) == (ListKind.DELTA, [])
+            loop, waits = asyncio.get_running_loop(), list[float]()
+            later = loop.call_later
+
+            def noted(delay_s: float, call: Callable[..., object], *args: Any, **more: Any) -> Any:
+                if getattr(call, "__self__", None) is it.proxy.discovery:
+                    waits.append(delay_s)
+                return later(delay_s, call, *args, **more)
+
+            monkeypatch.setattr(loop, "call_later", noted)
+            for _ in range(3):
+                watch.transport.abort()
+                _, watch = await it.registry.watches.get()
+            # Slower where nothing comes of it, and at once again after the first word.
+            assert waits == [pytest.approx(discovery.REOPEN_S * n) for n in (1, 2, 4)]
+            assert waits[0] * 1e6 < 50_000  # what the protocol page allows beyond the settings' time
+            watch.write(chunk(news(index=9)))
+            assert await told(it) == (ListKind.DELTA, [])
+            watch.transport.abort()
+            await it.registry.watches.get()
+            assert waits[3] == waits[0]
+
+    run(test())
