Send nothing of a request that is over, and close nothing on what has come unread

Checked: only where mayCancel is false; with it the balancer's Cancel ends the attempt. Lines at fault: PooledConnection.connection_made wrote any attempt that was not done, also where its request had had its answer or its client had left while the connection came up. Now an attempt of a request that is over is never sent (Exchange.unwanted).

--- a/rosedeal/gateway/crowd.py
+++ b/rosedeal/gateway/crowd.py
@@ -26,6 +26,7 @@
 KILLED_AFTER_S = 0.7
 ANSWER_S = 0.6  # for the answer to what has come whole at the last moment
 HALF_SENT_LEAST_S = 1.0
+LAST_ANSWER_S = 0.2  # before the process may be killed: for the last answers to be written and read
 
 
 class Standing(IntEnum):
@@ -75,5 +76,9 @@
 
 def half_sent_s(longest_deadline_s: float) -> float:
     """Seconds after which, at a planned end, what has come in part is waited for no longer."""
-    killed_s = min(longest_deadline_s, DEADLINE_MOST_S) + KILLED_AFTER_S
-    return max(HALF_SENT_LEAST_S, killed_s - ANSWER_S)
+    return max(HALF_SENT_LEAST_S, killed_s(longest_deadline_s) - ANSWER_S)
+
+
+def killed_s(longest_deadline_s: float) -> float:
+    """Seconds after which a process that was told to end may be killed."""
+    return min(longest_deadline_s, DEADLINE_MOST_S) + KILLED_AFTER_S
--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import heapq
 import logging
 import socket
 import struct
@@ -14,7 +16,7 @@
 
 import httptools
 
-from rosedeal.gateway import crowd
+from rosedeal.gateway import crowd, ends
 from rosedeal.gateway.back import FRAMING_SHARE, carry
 from rosedeal.gateway.budget import LARGEST, LEAST
 from rosedeal.gateway.config import Address, Config
@@ -60,6 +62,7 @@
 LAST_REQUEST_S = 0.6
 UNREAD_DRAIN_S = 3.0  # for a client to read an answer that it was given
 FINISH_POLL_S = 0.01
+LOOKED_AT = 8  # connections that may have said something meanwhile, for one that makes room
 GIVE_S = 0.5  # for an answer to be sent, so that its connection can be given to the next process
 TURNED_AWAY = 1 / 4  # of the reserve: connections over the limit that are told 503 at once
 LAME_LINGER_S = 0.3
@@ -465,7 +468,7 @@
     ) -> Exchange:
         """One try at a host."""
         upload = incoming.upload
-        if is_early(incoming.exchange, upload):
+        if is_early(incoming.exchange, upload) or self.has_left():
             second = Exchange(b"", books.ended)
             self.loop.call_soon(second.never_sent)
             return second
@@ -590,6 +593,30 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.abort()
 
+    def has_left(self) -> bool:
+        """Whether the client has gone, as its socket tells where it is not read: nothing more is sent on.
+
+        Of a first try of a client that is read, the loop tells soon enough.
+        """
+        if not self.paused and (self.current is None or self.current.exchange is None):
+            return False
+        if not ends.has_left(self.transport):
+            return False
+        self.loop.call_soon(self.gone)
+        return True
+
+    def gone(self) -> None:
+        """The client's end, which has not been read."""
+        self.closing = True
+        self.waiting.clear()
+        self.abandon()
+        self.abort()
+
+    @property
+    def may_close(self) -> bool:
+        """Whether a close crosses nothing that the client has sent, as far as it has come."""
+        return self.closing or ends.is_quiet(self.transport)
+
     def may_be_given(self) -> bool:
         """Whether nothing of it is in this process: no part of a request, and no answer unsent."""
         transport = self.transport
@@ -623,7 +650,7 @@
         if self.closing:
             return
         match self.server.lame.fate(now, self.owed, self.reading, self.since):
-            case Fate.CLOSE:
+            case Fate.CLOSE if self.may_close:
                 self.close()
             case Fate.REFUSE:
                 self.closing = True
@@ -633,6 +660,8 @@
     def check_time(self, now: float) -> None:
         if self.current is not None and self.current.exchange is not None:
             self.current.exchange.check_time(now, HOST_QUIET_S, HOST_QUIET_S)
+        if self.paused and self.has_left():
+            return
         unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
         if unsent < self.unsent:
             self.progress_at = now
@@ -649,7 +678,7 @@
             if not self.paused and now > self.due_at:
                 self.lose_framing(BadRequest(408, "the rest of the request has not come"))
                 self.next()
-        elif not self.owed and now - self.since > (IDLE_S if self.asked else REQUEST_S):
+        elif not self.owed and now - self.since > (IDLE_S if self.asked else REQUEST_S) and self.may_close:
             self.close()
 
 
@@ -662,8 +691,8 @@
         self.budget, self.reads = proxy.upstream.budget, proxy.upstream.reads
         self.most = crowd.limit(config.sockets, 0)
         self.turned_away = int(crowd.reserve(config.sockets) * TURNED_AWAY)
-        longest_us = max(klass.give_up_us for klass in config.settings.classes)
-        self.half_sent_s = crowd.half_sent_s(longest_us / 1e6)
+        self.longest_s = max(klass.give_up_us for klass in config.settings.classes) / 1e6
+        self.half_sent_s = crowd.half_sent_s(self.longest_s)
         proxy.upstream.on_open = self.keep_to_limit
         # Bytes written to a client and not taken, beyond which its host is not read.
         self.unsent_limit = min(LARGEST, max(LEAST, self.budget.total // (4 * self.most)))
@@ -741,15 +770,15 @@
     def make_room(self, up_to: crowd.Standing = crowd.Standing.ASKING) -> bool:
         """Close the connection that is missed least, if one has shown no more than this."""
         now = self.loop.time()
-        least = min(
-            ((c.standing(now), c.progress_at, n, c) for n, c in enumerate(self.connections)), default=None
-        )
-        if least is None or least[0] > up_to:
-            return False
-        connection = least[3]
-        self.drop(connection)
-        connection.make_room()
-        return True
+        shown = ((c.standing(now), c.progress_at, n, c) for n, c in enumerate(self.connections))
+        for standing, _, _, connection in heapq.nsmallest(LOOKED_AT, shown):
+            if standing > up_to:
+                break
+            if connection.may_close:
+                self.drop(connection)
+                connection.make_room()
+                return True
+        return False
 
     def keep_to_limit(self) -> None:
         """Hosts have taken what clients had, or bodies and heads more memory than there is for them."""
@@ -774,7 +803,8 @@
         if len(self.resting) > self.most_resting:
             oldest = next(iter(self.resting))
             del self.resting[oldest]
-            oldest.close()
+            if oldest.may_close:
+                oldest.close()
 
     @property
     def ends_connections(self) -> bool:
@@ -815,12 +845,35 @@
     async def drain(self) -> None:
         """Planned end: take what still comes, answer everything, then close."""
         self.draining = True
+        self.proxy.end_within(crowd.killed_s(self.longest_s) - crowd.LAST_ANSWER_S)
         if self.give is None:
             await asyncio.sleep(LAST_ACCEPT_S)
-            self.stop_listening()
+            await self.take_last()
             await asyncio.sleep(LAST_REQUEST_S - LAST_ACCEPT_S)
         await self.finish()
 
+    async def take_last(self) -> None:
+        """Listen no more, and take what has been accepted for this process already.
+
+        Guards against connections that stand in the queue of the listener, with their requests, while the
+        loop is busy: at its close they would be reset. It is closed here, not only the loop's copy: else new
+        ones would go on queueing for a process that takes none.
+        """
+        self.stop_listening()
+        listener, self.socket = self.socket, None
+        if listener is None or self.give is not None:
+            self.socket = listener  # another process listens on it too
+            return
+        last: list[socket.socket] = []
+        with contextlib.suppress(OSError):  # none is left, or no descriptor
+            while len(last) < BACKLOG:
+                last.append(listener.accept()[0])
+        listener.close()
+        for sock in last:
+            sock.setblocking(False)
+            with contextlib.suppress(OSError):
+                await self.loop.connect_accepted_socket(lambda: ClientConnection(self), sock)
+
     def stop_listening(self) -> None:
         if self.listener is not None:
             self.listener.close()
@@ -831,11 +884,11 @@
         began = self.loop.time()
         while self.connections:
             waited_s = self.loop.time() - began
-            for connection in [c for c in self.connections if c.current is None]:
+            for connection in [c for c in self.connections if not c.owed]:
                 if self.try_to_give(connection) or (self.give is not None and waited_s < GIVE_S):
                     continue
                 standing = connection.standing(self.loop.time())
-                if standing < crowd.Standing.NEW or waited_s > self.half_sent_s:
+                if (standing < crowd.Standing.NEW and connection.may_close) or waited_s > self.half_sent_s:
                     connection.close()
                 if waited_s > UNREAD_DRAIN_S:
                     connection.abort()
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -62,6 +62,7 @@
 RETRY_AFTER = b"1"  # seconds, where the decisions name no time; the least that every client understands
 PROBE_TIMEOUT_S = 1.0
 PEER_LIMIT = 256
+FOR_EVER_US = 2**62
 SWEEP_S = 1.0
 
 Reply = Callable[[Answer], None]
@@ -227,6 +228,7 @@
         # Told of each change by hand: the host's name, whose wish, and whether it is out now.
         self.by_hand: list[Callable[[str, str, bool], None]] = []
         self.listens: Address | None = None  # where clients come in, once it is known
+        self.ends_us = FOR_EVER_US  # by when all has to be answered: the process is killed soon after
         self.taken = 0
         self.may_open: Callable[[], bool] | None = (
             None  # of a gateway of several pools; None: the setting holds
@@ -390,8 +392,8 @@
                 self.observer.answered(self.clock.now_us(), asked.klass, 503, 0, asked.tenant)
             return None
         self.taken += 1
-        patience_us = max(0, asked.timeout_us - asked.waited_us - TRANSIT_US)
         now_us = self.clock.now_us()
+        patience_us = max(0, min(asked.timeout_us - asked.waited_us - TRANSIT_US, self.ends_us - now_us))
         request = Request(str(self.taken), asked, now_us, now_us + patience_us, reply, epoch=epoch)
         self.requests[request.id] = request
         self.open += 1
@@ -433,8 +435,8 @@
         """A further client waits for the same answer: the request has its time too, and weighs more."""
         if request.reply is None:
             return
-        patience_us = max(0, timeout_us - TRANSIT_US)
         now_us = self.clock.now_us()
+        patience_us = max(0, min(timeout_us - TRANSIT_US, self.ends_us - now_us))
         self.give_until(request, now_us, max(request.deadline_us, now_us + patience_us))
         self.feed(RequestJoined(request.id, patience_us))
 
@@ -449,10 +451,22 @@
         """The rest of a body that was passed on as it came: its client's time counts from here."""
         if request.reply is None:
             return
-        patience_us = max(0, request.asked.timeout_us - TRANSIT_US)
         request.came_us = self.clock.now_us()
+        patience_us = max(0, min(request.asked.timeout_us - TRANSIT_US, self.ends_us - request.came_us))
         self.give_until(request, request.came_us, request.came_us + patience_us)
 
+    def end_within(self, seconds: float) -> None:
+        """The process is killed soon after: what is open has its answer by then, and so has what comes yet.
+
+        But for what is not whole yet, whose time has not begun.
+        """
+        now_us = self.clock.now_us()
+        self.ends_us = now_us + int(seconds * 1e6)
+        for request in self.requests.values():
+            timer = request.last_resort
+            if request.reply is not None and timer is not None and not timer.cancelled():
+                self.give_until(request, now_us, min(request.deadline_us, self.ends_us))
+
     def give_until(self, request: Request, now_us: int, deadline_us: int) -> None:
         """It is answered by then, at the last by `answer_at_last`."""
         if request.last_resort is not None:
@@ -512,6 +526,9 @@
     def close_account(self, request: Request) -> None:
         request.reply = None
         self.open -= 1
+        for exchange in request.attempts:
+            if exchange is not None:
+                exchange.unwanted = True  # also where the settings allow no cancelling: it was never sent
         if request.last_resort is not None:
             request.last_resort.cancel()
 
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -5,7 +5,6 @@
 import asyncio
 import errno
 import logging
-import select
 import ssl
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -16,6 +15,7 @@
 
 from rosedeal.gateway.budget import Budget, Reads
 from rosedeal.gateway.config import Address
+from rosedeal.gateway import ends
 from rosedeal.interface import Outcome, ServerStatus
 
 log = logging.getLogger(__name__)
@@ -67,7 +67,7 @@
 class Exchange:
     """One request to one host."""
 
-    __slots__ = ("_ended", "connection", "done", "payload", "timer", "written")
+    __slots__ = ("_ended", "connection", "done", "payload", "timer", "unwanted", "written")
 
     def __init__(self, payload: bytes, ended: Ended) -> None:
         self.payload = payload
@@ -76,6 +76,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # the last byte has left the process: from here on it may have run
         self.done = False
+        self.unwanted = False  # its request is over: nothing of it is sent any more
 
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         if self.done:
@@ -125,8 +126,9 @@
         exchange = self.exchange
         if exchange is None or exchange.done:
             self.abort()
-        elif not self.pool.may_send(self.host) or not self.pool.still(self.epoch):
-            # Guards against a drain, or other rules, that began while the connection was being made.
+        elif exchange.unwanted or not self.pool.may_send(self.host) or not self.pool.still(self.epoch):
+            # Guards against a drain, other rules, or the end of its request (its client has left, another
+            # attempt was answered), that came while the connection was being made.
             exchange.never_sent()
             self.abort()
         else:
@@ -161,11 +163,7 @@
 
         Guards against what came unasked since the last answer: it would pass for the answer to the next.
         """
-        if self.transport is None or self.transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return ends.is_quiet(self.transport)
 
 
 class HostConnection(PooledConnection, asyncio.Protocol):
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,385 @@
+"""Paths that end something, each with the crossing forced: what is owed in that instant is paid, and once."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rosedeal.gateway import crowd, downstream, ends
+from rosedeal.gateway.streams import HOLD
+from rosedeal.interface import AttemptEnded, Outcome, RequestArrived, RequestGone
+from tests.sockets import Client, Gateway, Host, ask, chunk, entry, gateway, news, run, settings
+from tests.test_gateway import hold_connects
+from tests.test_process import process
+
+CAPS: dict[str, object] = {"maxAttempts": 4}
+
+
+def nothing_left(it: Gateway) -> None:
+    """No request, id, attempt or place is held for anything that is over."""
+    assert not it.proxy.requests and it.proxy.open == 0 and not it.downstream.intake.open_ids
+    assert it.proxy.balancer.out == 0 and not it.proxy.balancer.requests
+    assert it.downstream.budget.used == 0
+    assert not any(c.exchange is not None for c in it.proxy.upstream.connections)
+
+
+def unread(it: Gateway) -> list[downstream.ClientConnection]:
+    """The loop is busy elsewhere: what clients send stands in their sockets."""
+    held = list(it.downstream.connections)
+    for connection in held:
+        assert connection.transport is not None
+        connection.transport.pause_reading()
+    return held
+
+
+async def until(true: Callable[[], bool]) -> None:
+    while not true():
+        await asyncio.sleep(0.001)
+
+
+async def settled(it: Gateway) -> None:
+    """All that has been begun is over."""
+    await until(lambda: not it.proxy.requests and not it.proxy.balancer.requests)
+
+
+# A client that has left while its request waited
+
+
+@pytest.mark.parametrize("klass", ["look", "pay", "buy"])
+@pytest.mark.parametrize("cancels", [True, False])
+@pytest.mark.parametrize("left", [True, False])
+def test_what_waits_for_a_connection_is_not_sent_once_its_request_is_over(
+    klass: str, cancels: bool, left: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Where the settings allow no cancelling it was sent on after its final answer: the lost rule."""
+
+    async def test() -> None:
+        async with gateway(settings=settings(mayCancel=cancels)) as it:
+            free = hold_connects(it, monkeypatch)
+            client = await it.client()
+            client.send(ask(klass))
+            await it.event(RequestArrived)
+            (request,) = it.proxy.requests.values()
+            if left:
+                client.writer.close()
+                await it.event(RequestGone)
+            else:
+                it.proxy.answer_at_last(request)
+                assert (await client.answer())[0] == 504
+            free.set()
+            ended = await it.event(AttemptEnded)
+            assert ended.outcome is (Outcome.CANCELLED if cancels else Outcome.MOOT)
+            await settled(it)
+            assert it.host.taken.empty()
+            nothing_left(it)
+
+    run(test())
+
+
+@pytest.mark.parametrize("body", [0, HOLD + 20_000])
+@pytest.mark.parametrize("reset", [True, False])
+def test_a_client_that_leaves_while_it_is_not_read_is_noticed(
+    body: int, reset: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its end stands behind a body that nobody takes yet, or behind requests sent ahead."""
+    monkeypatch.setattr(downstream, "SWEEP_S", 0.01)
+
+    async def test() -> None:
+        async with gateway() as it:
+            free = hold_connects(it, monkeypatch)
+            client = await it.client()
+            data = ask("buy", body=bytes(body))
+            client.send(data[:-20_000] if body else data + ask("buy"))
+            await it.event(RequestArrived)
+            (connection,) = it.downstream.connections
+            if body:
+                await until(lambda: connection.paused)
+                client.send(data[-20_000:])
+                await client.writer.drain()
+            if reset:
+                client.writer.transport.abort()
+            else:
+                client.writer.close()
+            await it.event(RequestGone)
+            free.set()
+            await settled(it)
+            await until(lambda: not it.downstream.connections)
+            assert it.host.taken.empty()
+            nothing_left(it)
+
+    run(test())
+
+
+def test_no_retry_for_a_client_whose_end_is_not_read_yet() -> None:
+    async def test() -> None:
+        async with gateway(hosts=2, settings=settings(**CAPS)) as it:
+            client = await it.client()
+            client.send(ask())
+            taken = await it.host.taken.get()
+            (connection,) = unread(it)
+            client.writer.close()
+            await until(lambda: ends.has_left(connection.transport))
+            taken.answer(500)
+            await it.event(RequestGone)
+            await settled(it)
+            assert it.host.taken.empty()
+            nothing_left(it)
+
+    run(test())
+
+
+@pytest.mark.parametrize("klass", ["look", "buy"])
+def test_no_attempt_follows_once_the_client_has_left(klass: str) -> None:
+    """Neither a retry, though the attempt before failed or was turned away, nor what stands behind it."""
+
+    async def test() -> None:
+        async with gateway(hosts=2, settings=settings(**CAPS, mayCancel=False)) as it:
+            client = await it.client()
+            client.send(ask(klass) + ask(klass))
+            taken = await it.host.taken.get()
+            client.writer.close()
+            await it.event(RequestGone)
+            taken.answer(503, Not_Started="1")
+            assert (await it.event(AttemptEnded)).outcome is Outcome.FULL
+            await settled(it)
+            assert it.host.taken.empty()
+            nothing_left(it)
+
+    run(test())
+
+
+# Closing a connection at rest against a request that has come
+
+
+async def by_time(it: Gateway) -> None:
+    for connection in list(it.downstream.connections):
+        connection.check_time(it.downstream.loop.time() + 60.0)
+
+
+async def by_crowd(it: Gateway) -> None:
+    it.downstream.make_room()
+
+
+async def by_rest(it: Gateway) -> None:
+    (connection,) = it.downstream.connections
+    it.downstream.most_resting = 0
+    it.downstream.rest(connection)
+
+
+async def by_drain_of_the_gateway(it: Gateway) -> None:
+    it.downstream.send_away(since_s=3.0)
+
+
+async def by_end(it: Gateway) -> None:
+    it.downstream.draining = True
+    ending = asyncio.get_running_loop().create_task(it.downstream.finish())
+    await asyncio.sleep(0)
+    assert not ending.done()
+
+
+CLOSES = [by_time, by_crowd, by_rest, by_drain_of_the_gateway, by_end]
+
+
+@pytest.mark.parametrize("close", CLOSES)
+@pytest.mark.parametrize("crossing", [True, False])
+def test_a_close_does_not_cross_a_request_that_has_come(close: Any, crossing: bool) -> None:
+    """The loop runs timers before it reads: the request stood in the socket, and its close reset it."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            await it.served(client)
+            (connection,) = unread(it)
+            if crossing:
+                client.send(ask())
+                await until(lambda: not ends.is_quiet(connection.transport))
+            await close(it)
+            assert connection.transport is not None
+            assert connection.transport.is_closing() is not crossing
+            if crossing:
+                connection.transport.resume_reading()
+                if close is by_drain_of_the_gateway:  # too late in it to be carried out
+                    assert (await client.answer())[0] == 503
+                else:
+                    (await it.host.taken.get()).answer()
+                    assert (await client.answer())[0] == 200
+            else:
+                assert await client.closed()
+
+    run(test())
+
+
+# The end of the process
+
+
+def test_connections_in_the_queue_are_taken_before_the_listener_closes() -> None:
+    """They were accepted by the machine: at the close they and their requests were reset."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            it.downstream.draining = True
+            assert it.downstream.socket is not None
+            address = it.downstream.socket.getsockname()
+            it.downstream.stop_listening()  # as with a loop that does not get round to it
+            waiting = []
+            for _ in range(3):
+                client = Client(*await asyncio.open_connection(*address))
+                client.send(ask())
+                waiting.append(client)
+            await it.downstream.take_last()
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection(*address)
+            for _ in waiting:
+                (await it.host.taken.get()).answer()
+            for client in waiting:
+                status, head, _ = await client.answer()
+                assert status == 200 and head["connection"] == "close"
+            await it.downstream.finish()
+
+    run(test())
+
+
+@pytest.mark.parametrize("early", [True, False])
+@pytest.mark.parametrize("klass", ["look", "buy"])
+def test_all_is_answered_before_the_process_may_be_killed(
+    klass: str, early: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """With a longer time than is left, at a host that hangs, it was found unanswered by SIGKILL."""
+    monkeypatch.setattr(crowd, "DEADLINE_MOST_S", 0.3)
+    monkeypatch.setattr(crowd, "KILLED_AFTER_S", 0.6)
+
+    async def test() -> None:
+        async with gateway() as it:
+            loop = asyncio.get_running_loop()
+            client = await it.client()
+            if early:
+                client.send(ask(klass))
+                await it.host.taken.get()
+            told = loop.time()
+            end = loop.create_task(it.downstream.drain())
+            await asyncio.sleep(0)
+            if not early:
+                client.send(ask(klass))
+                await it.host.taken.get()
+            request = next(iter(it.proxy.requests.values()))
+            left_s = (request.deadline_us - it.proxy.clock.now_us()) / 1e6
+            assert left_s <= crowd.killed_s(60.0) - crowd.LAST_ANSWER_S - (loop.time() - told) + 0.05
+            assert (await client.answer())[0] in ((503, 504) if klass == "look" else (502, 504))
+            await end
+            nothing_left(it)
+
+    run(test())
+
+
+def test_what_waits_behind_another_is_no_connection_at_rest() -> None:
+    """Between two requests read ahead none is in hand: the end closed the connection under the second."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask() + ask())
+            taken = await it.host.taken.get()
+            (connection,) = it.downstream.connections
+            it.downstream.half_sent_s = -1.0
+            finished = connection.finished
+
+            def crossed(incoming: Any) -> None:
+                finished(incoming)
+                assert connection.current is None and connection.waiting
+                end = it.downstream.finish()
+                end.send(None)  # as far as its first wait, in just this moment
+                end.close()
+
+            monkey = pytest.MonkeyPatch()
+            monkey.setattr(connection, "finished", crossed)
+            taken.answer()
+            assert (await client.answer())[0] == 200
+            monkey.undo()
+            (await it.host.taken.get()).answer()
+            assert (await client.answer())[0] == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_with_requests_in_every_state_loses_none(number: signal.Signals, tmp_path: Path) -> None:
+    async def test() -> None:
+        host = Host()
+        async with process(host, tmp_path) as (child, port):
+            clients = [Client(*await asyncio.open_connection("127.0.0.1", port)) for _ in range(5)]
+            held, ahead, half, kept, new = clients
+            kept.send(ask())
+            (await host.taken.get()).answer()
+            assert (await kept.answer())[0] == 200
+            held.send(ask())
+            first = await host.taken.get()
+            ahead.send(ask() + ask())
+            second = await host.taken.get()
+            rest = ask("buy", body=b"x" * 100)
+            half.send(rest[:-50])
+            child.send_signal(number)
+            kept.send(ask())
+            new.send(ask())
+            half.send(rest[-50:])
+            others = [await host.taken.get() for _ in range(3)]
+            for taken in (first, second, *others):
+                taken.answer()
+            (await host.taken.get()).answer()  # that stood behind another
+            for client in (*clients, ahead):
+                assert (await client.answer())[0] == 200
+            child.send_signal(signal.SIGTERM)
+            assert await child.wait() == 0
+
+    run(test())
+
+
+# A host that drains, between any two steps
+
+
+@pytest.mark.parametrize("how", ["leaving", "left", "moved"])
+def test_a_drain_that_is_told_between_the_choice_and_the_write(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with gateway(settings=settings(**CAPS)) as it:
+            _, watch = await it.registry.watches.get()
+            free = hold_connects(it, monkeypatch)
+            client = await it.client()
+            client.send(ask("buy"))
+            await it.event(RequestArrived)
+            change = entry("h0", "127.0.0.1:9") if how == "moved" else entry("h0", it.host.address, how)
+            host = next(iter(it.proxy.upstream.hosts.values()))
+            watch.write(chunk(news(change)))
+            await until(lambda: host.stop_at is not None)
+            free.set()
+            assert (await it.event(AttemptEnded)).outcome is Outcome.MOOT
+            assert (await client.answer())[0] == 503 and it.host.taken.empty()
+            await settled(it)
+            nothing_left(it)
+
+    run(test())
+
+
+def test_an_end_behind_data_is_told_apart_from_data() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            await until(lambda: bool(it.downstream.connections))
+            (connection,) = unread(it)
+            assert ends.is_quiet(connection.transport) and not ends.has_left(connection.transport)
+            client.send(b"G")
+            await until(lambda: not ends.is_quiet(connection.transport))
+            assert not ends.has_left(connection.transport)
+            client.writer.write_eof()
+            await until(lambda: ends.has_left(connection.transport))
+            client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)
+            connection.abort()
+            assert ends.has_left(connection.transport) and not ends.is_quiet(connection.transport)
+
+    run(test())
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -634,6 +634,7 @@
             idle = [await it.client() for _ in range(limit)]
             busy = await it.client()
             await it.served(busy)
+            await it.event(RequestArrived)  # used up: below each request is waited for
             ends = [asyncio.create_task(client.closed()) for client in idle]
             await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
             assert any(end.done() and end.result() for end in ends)
