Let connections to hosts rest 20 ms, and notice clients of HTTP that left while not read

A connection rests REST_S = 20 ms first (10 for the lateness, as much for the way); where no new one can be made, one that hardly rested is used. Closes of connections at rest cross no request that stands unread. - An attempt over HTTP/3 or one that waits for its copies is not sent once its request is over (no test of its own yet).

--- a/rosedeal/__main__.py
+++ b/rosedeal/__main__.py
@@ -2,22 +2,29 @@
 
 from __future__ import annotations
 
-import os
+import signal
 import sys
-from functools import partial
 
-from rosedeal.gateway.config import ConfigError, load_config, reload_config
-from rosedeal.gateway.run import log_to_stderr, run
+early: list[int] = []  # SIGHUPs that came before the gateway could heed them
 
 
 def main() -> int:
+    # Before all else, which takes its time: until somebody heeds it, the signal would end the process.
+    signal.signal(signal.SIGHUP, lambda number, frame: early.append(number))
+
+    import os
+    from functools import partial
+
+    from rosedeal.gateway.config import ConfigError, load_config, reload_config
+    from rosedeal.gateway.run import log_to_stderr, run
+
     log_to_stderr()
     try:
         config = load_config(os.environ)
     except ConfigError as error:
         print(f"rosedeal: {error}", file=sys.stderr)
         return 2
-    return run(config, partial(reload_config, os.environ))
+    return run(config, partial(reload_config, os.environ), hung_up=early)
 
 
 if __name__ == "__main__":
--- a/rosedeal/copies/guard.py
+++ b/rosedeal/copies/guard.py
@@ -480,7 +480,7 @@
         once = self.seat.once
         assert once is not None
         left_s = self.until - self.seat.loop.time()
-        if self.done or not may or left_s <= 0 or not self.upstream.still(self.epoch):
+        if self.done or self.unwanted or not may or left_s <= 0 or not self.upstream.still(self.epoch):
             if may:
                 once.attempt_over(False)
             if not self.done:
@@ -489,6 +489,11 @@
         self.sent = True
         self.inner = self.begin(left_s, Told(self))
 
+    def unwant(self) -> None:
+        super().unwant()
+        if self.inner is not None:
+            self.inner.unwant()
+
     def over(self, outcome: Outcome) -> None:
         once = self.seat.once
         if self.sent and once is not None:
--- a/rosedeal/gateway/discovery.py
+++ b/rosedeal/gateway/discovery.py
@@ -33,6 +33,7 @@
 # answers at once and at no cost. So the first call after a watch has ended is made at once, the next ones
 # more slowly.
 REOPEN_S, REOPEN_MOST_S = 0.02, 0.5
+FIRST_S = 0.2  # for an agent's first word, before the list as last held has to do
 SPOILT_MOST = 3  # answers in a row that cannot be read whole, after which what can be read has to do
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
@@ -249,6 +250,7 @@
         self.spoils = 0  # answers in a row that could not be read whole
         self.failures = 0  # of a pushed list: watches in a row that have ended with nothing said
         self.closed = False
+        self.current_at = 0.0  # loop time from which the list counts as that of now
 
     def start(self) -> None:
         """Begin with the list as last held; a pushed list comes without being asked for."""
@@ -256,6 +258,7 @@
         self.index = _index(known)
         self.news(parse_list({"endpoints": [], **known, "snapshot": True}, self.names, ListKind.DISK))
         if self.pushed:
+            self.current_at = self.loop.time() + FIRST_S
             self.watch(True)
 
     def watch(self, on: bool) -> None:
@@ -305,7 +308,7 @@
         news = parse_list(raw, self.names)
         whole = len(news.entries) == len(raw["endpoints"])
         if call.watch:
-            self.failures = 0
+            self.failures, self.current_at = 0, 0.0
         if call is self.current and (self.moving_until or self.fading is not None):
             self.moving_until = 0.0
             self.behind = False  # the answer begins where `index` stands
@@ -366,6 +369,15 @@
         if self.current is None and not self.closed:
             self.open_watch()
 
+    @property
+    def is_current(self) -> bool:
+        """Whether clients may be sent here: what a pushed list holds counts as told from the very start.
+
+        Guards against requests for a host that drained while this process was not there. An agent that says
+        nothing is not waited for.
+        """
+        return self.loop.time() >= self.current_at
+
     def describe(self) -> str:
         return "{}:{}, version {}".format(*self.address, self.index)
 
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -22,7 +22,7 @@
 from rosedeal.gateway.discovery import Discovery
 from rosedeal.gateway.roster import Roster
 from rosedeal.gateway.sources import PLATFORM, HostSource, News
-from rosedeal.gateway.upstream import Answer, Exchange, Upstream
+from rosedeal.gateway.upstream import REST_S, Answer, Exchange, Upstream
 from rosedeal.interface import (
     Action,
     AttemptEnded,
@@ -208,6 +208,7 @@
             idle_us=settings.idle_connection_us,
             drain_grace_us=settings.drain_grace_us,
             budget=Budget(total_of(config.memory_mb)),
+            rest_s=REST_S if not config.grows else 0.0,
         )
         self.roster = Roster()
         self.sources: dict[str, HostSource] = {}
@@ -308,7 +309,8 @@
 
     @property
     def ready(self) -> bool:
-        return bool(self.upstream.hosts) and (self.acting is None or self.acting() >= 0)
+        known = bool(self.upstream.hosts) and (self.discovery is None or self.discovery.is_current)
+        return known and (self.acting is None or self.acting() >= 0)
 
     # Events in, actions out
 
@@ -528,7 +530,7 @@
         self.open -= 1
         for exchange in request.attempts:
             if exchange is not None:
-                exchange.unwanted = True  # also where the settings allow no cancelling: it was never sent
+                exchange.unwant()  # also where the settings allow no cancelling: it was never sent
         if request.last_resort is not None:
             request.last_resort.cancel()
 
--- a/rosedeal/gateway/run.py
+++ b/rosedeal/gateway/run.py
@@ -82,14 +82,20 @@
 
 
 async def serve(
-    config: Config, read_again: ReadAgain, rooms: Sequence[Room] = (), observer: Observer | None = None
+    config: Config,
+    read_again: ReadAgain,
+    rooms: Sequence[Room] = (),
+    observer: Observer | None = None,
+    early: Sequence[int] = (),
 ) -> None:
-    """Run until told to end, and then until everything taken is answered."""
+    """Run until told to end, and then until everything taken is answered. `early`: SIGHUPs before it."""
     loop = asyncio.get_running_loop()
     told, hung_up = asyncio.Event(), asyncio.Event()
     for number in ENDING:
         loop.add_signal_handler(number, told.set)
     loop.add_signal_handler(signal.SIGHUP, hung_up.set)
+    if early:
+        hung_up.set()
     succession = succession_of(config, os.environ)
     will = await succession.inherit() if succession is not None else None
     proxy = Proxy(config if will is None else replace(config, known=will.known), loop, observer)
@@ -199,13 +205,17 @@
 
 
 def run(
-    config: Config, read_again: ReadAgain, rooms: Sequence[Room] = (), observer: Observer | None = None
+    config: Config,
+    read_again: ReadAgain,
+    rooms: Sequence[Room] = (),
+    observer: Observer | None = None,
+    hung_up: Sequence[int] = (),
 ) -> int:
-    """Serve until told to end; returns the exit code."""
+    """Serve until told to end; returns the exit code. `hung_up`: SIGHUPs that came while it started."""
     gc.freeze()  # what the imports made is never garbage
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, read_again, rooms, observer))
+            runner.run(serve(config, read_again, rooms, observer, hung_up))
     except OSError as error:
         why = error if error.errno is not None else error.strerror  # of our own there is no number
         print(f"rosedeal: cannot start: {why}", file=sys.stderr)
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -31,6 +31,10 @@
 # close: it would end as a reset, which may have run.
 IDLE_SHARE = 0.7
 IDLE_UNSTATED_S = 5.0
+# After an answer a connection rests before it is used again. Guards against a second answer that comes some
+# milliseconds late: on a connection taken again it would pass for the answer to the next request. Twice ten
+# milliseconds: for the lateness, and for how much later than the first it may be on its way.
+REST_S = 0.02
 CONNECT_UNSTATED_S = 1.0
 
 HostId = int
@@ -76,7 +80,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # the last byte has left the process: from here on it may have run
         self.done = False
-        self.unwanted = False  # its request is over: nothing of it is sent any more
+        self.unwanted = False
 
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         if self.done:
@@ -86,6 +90,10 @@
             self.timer.cancel()
         self._ended(outcome, answer)
 
+    def unwant(self) -> None:
+        """Its request is over: what has not been sent is not sent any more."""
+        self.unwanted = True
+
     def lost(self) -> None:
         """The connection has gone, or what came on it was no answer."""
         self.end(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
@@ -288,7 +296,9 @@
         idle_us: int,
         drain_grace_us: int,
         budget: Budget | None = None,
+        rest_s: float = 0.0,
     ) -> None:
+        """`rest_s`: seconds that a connection rests after an answer, before it is used again."""
         self.loop = loop
         self.budget = budget if budget is not None else Budget()
         self.reads = Reads(self.budget)
@@ -299,6 +309,7 @@
         self.connect_timeout_s = connect_timeout_us / 1e6 or CONNECT_UNSTATED_S
         self.idle_s = (idle_us / 1e6 or IDLE_UNSTATED_S) * IDLE_SHARE
         self.drain_grace_s = drain_grace_us / 1e6
+        self.rest_s = rest_s
         self.tls: ssl.SSLContext | None = None  # to all hosts; a certificate that does not fit: no connection
         self.tls_name: str | None = None  # whom certificates must name; None: the address
         self.authority: bytes | None = None  # PEM, for transports with a TLS of their own
@@ -359,14 +370,25 @@
             self.loop.call_soon(exchange.never_sent)
             return
         exchange.timer = self.loop.call_later(timeout_s, exchange.give_up, Outcome.TIMEOUT)
-        while host.idle:
-            connection = host.idle.pop()
+        while (connection := self.rested(host)) is not None:
+            host.idle.remove(connection)
             if type(connection) is kind and connection.is_quiet():
                 connection.write(exchange)
                 return
             connection.abort()
         self.connect(host, exchange, kind)
 
+    def rested(self, host: Host) -> PooledConnection | None:
+        """The connection to use again: of those that have rested, the one used last.
+
+        Where no new one can be made, one that has hardly rested is better than another host's that has to go.
+        """
+        rested_at = self.loop.time() - self.rest_s
+        for connection in reversed(host.idle):
+            if connection.idle_since <= rested_at:
+                return connection
+        return host.idle[0] if host.idle and not self.has_room() else None
+
     def connect(self, host: Host, exchange: Exchange, kind: type[PooledConnection]) -> None:
         if not self.has_room() and not self.close_oldest_idle():
             self.loop.call_soon(exchange.never_sent)
--- a/rosedeal/h3/back.py
+++ b/rosedeal/h3/back.py
@@ -249,9 +249,10 @@
         """Begin what may begin: the handshake is over, the box has room, and the host may be sent to."""
         while self.shaken and not self.gone and self.waiting and self.quic.streams_left > 0:
             each = self.waiting.pop(0)
-            if not self.boxes.upstream.may_send(self.host):
+            if each.unwanted or not self.boxes.upstream.may_send(self.host):
                 each.link = None
-                each.never_sent()  # guards against a drain that began while it waited
+                # Guards against a drain, or the end of its request, that came while it waited.
+                each.never_sent()
                 continue
             each.stream = self.quic.get_next_available_stream_id()
             self.tries[each.stream] = each
--- a/rosedeal/web/door.py
+++ b/rosedeal/web/door.py
@@ -18,7 +18,7 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
-SWEEP_S = 0.5
+SWEEP_S = 0.2  # a client that is not read and has left is noticed so soon
 RESTING_SHARE = 0.5  # of the connections: so many of them between requests
 STALLED_S = 5.0  # a client that has taken or sent nothing for so long gives way when connections are short
 TURNED_AWAY = 32  # connections over the limit that are told 503
@@ -146,7 +146,8 @@
         if len(self.resting) > self.plan.limits.connections * RESTING_SHARE:
             oldest = next(iter(self.resting))
             del self.resting[oldest]
-            oldest.close()
+            if oldest.may_close:
+                oldest.close()
 
     def sweep(self) -> None:
         now = self.loop.time()
@@ -165,7 +166,7 @@
         while self.connections:
             late = self.loop.time() > until
             for connection in list(self.connections):
-                if connection.idle:
+                if connection.idle and (connection.may_close or late):
                     connection.close()
                 elif late:
                     connection.reset()
--- a/rosedeal/web/front.py
+++ b/rosedeal/web/front.py
@@ -18,6 +18,7 @@
 
 import httptools
 
+from rosedeal.gateway import ends
 from rosedeal.gateway.downstream import LINGER_S
 from rosedeal.gateway.downward import REASONS, Downward, Written
 from rosedeal.gateway.intake import HEAD_LIMIT
@@ -408,6 +409,21 @@
             self.upload_paused = self.blocked = False
             self.check_flow()
 
+    @property
+    def may_close(self) -> bool:
+        """Whether a close crosses nothing that the client has sent, as far as it has come."""
+        return self.closing or ends.is_quiet(self.transport)
+
+    def notice_end(self) -> bool:
+        """Whether the client has gone, as its socket tells where it is not read: nothing more is sent on."""
+        if not self.paused or self.tunnel or not ends.has_left(self.transport):
+            return False
+        self.closing = True
+        self.waiting.clear()
+        self.abandon()
+        self.abort()
+        return True
+
     def close(self) -> None:
         """Closed once what has been written is sent; a client that takes nothing is cut by `check_time`."""
         self.closing = True
@@ -438,6 +454,8 @@
         self.abort()
 
     def check_time(self, now: float) -> None:
+        if self.notice_end():
+            return
         limits, current = self.door.limits, self.current
         unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
         if unsent < self.unsent:
@@ -459,7 +477,11 @@
             if quiet_s > limits.between_s or now - self.incoming.began_at > limits.body_s:
                 self.lose_framing(plain(408, "the rest of the body has not come"))
                 self.next()
-        elif self.idle and now - self.since > (limits.idle_s if self.asked else limits.head_s):
+        elif (
+            self.idle
+            and now - self.since > (limits.idle_s if self.asked else limits.head_s)
+            and self.may_close
+        ):
             self.close()
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,20 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
 import signal
 import socket
+import sys
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from rosedeal.gateway import crowd, downstream, ends
+from rosedeal.gateway import crowd, discovery, downstream, ends
 from rosedeal.gateway.streams import HOLD
 from rosedeal.interface import AttemptEnded, Outcome, RequestArrived, RequestGone
-from tests.sockets import Client, Gateway, Host, ask, chunk, entry, gateway, news, run, settings
+from tests.sockets import (
+    Client,
+    Gateway,
+    Host,
+    ask,
+    chunk,
+    configuration,
+    entry,
+    gateway,
+    news,
+    run,
+    settings,
+)
 from tests.test_gateway import hold_connects
-from tests.test_process import process
+from tests.test_process import logged, process
 
 CAPS: dict[str, object] = {"maxAttempts": 4}
 
@@ -383,3 +398,105 @@
             assert ends.has_left(connection.transport) and not ends.is_quiet(connection.transport)
 
     run(test())
+
+
+# A host's second answer, some milliseconds late
+
+
+@pytest.mark.parametrize("taken_again", [True, False])
+def test_a_late_second_answer_is_no_answer_to_the_next_request(taken_again: bool) -> None:
+    """On a connection that was taken again at once it was served to another client."""
+
+    async def test() -> None:
+        async with gateway(rest_s=60.0) as it:
+            client = await it.client()
+            client.send(ask())
+            first = await it.host.taken.get()
+            first.answer(body=b"first")
+            assert (await client.answer())[2] == b"first"
+            if not taken_again:
+                first.answer(body=b"first")
+                await it.host.left.get()
+                assert not it.proxy.upstream.connections
+            client.send(ask("buy"))
+            second = await it.host.taken.get()
+            if taken_again:
+                first.answer(body=b"first")
+                await it.host.left.get()
+            second.answer(body=b"second")
+            assert (await client.answer())[2] == b"second" and it.host.connections == 2
+            (connection,) = it.proxy.upstream.connections
+            it.proxy.upstream.rest_s = 0.0
+            await it.served(client)
+            assert list(it.proxy.upstream.connections) == [connection]
+            nothing_left(it)
+
+    run(test())
+
+
+def test_with_no_room_for_a_new_connection_one_that_hardly_rested_is_used() -> None:
+    async def test() -> None:
+        async with gateway(rest_s=60.0) as it:
+            client = await it.client()
+            await it.served(client)
+            it.proxy.upstream.limit = 1
+            await it.served(client)
+            assert it.host.connections == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("says", [True, False])
+def test_a_gateway_with_a_pushed_list_is_ready_once_it_has_that_of_now(
+    says: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It counts as told from the first moment of a process, which begins with an older one."""
+    monkeypatch.setattr(discovery, "FIRST_S", 60.0)
+
+    async def test() -> None:
+        async with gateway(settings={**settings(), "membershipMode": "pushed"}) as it:
+            _, watch = await it.registry.watches.get()
+            client = await it.client()
+            ready = b"GET /health/ready HTTP/1.1\r\n\r\n"
+            assert (await client.ask(ready))[0] == 503
+            assert it.proxy.discovery is not None
+            if says:
+                watch.write(chunk(news(index=8)))
+                await until(lambda: it.proxy.discovery is not None and it.proxy.discovery.index == 8)
+            else:
+                it.proxy.discovery.current_at = it.proxy.loop.time()  # it was waited for long enough
+            assert (await client.ask(ready))[0] == 200
+
+    run(test())
+
+
+def test_a_sighup_while_the_process_starts_is_heeded_and_ends_nothing(tmp_path: Path) -> None:
+    """Until the loop heeded it, the signal ended the process."""
+
+    async def test() -> None:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration({}, "127.0.0.1:1")))
+        code = (
+            "import os, signal, rosedeal.__main__ as m\n"
+            "import rosedeal.gateway.config as c\n"
+            "load = c.load_config\n"
+            "def held(environ):\n"
+            "    config = load(environ)\n"
+            "    c.load_config = load\n"
+            "    os.kill(os.getpid(), signal.SIGHUP)\n"
+            "    return config\n"
+            "c.load_config = held\n"
+            "raise SystemExit(m.main())\n"
+        )
+        child = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            code,
+            env={**os.environ, "ROUTER_CONFIG": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        await logged(child, b"the configuration was read again")
+        child.send_signal(signal.SIGTERM)
+        assert await child.wait() == 0
+
+    run(test())
--- /dev/null
+++ b/tests/web/test_endings.py
@@ -0,0 +1,103 @@
+"""Clients of ordinary HTTP that have left while their request waited, and closes that cross a request."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rosedeal.gateway import ends
+from rosedeal.gateway.streams import HOLD
+from rosedeal.web.front import Front
+from tests.sockets import run
+from tests.test_endings import until
+from tests.web.harness import Site, request, site
+
+
+def hold_connects(it: Site, monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
+    """Connections to boxes come up only once the event is set."""
+    loop, free = asyncio.get_running_loop(), asyncio.Event()
+    connect = loop.create_connection
+    boxes = [app.address for app in it.apps]
+
+    async def held(protocol: Any, host: str, port: int, **kwargs: Any) -> Any:
+        if f"{host}:{port}" in boxes:
+            await free.wait()
+        return await connect(protocol, host, port, **kwargs)
+
+    monkeypatch.setattr(loop, "create_connection", held)
+    return free
+
+
+def front_of(it: Site) -> Front:
+    assert it.web.door is not None
+    (front,) = it.web.door.connections
+    return front
+
+
+@pytest.mark.parametrize("cancels", ["true", "false"])
+@pytest.mark.parametrize("waits", ["connection", "body", "pipelined"])
+def test_nothing_is_sent_of_a_client_that_has_left(
+    waits: str, cancels: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Behind a body that nobody takes, or a request in hand, its end was not read."""
+
+    async def test() -> None:
+        async with site(tmp_path, fleet=f"cancels = {cancels}\n") as it:
+            free = hold_connects(it, monkeypatch)
+            client = await it.client()
+            body = bytes(HOLD + 50_000) if waits == "body" else b"x"
+            data = request("POST", "/echo", body)
+            client.send(data[: HOLD + 10_000])
+            await until(lambda: bool(it.proxy.requests))
+            front = front_of(it)
+            if waits == "pipelined":
+                client.send(data)
+            if waits != "connection":
+                await until(lambda: front.paused)
+            client.send(data[HOLD + 10_000 :])
+            await client.writer.drain()
+            client.writer.close()
+            await until(lambda: it.proxy.open == 0)
+            free.set()
+            await until(lambda: not it.proxy.requests and not it.proxy.balancer.requests)
+            assert it.runs() == 0 and not front.waiting and front.current is None
+            assert it.web.door is not None
+            await until(lambda: it.web.door is not None and not it.web.door.connections)
+            assert it.proxy.balancer.out == 0 and it.proxy.upstream.budget.used == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("close", ["time", "rest", "end"])
+def test_a_close_does_not_cross_a_request_that_has_come(close: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            client = await it.client()
+            assert (await client.ask(request("GET")))[0] == 200
+            front, door = front_of(it), it.web.door
+            assert front.transport is not None and door is not None
+            front.transport.pause_reading()  # the loop is busy elsewhere
+            client.send(request("GET"))
+            await until(lambda: not ends.is_quiet(front.transport))
+            ending = None
+            if close == "time":
+                front.check_time(front.since + 1e6)
+            elif close == "rest":
+                for _ in range(door.plan.limits.connections):
+                    door.resting[Front(door)] = None
+                door.rest(front)
+            else:
+                door.draining = True
+                ending = asyncio.create_task(door.drain())
+                await until(lambda: door.listener is not None and not door.listener.is_serving())
+                await asyncio.sleep(0)
+            assert not front.transport.is_closing()
+            front.transport.resume_reading()
+            assert (await client.answer())[0] == 200
+            if ending is not None:
+                await ending
+
+    run(test())
