--- a/tests/h3/test_boxes.py
+++ b/tests/h3/test_boxes.py
@@ -29,7 +29,12 @@
 
 @asynccontextmanager
 async def boxes3(
-    folder: Path, count: int = 1, both: bool = False, answer: str = "20s", apps: int = 0
+    folder: Path,
+    count: int = 1,
+    both: bool = False,
+    answer: str = "20s",
+    apps: int = 0,
+    cancels: str = "true",
 ) -> AsyncIterator[tuple[Site, list[Box3]]]:
     """`count` boxes over HTTP/3, and `apps` over HTTP/1.1 with TLS, in one pool."""
     authority = Authority(folder)
@@ -47,7 +52,7 @@
 
         tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
         tls.load_cert_chain(*pair)
-    fleet = f'http3 = true\nca = "{authority.path}"\n'
+    fleet = f'http3 = true\ncancels = {cancels}\nca = "{authority.path}"\n'
     async with site(folder, boxes=apps, routes=routes, fleet=fleet, tls=tls) as it:
         yield it, boxes
     for box in boxes:
@@ -180,6 +185,36 @@
     run(test(), 60)
 
 
+@pytest.mark.parametrize("cancels", ["true", "false"])
+def test_what_waits_for_a_handshake_is_not_sent_once_its_client_has_left(
+    cancels: str, tmp_path: Path
+) -> None:
+    async def test() -> None:
+        async with boxes3(tmp_path, cancels=cancels) as (it, (hidden,)):
+            it.proxy.upstream.connect_timeout_s = 30.0
+            relay = UdpRelay(("127.0.0.1", hidden.port), seed=1)
+            relay.out.black_hole = True
+            await relay.start()
+            text = it.setup.path.read_text()
+            await it.reload(text.replace(hidden.address, f"127.0.0.1:{relay.address[1]}"))
+            left, stays = await it.client(), await it.client()
+            left.send(request("POST", "/upload", b"left"))
+            stays.send(request("POST", "/upload", b"stays"))
+            while it.proxy.open < 2:
+                await asyncio.sleep(0.001)
+            left.writer.close()
+            while it.proxy.open == 2:
+                await asyncio.sleep(0.001)
+            relay.out.black_hole = False
+            assert (await stays.answer())[0] == 200
+            while it.proxy.requests:
+                await asyncio.sleep(0.001)
+            assert len(hidden.runs) == 1 and it.proxy.balancer.out == 0
+            relay.stop()
+
+    run(test(), 60)
+
+
 def test_a_box_that_is_silent_on_one_stream_serves_the_others_on_the_same_connection(tmp_path: Path) -> None:
     async def test() -> None:
         async with boxes3(tmp_path, answer="1s") as (it, (box,)):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -10,12 +10,16 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from rosedeal.copies.guard import Held
 from rosedeal.gateway import crowd, discovery, downstream, ends
+from rosedeal.gateway.proxy import Books
 from rosedeal.gateway.streams import HOLD
+from rosedeal.gateway.upstream import Upstream
 from rosedeal.interface import AttemptEnded, Outcome, RequestArrived, RequestGone
 from tests.sockets import (
     Client,
@@ -500,3 +504,140 @@
         assert await child.wait() == 0
 
     run(test())
+
+
+# A request that must not run twice, and times that cross an answer
+
+WHOLE = b"HTTP/1.1 200 Any\r\nContent-Length: 4\r\n\r\n"
+# What the host does once it has the whole request, whether it may have run, and so whether another is asked.
+ENDS: list[tuple[str, bytes, bool, bool]] = [
+    ("turned away", b"HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", False, True),
+    ("turned away and closed", b"HTTP/1.1 504 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", True, True),
+    ("failed", b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", False, False),
+    ("said nothing, closed", b"", True, False),
+    ("cut in its head", b"HTTP/1.1 200 An", True, False),
+    ("cut behind its head", WHOLE, True, False),
+    ("cut in its body", WHOLE + b"ab", True, False),
+    ("turned away, without its word", b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", False, False),
+    ("noise", b"\0\1\2\r\n\r\n", False, False),
+]
+
+
+@pytest.mark.parametrize("reset", [True, False])
+@pytest.mark.parametrize(("says", "closes", "again"), [end[1:] for end in ENDS], ids=[e[0] for e in ENDS])
+def test_what_must_not_run_twice_is_sent_again_only_where_it_never_ran(
+    says: bytes, closes: bool, again: bool, reset: bool
+) -> None:
+    async def test() -> None:
+        async with gateway(hosts=3, settings=settings(**CAPS, secondCopies=True)) as it:
+            client = await it.client()
+            client.send(ask("buy", body=b"x" * 100))
+            taken = await it.host.taken.get()
+            assert it.proxy.balancer.out == 1
+            taken.raw(says)
+            if closes:
+                await taken.writer.drain()
+                if reset:
+                    taken.writer.transport.abort()
+                else:
+                    taken.writer.close()
+            if again:
+                second = await it.host.taken.get()
+                assert second.head["request-id"] == taken.head["request-id"] and it.proxy.balancer.out == 1
+                second.answer()
+                assert (await client.answer())[0] == 200
+            else:
+                assert (await client.answer())[0] == 502
+            await settled(it)
+            assert it.host.taken.empty()
+            nothing_left(it)
+
+    run(test())
+
+
+@pytest.mark.parametrize("klass", ["look", "buy"])
+@pytest.mark.parametrize("order", ["answer first", "time first", "time over a reused connection"])
+def test_a_time_out_that_crosses_its_answer(klass: str, order: str) -> None:
+    """One final answer in both orders, and no timer of something over fires into what came after it."""
+
+    async def test() -> None:
+        async with gateway(settings=settings(maxAttempts=1)) as it:
+            client = await it.client()
+            client.send(ask(klass))
+            taken = await it.host.taken.get()
+            (connection,) = it.proxy.upstream.connections
+            exchange = connection.exchange
+            assert exchange is not None and connection.transport is not None
+            if order == "time first":
+                connection.transport.pause_reading()  # the answer has come, and the loop sees the time first
+                taken.answer()
+                await until(lambda: not ends.is_quiet(connection.transport))
+                exchange.give_up(Outcome.TIMEOUT)
+                assert (await client.answer())[0] == (503 if klass == "look" else 502)
+                await it.host.left.get()
+            else:
+                taken.answer()
+                assert (await client.answer())[0] == 200
+                if order == "answer first":
+                    exchange.give_up(Outcome.TIMEOUT)
+            client.send(ask(klass))
+            again = await it.host.taken.get()
+            if order == "time over a reused connection":
+                assert list(it.proxy.upstream.connections) == [connection]
+                exchange.give_up(Outcome.TIMEOUT)  # of the first: it is over
+            again.answer(body=b"mine")
+            assert (await client.answer())[::2] == (200, b"mine")
+            await settled(it)
+            nothing_left(it)
+
+    run(test())
+
+
+@pytest.mark.parametrize("reset", [True, False])
+def test_an_answer_and_the_end_of_its_connection_in_one_read(reset: bool) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask("buy"))
+            taken = await it.host.taken.get()
+            (connection,) = it.proxy.upstream.connections
+            assert connection.transport is not None
+            connection.transport.pause_reading()
+            taken.answer(body=b"whole")
+            await taken.writer.drain()
+            if reset:
+                taken.writer.transport.abort()
+            else:
+                taken.writer.close()
+            await until(lambda: ends.has_left(connection.transport))
+            connection.transport.resume_reading()
+            assert (await client.answer())[::2] == (200, b"whole")
+            await settled(it)
+            assert not it.proxy.upstream.connections
+            nothing_left(it)
+
+    run(test())
+
+
+def test_an_attempt_that_waits_for_its_copies_is_not_sent_once_its_request_is_over() -> None:
+    async def test() -> None:
+        told: list[Outcome] = []
+        over: list[bool] = []
+        upstream = Upstream(
+            asyncio.get_running_loop(), connections=1, connect_timeout_us=0, idle_us=0, drain_grace_us=0
+        )
+        seat = SimpleNamespace(
+            loop=upstream.loop, once=SimpleNamespace(attempt_over=over.append, launch=lambda *_: None)
+        )
+        books = SimpleNamespace(ended=lambda outcome, answer: told.append(outcome))
+        begun: list[float] = []
+
+        def begin(left_s: float, told: Books) -> Any:
+            begun.append(left_s)
+
+        held = Held(seat, upstream, 9.0, books, begin)  # type: ignore[arg-type]
+        held.unwant()
+        held.go(True)
+        assert told == [Outcome.MOOT] and over == [False] and not begun
+
+    run(test())
