Let versions go on after a spoilt line though the watch that asks for it again ends

Read again: Discovery.behind stayed set where the watch opened for a spoilt line ended with nothing said, and no version was noted any more: each later watch was told all again. It is gone: a watch that spoke badly is heard out and its versions do not count, which says the same. A new service whose first word cannot be read is asked again. Both tests seen failing before.

--- a/rosedeal/gateway/discovery.py
+++ b/rosedeal/gateway/discovery.py
@@ -246,7 +246,6 @@
         self.fading: Call | None = None  # the watch on the service before, until the new one has answered
         self.moving_until = 0.0  # loop time; 0 once the new service has answered
         self.fetches: set[Call] = set()
-        self.behind = False  # something was said that could not be read: `index` stands before it
         self.spoils = 0  # answers in a row that could not be read whole
         self.failures = 0  # of a pushed list: watches in a row that have ended with nothing said
         self.closed = False
@@ -311,14 +310,13 @@
             self.failures, self.current_at = 0, 0.0
         if call is self.current and (self.moving_until or self.fading is not None):
             self.moving_until = 0.0
-            self.behind = False  # the answer begins where `index` stands
             if self.fading is not None:
                 self.fading.end()
                 self.fading = None
         self.fetches = {call for call in self.fetches if not call.over}
         if whole and call is self.current:
             self.spoils = 0
-        if call is not self.fading and not self.behind and (whole or self.spoils >= SPOILT_MOST):
+        if call is not self.fading and (whole or self.spoils >= SPOILT_MOST):
             self.index = _index(raw)
         self.news(news)
         if not whole:
@@ -330,10 +328,12 @@
         Guards against news that the number of the next version would hide: it would never be told again.
         A second time the whole list is asked for; what still cannot be read then is left to `SPOILT_MOST`.
         """
-        if call is not self.current or self.spoils >= SPOILT_MOST or self.moving_until:
+        if call is not self.current or self.spoils >= SPOILT_MOST:
+            return
+        if self.moving_until:
+            call.fail("what a new service said first could not be read")  # it is asked again soon
             return
         self.spoils += 1
-        self.behind = True
         if self.spoils > 1:
             self.index = 0
         if self.fading is not None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -403,3 +403,46 @@
             second.stop()
 
     run(test())
+
+
+def test_after_a_spoilt_line_the_versions_go_on_though_the_next_watch_ends() -> None:
+    """The version stood still for ever: each later watch was told all again."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk("no json\n"))
+            _, again = await it.registry.watches.get()
+            again.close()
+            assert await told(it) == (ListKind.ERROR, [])
+            first, third = await it.registry.watches.get()
+            assert "index=7" in first
+            third.write(chunk(news(index=50)))
+            assert await told(it) == (ListKind.DELTA, [])
+            third.close()
+            assert await told(it) == (ListKind.ERROR, [])
+            assert "index=50" in (await it.registry.watches.get())[0]
+
+    run(test())
+
+
+def test_a_new_service_whose_first_word_is_spoilt_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "SILENCE_S", 3600.0)
+
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            await it.registry.watches.get()
+            second = Registry()
+            await second.start()
+            it.proxy.take_over(replace(it.proxy.filed, discovery=parse_address(second.address)))
+            _, new = await second.watches.get()
+            new.write(chunk("no json\n"))
+            first, new = await second.watches.get()
+            assert "index=0" in first
+            new.write(chunk(news(entry("h1", it.host.address))))
+            assert await told(it) == (ListKind.DELTA, ["h1 ready"])  # and no error in between
+            second.stop()
+
+    run(test())
