Hold only the first word of a new service to its shorter time

Read again: the timer of silence was set before what had come was read, so that after a move the first answer still set 1.5 s, less than the 2 s between two signs of life: each move made one call too many (Call.data_received). Seen in a test that passed without its mend; now both fail without theirs.

--- a/rosedeal/gateway/discovery.py
+++ b/rosedeal/gateway/discovery.py
@@ -149,11 +149,12 @@
         self.fail("silent for too long")
 
     def data_received(self, data: bytes) -> None:
-        self.heard()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             self.fail(f"malformed answer: {error}")
+        if not self.over:
+            self.heard()  # by what it has just said: a new service's first word has a time of its own
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.fail("connection lost")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -388,6 +388,7 @@
     """What it has counts as told 4 s after the move."""
     assert discovery.MOVE_ANSWER_S * 2 + discovery.MOVE_RETRY_S < 4.0
     monkeypatch.setattr(discovery, "MOVE_ANSWER_S", 0.05)
+    monkeypatch.setattr(discovery, "SILENCE_S", 3600.0)
 
     async def test() -> None:
         async with gateway() as it:
@@ -400,6 +401,10 @@
             _, new = await second.watches.get()
             new.write(chunk(news(entry("h1", it.host.address))))
             assert await told(it) == (ListKind.DELTA, ["h1 ready"])  # and no error in between
+            await asyncio.sleep(0)
+            call = it.proxy.discovery.current if it.proxy.discovery is not None else None
+            assert call is not None and call.silence is not None
+            assert call.silence.when() - it.proxy.loop.time() > 60.0  # the first word's time is over
             second.stop()
 
     run(test())
@@ -429,6 +434,7 @@
 
 def test_a_new_service_whose_first_word_is_spoilt_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "SILENCE_S", 3600.0)
+    monkeypatch.setattr(discovery, "MOVE_ANSWER_S", 3600.0)
 
     async def test() -> None:
         async with gateway() as it:
