Play a client that leaves while one process of a gateway hands over to the next

Real processes: its request was turned away by its host after it had left; neither process sent it on, and the old one ended without waiting. Beside it one that stays, and has its second attempt and its answer.

--- a/tests/staffed/test_succession.py
+++ b/tests/staffed/test_succession.py
@@ -36,6 +36,7 @@
         self.at: list[float] = []
         self.go = asyncio.Event()
         self.go.set()
+        self.says = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
@@ -43,7 +44,7 @@
             self.ran[head["request-id"]] += 1
             self.at.append(asyncio.get_running_loop().time())
             await self.go.wait()
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            writer.write(self.says)
 
 
 @dataclass
@@ -223,6 +224,40 @@
     run(test())
 
 
+@pytest.mark.parametrize("leaves", [True, False])
+def test_a_client_that_leaves_in_a_hand_over_is_sent_on_by_neither_process(
+    leaves: bool, tmp_path: Path
+) -> None:
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            raw = json.loads(it.path.read_text())
+            raw["settings"]["caps"]["mayCancel"] = False
+            it.path.write_text(json.dumps(raw))
+            old, _ = await it.start()
+            client = await it.client()
+            for box in it.boxes:
+                box.go.clear()
+                box.says = b"HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+            client.send(ask("buy"))
+            while not any(box.at for box in it.boxes):
+                await asyncio.sleep(0.005)
+            _, address = await it.start()
+            old.send_signal(signal.SIGTERM)
+            assert (await call(address, b"PING\n")).startswith(b"ok ")
+            if leaves:
+                client.writer.close()
+                # The old process ends once nobody is owed anything: it has seen the end.
+                assert await old.wait() == 0
+            for box in it.boxes:
+                box.go.set()
+            if not leaves:
+                assert (await client.answer())[0] == 503
+                assert await old.wait() == 0
+            assert sum(len(box.at) for box in it.boxes) == (1 if leaves else 2)
+
+    run(test())
+
+
 def test_calls_reach_both_processes_while_both_live(tmp_path: Path) -> None:
     """Also a drain of the gateway, and a call to the old one once the new one serves."""
 
