--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -501,9 +501,14 @@
             env={**os.environ, "ROUTER_CONFIG": str(path)},
             stderr=asyncio.subprocess.PIPE,
         )
-        await logged(child, b"the configuration was read again")
-        child.send_signal(signal.SIGTERM)
-        assert await child.wait() == 0
+        try:
+            await logged(child, b"the configuration was read again")
+            child.send_signal(signal.SIGTERM)
+            assert await child.wait() == 0
+        finally:
+            if child.returncode is None:
+                child.kill()
+                await child.wait()
 
     run(test())
 
