--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -35,8 +35,8 @@
 IDLE_UNSTATED_S = 5.0
 # After an answer a connection rests before it is used again. Guards against a second answer that comes some
 # milliseconds late: on a connection taken again it would pass for the answer to the next request. Ten
-# milliseconds: for the lateness, and for how much longer than the first it may be on its way. Not more, as each
-# that rests is one that a busy host has to be connected to anew.
+# milliseconds: for the lateness, and for how much longer than the first it may be on its way. Not more, as
+# each that rests is one that a busy host has to be connected to anew.
 REST_S = 0.01
 CONNECT_UNSTATED_S = 1.0
 
