Let no connection give way that is owed an answer, or has not taken all of one

Seen in a review of what is evicted, then in tests: in a crowd the first connection to go was one with a request at a host, if that was its last ("Connection: close", HTTP/1.0): `crowd.standing` asked whether more is read before it asked whether an answer is owed, against its own first rule. And one whose answer was written but had not left the process counted as at rest: `make_room` aborts, and the rest was dropped. Both are the lost rule. `Door.make_room` (ordinary HTTP) reset a resting connection the same way, also under a request that had come, and took one for stalled whose second request was half read while a box kept the first waiting.

What is owed or unsent now comes before all else; unsent gives way only for memory, and only if nothing was taken for STALLED_S. `has_stalled` asks whose turn it is. Lingering counts as closable only where nothing is unread (`may_close`). The property in tests/staffed/test_crowd.py stated the fault (closing before owed): it now states the rule for all eight combinations.

Five new tests; each is red without its lines (crowd.py's order, `unsent`, door.py as before, front.py as before). Ruled out: close() of a resting one, which sends what is held first; streams, which stay `current`.

--- a/rosedeal/gateway/crowd.py
+++ b/rosedeal/gateway/crowd.py
@@ -2,7 +2,8 @@
 
 The rules, stated once:
 
-1. A connection that is owed an answer never gives way.
+1. A connection that is owed an answer never gives way, whether or not more will come on it, and none that has
+   not taken all of its answer; but for where memory is short, and nothing of that is taken any more.
 2. Else the one that has shown least goes first, by `Standing`; among equals the one that has shown nothing
    more for the longest time.
 3. Clients may have what hosts do not use, and hosts what clients do not; LEAST_SHARE of the descriptors for
@@ -43,13 +44,27 @@
 
 
 def standing(
-    now: float, *, closing: bool, owed: bool, asked: int, reading: bool, since: float, progress_at: float
+    now: float,
+    *,
+    closing: bool,
+    owed: bool,
+    asked: int,
+    reading: bool,
+    since: float,
+    progress_at: float,
+    unsent: bool = False,
+    for_memory: bool = False,
 ) -> Standing:
-    """`asked`: requests so far; `since`: accept, last answer or first byte; `progress_at`: last byte."""
-    if closing:
-        return Standing.CLOSING
+    """`asked`: requests so far; `since`: accept, last answer or first byte; `progress_at`: last byte.
+
+    `unsent`: part of its answer has not left the process. `for_memory`: that is what is short.
+    """
     if owed:
         return Standing.OWED
+    if unsent:
+        return Standing.STALLED if for_memory and now - progress_at > STALLED_S else Standing.OWED
+    if closing:
+        return Standing.CLOSING
     if reading:
         return Standing.STALLED if now - progress_at > STALLED_S else Standing.ASKING
     if asked:
--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -614,8 +614,12 @@
 
     @property
     def may_close(self) -> bool:
-        """Whether a close crosses nothing that the client has sent, as far as it has come."""
-        return self.closing or ends.is_quiet(self.transport)
+        """Whether a close crosses nothing that the client has sent, as far as it has come.
+
+        Also where all of that is dropped: the reset would take the last answer with it.
+        """
+        transport = self.transport
+        return transport is None or transport.is_closing() or ends.is_quiet(transport)
 
     def may_be_given(self) -> bool:
         """Whether nothing of it is in this process: no part of a request, and no answer unsent."""
@@ -633,7 +637,7 @@
         self.closing = True
         self.abort()
 
-    def standing(self, now: float) -> crowd.Standing:
+    def standing(self, now: float, for_memory: bool = False) -> crowd.Standing:
         """What it has shown. Guards against floods: who has shown least gives way."""
         return crowd.standing(
             now,
@@ -643,6 +647,8 @@
             reading=self.reading,
             since=self.since,
             progress_at=self.progress_at,
+            unsent=self.transport is not None and self.transport.get_write_buffer_size() > 0,
+            for_memory=for_memory,
         )
 
     def send_away(self, now: float) -> None:
@@ -767,10 +773,10 @@
             connection.write(answer_bytes(refused("too many connections"), True, False))
             connection.close()
 
-    def make_room(self, up_to: crowd.Standing = crowd.Standing.ASKING) -> bool:
+    def make_room(self, up_to: crowd.Standing = crowd.Standing.ASKING, for_memory: bool = False) -> bool:
         """Close the connection that is missed least, if one has shown no more than this."""
         now = self.loop.time()
-        shown = ((c.standing(now), c.progress_at, n, c) for n, c in enumerate(self.connections))
+        shown = ((c.standing(now, for_memory), c.progress_at, n, c) for n, c in enumerate(self.connections))
         for standing, _, _, connection in heapq.nsmallest(LOOKED_AT, shown):
             if standing > up_to:
                 break
@@ -786,7 +792,7 @@
         while excess > 0 and self.make_room(crowd.Standing.NEW):
             excess -= 1
         if self.budget.used > self.budget.total:
-            self.make_room(crowd.Standing.STALLED)
+            self.make_room(crowd.Standing.STALLED, for_memory=True)
 
     def drop(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
--- a/rosedeal/web/door.py
+++ b/rosedeal/web/door.py
@@ -7,6 +7,7 @@
 import socket
 import ssl
 from collections.abc import Coroutine
+from itertools import islice
 from typing import Any
 
 from rosedeal.gateway.config import Address
@@ -21,6 +22,7 @@
 SWEEP_S = 0.2  # a client that is not read and has left is noticed so soon
 RESTING_SHARE = 0.5  # of the connections: so many of them between requests
 STALLED_S = 5.0  # a client that has taken or sent nothing for so long gives way when connections are short
+LOOKED_AT = 8  # of those that rest, for one that makes room
 TURNED_AWAY = 32  # connections over the limit that are told 503
 POLL_S = 0.02
 ACCEPT_AGAIN_S = 0.1
@@ -117,22 +119,20 @@
             front.abort()
 
     def make_room(self) -> bool:
-        """One that rests, else one that never asked, else the one that has stalled longest."""
-        if self.resting:
-            oldest = next(iter(self.resting))
-        elif self.handshakes:
+        """One that rests, else one that never asked, else the one that has stalled longest.
+
+        Of those that rest none is reset under a request that has come, or an answer that is on its way.
+        """
+        oldest = next((front for front in islice(self.resting, LOOKED_AT) if front.gives_way), None)
+        if oldest is None and self.handshakes:
             next(iter(self.handshakes)).abort()
             return True
-        else:
+        if oldest is None:
             now = self.loop.time()
-            stalled = [
-                c
-                for c in self.connections
-                if now - c.progress_at > STALLED_S and (c.blocked or c.reading or not c.asked)
-            ]
+            stalled = [front for front in self.connections if front.has_stalled(now, STALLED_S)]
             if not stalled:
                 return False
-            oldest = min(stalled, key=lambda c: c.progress_at)
+            oldest = min(stalled, key=lambda front: front.progress_at)
         self.drop(oldest)
         oldest.reset()
         return True
--- a/rosedeal/web/front.py
+++ b/rosedeal/web/front.py
@@ -412,7 +412,21 @@
     @property
     def may_close(self) -> bool:
         """Whether a close crosses nothing that the client has sent, as far as it has come."""
-        return self.closing or ends.is_quiet(self.transport)
+        transport = self.transport
+        return transport is None or transport.is_closing() or ends.is_quiet(transport)
+
+    @property
+    def gives_way(self) -> bool:
+        """Between requests: whether nothing that it has asked, or has been answered, goes with it."""
+        transport = self.transport
+        return transport is None or (not transport.get_write_buffer_size() and self.may_close)
+
+    def has_stalled(self, now: float, for_s: float) -> bool:
+        """Whether its client has kept it from going on for so long. One that a box keeps waiting has not."""
+        if now - self.progress_at <= for_s:
+            return False
+        brings = self.reading and not self.upload_paused and self.current in (None, self.incoming)
+        return self.blocked or brings or not (self.asked or self.owed)
 
     def notice_end(self) -> bool:
         """Whether the client has gone, as its socket tells where it is not read: nothing more is sent on."""
--- a/tests/staffed/test_crowd.py
+++ b/tests/staffed/test_crowd.py
@@ -30,9 +30,16 @@
     assert 32 <= crowd.reserve(sockets) <= crowd.RESERVE
 
 
-@given(st.booleans(), st.booleans(), st.integers(0, 3), st.booleans(), *(st.floats(0, 5),) * 2)
+@given(*(st.booleans(),) * 4, st.integers(0, 3), st.booleans(), *(st.floats(0, 5),) * 2)
 def test_who_is_owed_never_gives_way_and_who_goes_on_comes_last(
-    closing: bool, owed: bool, asked: int, reading: bool, age: float, quiet: float
+    closing: bool,
+    owed: bool,
+    unsent: bool,
+    for_memory: bool,
+    asked: int,
+    reading: bool,
+    age: float,
+    quiet: float,
 ) -> None:
     quiet = min(quiet, age)
     found = crowd.standing(
@@ -43,10 +50,15 @@
         reading=reading,
         since=10.0 - age,
         progress_at=10.0 - quiet,
+        unsent=unsent,
+        for_memory=for_memory,
     )
-    assert (found is Standing.CLOSING) is closing
-    assert (found is Standing.OWED) is (owed and not closing)
-    if not closing and not owed:
+    taken = unsent and not (for_memory and quiet > crowd.STALLED_S)
+    assert (found is Standing.OWED) is (owed or taken)
+    assert (found is Standing.CLOSING) is (closing and not owed and not unsent)
+    if unsent and not owed and not taken:
+        assert found is Standing.STALLED
+    elif not closing and not owed and not unsent:
         comes_on = reading and quiet <= crowd.STALLED_S
         assert (found is Standing.ASKING) is comes_on
         if not reading and not asked and age > crowd.SILENT_S:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -748,3 +748,67 @@
             assert it.host.connections == 2
 
     run(test())
+
+
+# Answers that are still on their way
+
+
+@pytest.mark.parametrize("how", ["close", "keep-alive"])
+def test_who_waits_for_its_last_answer_does_not_give_way(how: str) -> None:
+    """With "Connection: close" nothing more is read: it passed for one of which nothing more will come."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask("buy", Connection=how))
+            taken = await it.host.taken.get()
+            assert not it.downstream.make_room()
+            it.downstream.most = 0
+            it.downstream.keep_to_limit()
+            taken.answer()
+            assert (await client.answer())[0] == 200
+            await settled(it)
+            nothing_left(it)
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["close", "keep-alive"])
+def test_who_has_not_taken_its_answer_does_not_give_way(how: str) -> None:
+    """It was written whole, and so counted as given: making room dropped what had not left the process."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask("buy", Connection=how))
+            taken = await it.host.taken.get()
+            connection = it.stop_reading(client)
+            taken.answer(body=bytes(60_000))
+            await settled(it)
+            assert connection.transport is not None and connection.transport.get_write_buffer_size()
+            assert not connection.owed and not it.downstream.make_room()
+            client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+            assert (await client.answer())[::2] == (200, bytes(60_000))
+            await until(lambda: not it.downstream.budget.used)
+            nothing_left(it)
+
+    run(test())
+
+
+def test_who_takes_nothing_of_its_answer_gives_way_where_memory_is_short() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask())
+            taken = await it.host.taken.get()
+            connection = it.stop_reading(client)
+            taken.answer(body=bytes(60_000))
+            await settled(it)
+            it.downstream.budget.total = 0
+            it.downstream.keep_to_limit()
+            assert connection in it.downstream.connections
+            connection.progress_at -= 2 * crowd.STALLED_S
+            it.downstream.keep_to_limit()
+            assert connection not in it.downstream.connections
+
+    run(test())
--- a/tests/web/test_endings.py
+++ b/tests/web/test_endings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from pathlib import Path
 from typing import Any
 
@@ -13,7 +14,7 @@
 from rosedeal.web.front import Front
 from tests.sockets import run
 from tests.test_endings import until
-from tests.web.harness import Site, request, site
+from tests.web.harness import Raw, Site, request, site
 
 
 def hold_connects(it: Site, monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
@@ -101,3 +102,67 @@
                 await ending
 
     run(test())
+
+
+@pytest.mark.parametrize("what", ["request", "answer", "nothing"])
+def test_who_makes_room_loses_neither_a_request_nor_an_answer(what: str, tmp_path: Path) -> None:
+    """It was reset where it rested, under a request that had come or an answer that was still on its way."""
+
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            client = await it.client(small=True)
+            assert (await client.ask(request("GET", "/status/204")))[0] == 204
+            front, door = front_of(it), it.web.door
+            assert front.transport is not None and door is not None
+            if what == "request":
+                front.transport.pause_reading()  # the loop is busy elsewhere
+                client.send(request("GET"))
+                await until(lambda: not ends.is_quiet(front.transport))
+            elif what == "answer":
+                take_little(front, client)
+                client.send(request("GET", "/file?n=60000"))
+                await until(lambda: unsent(front) > 0)
+                await until(lambda: front in door.resting)
+            assert door.make_room() is (what == "nothing")
+            front.progress_at -= 100.0
+            if what == "nothing":
+                assert await client.ended()
+            elif what == "request":
+                front.transport.resume_reading()
+                assert (await client.answer())[0] == 200
+            else:
+                client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+                assert len((await client.answer())[2]) == 60_000
+
+    run(test())
+
+
+def unsent(front: Front) -> int:
+    return front.transport.get_write_buffer_size() if front.transport is not None else 0
+
+
+def take_little(front: Front, client: Raw) -> None:
+    """The client takes in nothing more, and little is on the way."""
+    assert front.transport is not None
+    ours = front.transport.get_extra_info("socket")
+    ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+
+def test_who_waits_for_a_box_has_not_stalled(tmp_path: Path) -> None:
+    """Half of a further request made it pass for one whose client brings nothing more."""
+
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            client = await it.client()
+            client.send(request("GET", "/wait?ms=300") + request("GET")[:-5])
+            await until(lambda: it.runs() == 1)
+            front, door = front_of(it), it.web.door
+            await until(lambda: front.reading)
+            front.progress_at -= 100.0
+            assert door is not None and not door.make_room()
+            assert (await client.answer())[0] == 200
+            front.progress_at -= 100.0
+            assert door.make_room() and await client.ended()
+
+    run(test())
