End a client's and a host's half-closed connection at once, and close none on unread bytes

Seen in a review of the ends of connections, each then forced on real sockets: - A client that ends while an answer to it is still being sent: uvloop calls its connection lost only once that is written, and what had been asked behind it went on to hosts (`eof_received` did nothing). It now forgoes all at the end itself. - A host that ends before it has taken the whole request: the same, and the attempt hung until its time-out; a whole answer without a length was held up as long. `BoxConnection.eof_received` now aborts. - The last answer of a connection with unread bytes behind it: the close was a reset, which takes with it what the system still holds of the answer. `finished` now lingers; the end of the process waits for that.

Over TLS a close reads on by itself, so it stays a close there. Tests: seven; each red with its line taken out.

--- a/rosedeal/gateway/back.py
+++ b/rosedeal/gateway/back.py
@@ -261,8 +261,14 @@
         super().abort()
 
     def eof_received(self) -> bool:
-        """The box has ended by itself; over TLS by its close_notify, as a connection cut short is no end."""
+        """The box has ended by itself; over TLS by its close_notify, as a connection cut short is no end.
+
+        Guards against a box that ends and takes no more of a request: until that is sent the transport would
+        not call its connection lost, and the attempt would hang until its time is over.
+        """
         self.ended = True
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            self.transport.abort()
         return False
 
     def read_last(self) -> None:
--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -267,17 +267,27 @@
         self.counted = held
 
     def eof_received(self) -> bool:
-        return False  # the client has gone: the transport closes
+        """The client has gone: the transport closes.
+
+        Guards against an answer on its way to it: until that is sent the transport does not call its
+        connection lost, and what stood behind it went on to hosts.
+        """
+        self.forgo()
+        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.drop(self)
-        self.closing = True
         self.blocked = False
-        self.waiting.clear()
-        self.abandon()
+        self.forgo()
         self.incoming = Incoming()
         self.count()
 
+    def forgo(self) -> None:
+        """The client has gone: nothing of what it has asked is wanted, and nothing more is read."""
+        self.closing = True
+        self.waiting.clear()
+        self.abandon()
+
     def abandon(self) -> None:
         """Nothing of the current request is wanted any more."""
         current, request, self.current, self.request = self.current, self.request, None, None
@@ -532,7 +542,7 @@
         if incoming.last:
             self.closing = True
             self.waiting.clear()
-            if incoming.refusal is None and incoming.upload.complete:
+            if incoming.refusal is None and incoming.upload.complete and ends.is_quiet(self.transport):
                 self.close()
             else:
                 self.linger()
@@ -567,7 +577,8 @@
     def linger(self, for_s: float = LINGER_S) -> None:
         """Close for sending, and drop for a while what the client is still sending.
 
-        Guards against the reset that closing on unread bytes sends: it can overtake the answer.
+        Guards against the reset that closing on unread bytes sends: it can overtake the answer, and takes
+        with it what the system still holds of one.
         """
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write_eof()
@@ -607,9 +618,7 @@
 
     def gone(self) -> None:
         """The client's end, which has not been read."""
-        self.closing = True
-        self.waiting.clear()
-        self.abandon()
+        self.forgo()
         self.abort()
 
     @property
--- a/rosedeal/web/front.py
+++ b/rosedeal/web/front.py
@@ -190,10 +190,16 @@
         self.check_flow()
 
     def eof_received(self) -> bool:
-        return False  # the client has gone: the transport closes
+        """The client has gone: the transport closes, but only once an answer on its way is sent."""
+        self.forgo()
+        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.door.drop(self)
+        self.forgo()
+
+    def forgo(self) -> None:
+        """The client has gone: nothing of what it has asked is wanted, and nothing more is read."""
         self.closing = True
         self.waiting.clear()
         self.abandon()
@@ -372,7 +378,7 @@
         if last:
             self.closing = True
             self.waiting.clear()
-            if incoming.upload.complete and incoming.refusal is None:
+            if incoming.upload.complete and incoming.refusal is None and self.closes_well:
                 self.close()
             else:
                 self.linger()
@@ -409,6 +415,12 @@
             self.upload_paused = self.blocked = False
             self.check_flow()
 
+    @property
+    def closes_well(self) -> bool:
+        """Whether a close resets nothing. The end of TLS reads on by itself until the client has ended."""
+        transport = self.transport
+        return transport is None or not transport.can_write_eof() or ends.is_quiet(transport)
+
     @property
     def may_close(self) -> bool:
         """Whether a close crosses nothing that the client has sent, as far as it has come."""
@@ -432,9 +444,7 @@
         """Whether the client has gone, as its socket tells where it is not read: nothing more is sent on."""
         if not self.paused or self.tunnel or not ends.has_left(self.transport):
             return False
-        self.closing = True
-        self.waiting.clear()
-        self.abandon()
+        self.forgo()
         self.abort()
         return True
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -812,3 +812,112 @@
             assert connection not in it.downstream.connections
 
     run(test())
+
+
+@pytest.mark.parametrize("size", [100, 3_000_000])
+def test_what_comes_behind_the_last_answer_does_not_reset_it(size: int) -> None:
+    """A close on unread bytes is a reset, which takes with it what the system still holds of the answer."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask("buy", Connection="close"))
+            taken = await it.host.taken.get()
+            (connection,) = unread(it)
+            client.send(ask())
+            await until(lambda: not ends.is_quiet(connection.transport))
+            taken.answer(body=bytes(size))
+            assert (await client.answer())[::2] == (200, bytes(size))
+            assert await client.closed()
+            await settled(it)
+            assert it.host.taken.empty()
+            nothing_left(it)
+
+    run(test())
+
+
+def test_the_end_does_not_reset_what_lingers() -> None:
+    """A last answer is on its way, and what the client still sends is dropped: it was closed on that."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask(Connection="close"))
+            taken = await it.host.taken.get()
+            (connection,) = unread(it)
+            transport = connection.transport
+            assert transport is not None
+            client.send(ask())
+            await until(lambda: not ends.is_quiet(transport))
+            taken.answer()
+            await settled(it)
+            unread(it)
+            client.send(ask())
+            await until(lambda: not ends.is_quiet(transport))
+            ending = asyncio.get_running_loop().create_task(it.downstream.finish())
+            await asyncio.sleep(0)
+            assert not transport.is_closing()
+            transport.resume_reading()
+            await ending
+            assert (await client.answer())[0] == 200 and await client.closed()
+            assert it.host.taken.empty()
+            nothing_left(it)
+
+    run(test())
+
+
+def test_nothing_follows_for_a_client_that_ends_with_an_answer_on_its_way() -> None:
+    """Its connection is not lost before that is sent: what it had asked behind it went on to a host."""
+
+    async def test() -> None:
+        async with gateway(hosts=2, settings=settings(**CAPS)) as it:
+            client = await it.client()
+            client.send(ask())
+            first = await it.host.taken.get()
+            connection = it.stop_reading(client)
+            client.send(ask() + ask())
+            first.answer(body=bytes(30_000))
+            second = await it.host.taken.get()
+            transport = connection.transport
+            assert transport is not None and transport.get_write_buffer_size() and not connection.paused
+            client.writer.write_eof()
+            await it.event(RequestGone)
+            assert transport.get_write_buffer_size()
+            second.answer()
+            await settled(it)
+            client.writer.transport.abort()
+            await until(lambda: not it.downstream.connections)
+            assert it.host.taken.empty()
+            nothing_left(it)
+
+    run(test())
+
+
+@pytest.mark.parametrize("says", [b"", b"HTTP/1.1 200 Any\r\n\r\nwhole"])
+def test_a_host_that_ends_before_it_has_the_whole_request_is_not_waited_for(says: bytes) -> None:
+    """Until the rest was sent, its connection did not count as lost: the attempt hung until its time-out."""
+
+    async def test() -> None:
+        async with gateway(hosts=1) as it:
+            reading = asyncio.Event()
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                reader._transport.pause_reading()  # type: ignore[attr-defined]
+                (box,) = it.proxy.upstream.connections
+                await until(lambda: box.transport is not None and box.transport.get_write_buffer_size() > 0)
+                writer.write(says)
+                writer.write_eof()
+                reading.set()
+
+            it.host.serve = serve  # type: ignore[method-assign]
+            client = await it.client()
+            client.send(ask("buy", body=bytes(30_000_000)))
+            await reading.wait()
+            ended = await it.event(AttemptEnded)
+            if says:
+                assert ended.outcome is Outcome.OK
+            else:
+                assert ended.outcome is Outcome.CONNECT_FAILED and (await client.answer())[0] in (502, 503)
+
+    run(test(), 10.0)
--- a/tests/web/test_endings.py
+++ b/tests/web/test_endings.py
@@ -166,3 +166,68 @@
             assert door.make_room() and await client.ended()
 
     run(test())
+
+
+def test_what_comes_behind_the_last_answer_does_not_reset_it(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            client = await it.client()
+            client.send(request("GET", "/wait?ms=200", Connection="close"))
+            await until(lambda: it.runs() == 1)
+            front = front_of(it)
+            assert front.transport is not None
+            front.transport.pause_reading()
+            client.send(request("GET"))
+            await until(lambda: not ends.is_quiet(front.transport))
+            assert (await client.answer())[0] == 200
+            assert await client.reader.read() == b""  # its end, and no reset
+            assert it.runs() == 1
+
+    run(test())
+
+
+def test_a_client_that_ends_with_an_answer_on_its_way_is_noticed(tmp_path: Path) -> None:
+    """Its connection is not lost before that is sent, and what it had asked behind it went on."""
+
+    async def test() -> None:
+        async with site(tmp_path, answer="100s") as it:
+            client = await it.client(small=True)
+            assert (await client.ask(request("GET", "/status/204")))[0] == 204
+            front = front_of(it)
+            take_little(front, client)
+            client.send(request("GET", "/file?n=60000") + request("GET", "/wait?ms=60000"))
+            await until(lambda: it.runs() == 3)
+            assert unsent(front) and not front.paused
+            client.writer.write_eof()
+            await until(lambda: it.proxy.open == 0)
+            assert it.web.door is not None and front in it.web.door.connections  # nor was it cut
+            client.writer.transport.abort()
+            await until(lambda: not it.proxy.requests and not it.proxy.balancer.requests)
+            assert it.runs() == 3 and it.proxy.upstream.budget.used == 0
+
+    run(test())
+
+
+def test_the_end_does_not_reset_what_lingers(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            client = await it.client()
+            client.send(request("GET", "/wait?ms=200", Connection="close"))
+            await until(lambda: it.runs() == 1)
+            front, door = front_of(it), it.web.door
+            transport = front.transport
+            assert transport is not None and door is not None
+            for _ in range(2):
+                transport.pause_reading()
+                client.send(request("GET"))
+                await until(lambda: not ends.is_quiet(transport))
+                await until(lambda: not it.proxy.requests)
+            ending = asyncio.create_task(door.drain())
+            await until(lambda: door.listener is not None and not door.listener.is_serving())
+            await asyncio.sleep(0)
+            assert not transport.is_closing()
+            transport.resume_reading()
+            assert (await client.answer())[0] == 200 and await client.reader.read() == b""
+            await ending
+
+    run(test())
