Tell connections beyond the limit so though they have asked, and force signals in the start

As many again as are turned away on their request now linger 0.3 s; those beyond are closed as before, as no descriptor is left for more.

--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -64,7 +64,9 @@
 FINISH_POLL_S = 0.01
 LOOKED_AT = 8  # connections that may have said something meanwhile, for one that makes room
 GIVE_S = 0.5  # for an answer to be sent, so that its connection can be given to the next process
-TURNED_AWAY = 1 / 4  # of the reserve: connections over the limit that are told 503 at once
+# Of the reserve: connections over the limit that hear 503 to their request; so many again hear it unasked.
+TURNED_AWAY = 1 / 4
+TURNED_LINGER_S = 0.3
 LAME_LINGER_S = 0.3
 
 # Of a host's answer: between two machines only, or written anew by the gateway.
@@ -778,9 +780,14 @@
         if len(self.connections) >= self.limit and not self.make_room():
             connection.refusing = True
         self.connections.add(connection)
-        if len(self.connections) > self.limit + self.turned_away:
+        beyond = len(self.connections) - self.limit
+        if beyond > self.turned_away:
             connection.write(answer_bytes(refused("too many connections"), True, False))
-            connection.close()
+            if beyond > 2 * self.turned_away:
+                connection.close()  # with what it has sent unread: the reset may overtake the answer
+            else:
+                connection.closing = True
+                connection.linger(TURNED_LINGER_S)
 
     def make_room(self, up_to: crowd.Standing = crowd.Standing.ASKING, for_memory: bool = False) -> bool:
         """Close the connection that is missed least, if one has shown no more than this."""
--- a/tests/staffed/test_crowd.py
+++ b/tests/staffed/test_crowd.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rosedeal.gateway import crowd
+from rosedeal.gateway import crowd, downstream
 from rosedeal.gateway.crowd import Standing
 from rosedeal.interface import AttemptEnded
 from tests.sockets import ask, gateway, run
@@ -147,22 +147,41 @@
     run(test())
 
 
-def test_a_planned_end_waits_for_a_request_that_comes_on_and_for_no_other() -> None:
+def test_a_planned_end_waits_for_a_request_that_comes_on_and_for_no_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """How long each has been quiet is set, not slept: what a busy machine adds is far below the bounds."""
+    monkeypatch.setattr(crowd, "STALLED_S", 30.0)
+
     async def test() -> None:
         async with beside(Echo(lambda body: with_length(body))) as it:
+            it.downstream.half_sent_s = 60.0
             slow, stalled = await it.client(), await it.client()
             whole = ask("buy", body=b"x" * 300)
             slow.send(whole[:10])
             stalled.send(whole[:10])
             while sum(c.reading for c in it.downstream.connections) < 2:
                 await asyncio.sleep(0.001)
+            sides = {
+                c.transport.get_extra_info("peername"): c
+                for c in it.downstream.connections
+                if c.transport is not None
+            }
+            ours = sides[slow.writer.get_extra_info("sockname")]
+            theirs = sides[stalled.writer.get_extra_info("sockname")]
             it.downstream.draining = True
             it.downstream.stop_listening()
+            theirs.progress_at -= 31.0
             end = asyncio.create_task(it.downstream.finish())
+            assert await stalled.closed()
             for place in range(10, len(whole), 50):
-                await asyncio.sleep(0.25)
+                ours.progress_at -= 15.0
+                came = ours.progress_at
+                for _ in range(3):  # looks of the end at its connections
+                    await asyncio.sleep(downstream.FINISH_POLL_S)
                 slow.send(whole[place : place + 50])
-            assert await stalled.closed()
+                while ours.progress_at == came and not end.done():
+                    await asyncio.sleep(0.001)
             status, head, body = await slow.answer()
             assert status == 200 and head["connection"] == "close" and len(body) == 300
             await end
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -476,31 +477,69 @@
     run(test())
 
 
+def started(path: Path, held: str, number: signal.Signals) -> Any:
+    """A process that sends itself a signal in the midst of its start, when it calls `held` (module:name)."""
+    module, _, name = held.partition(":")
+    code = (
+        "import os, rosedeal.__main__ as m\n"
+        f"import {module} as c\n"
+        f"owner, _, name = {name!r}.rpartition('.')\n"
+        "at = getattr(c, owner) if owner else c\n"
+        "done = getattr(at, name)\n"
+        "def held(*args, **more):\n"
+        "    setattr(at, name, done)\n"
+        f"    os.kill(os.getpid(), {int(number)})\n"
+        "    return done(*args, **more)\n"
+        "setattr(at, name, held)\n"
+        "raise SystemExit(m.main())\n"
+    )
+    environ = {**os.environ, "ROUTER_CONFIG": str(path)}
+    return asyncio.create_subprocess_exec(
+        sys.executable, "-c", code, env=environ, stderr=asyncio.subprocess.PIPE
+    )
+
+
+# Where the start is held, whether it listens by then, and how the process ends.
+STARTS = [
+    ("rosedeal.gateway.config:load_config", -signal.SIGTERM),
+    ("rosedeal.gateway.run:gc.freeze", -signal.SIGTERM),
+    ("rosedeal.gateway.run:succession_of", 0),
+    ("rosedeal.gateway.run:Downstream.start", 0),
+    ("rosedeal.gateway.run:Reloader", 0),
+]
+
+
+@pytest.mark.parametrize(("held", "code"), STARTS, ids=[held.rpartition(":")[2] for held, _ in STARTS])
+def test_a_sigterm_while_the_process_starts_ends_it_with_nobody_taken(
+    held: str, code: int, tmp_path: Path
+) -> None:
+    """Before it can heed the signal it has accepted nobody; after that it ends as planned, and ends well."""
+
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            listen = f"127.0.0.1:{free.getsockname()[1]}"
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration({}, "127.0.0.1:1", listen=listen)))
+        child = await started(path, held, signal.SIGTERM)
+        try:
+            assert await child.wait() == code
+            said = (await child.stderr.read()).decode()
+            assert ("listens on" in said) is (code == 0) and "Traceback" not in said
+        finally:
+            if child.returncode is None:
+                child.kill()
+                await child.wait()
+
+    run(test())
+
+
 def test_a_sighup_while_the_process_starts_is_heeded_and_ends_nothing(tmp_path: Path) -> None:
     """Until the loop heeded it, the signal ended the process."""
 
     async def test() -> None:
         path = tmp_path / "config.json"
         path.write_text(json.dumps(configuration({}, "127.0.0.1:1")))
-        code = (
-            "import os, signal, rosedeal.__main__ as m\n"
-            "import rosedeal.gateway.config as c\n"
-            "load = c.load_config\n"
-            "def held(environ):\n"
-            "    config = load(environ)\n"
-            "    c.load_config = load\n"
-            "    os.kill(os.getpid(), signal.SIGHUP)\n"
-            "    return config\n"
-            "c.load_config = held\n"
-            "raise SystemExit(m.main())\n"
-        )
-        child = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-c",
-            code,
-            env={**os.environ, "ROUTER_CONFIG": str(path)},
-            stderr=asyncio.subprocess.PIPE,
-        )
+        child = await started(path, "rosedeal.gateway.config:load_config", signal.SIGHUP)
         try:
             await logged(child, b"the configuration was read again")
             child.send_signal(signal.SIGTERM)
@@ -921,3 +960,33 @@
                 assert ended.outcome is Outcome.CONNECT_FAILED and (await client.answer())[0] in (502, 503)
 
     run(test(), 10.0)
+
+
+@pytest.mark.parametrize("beyond", [0, 1])
+def test_a_connection_beyond_the_limit_hears_so_though_it_has_asked_already(
+    beyond: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What it had sent stood unread as it was closed: the reset could overtake the 503."""
+    monkeypatch.setattr(downstream.Downstream, "limit", 0)
+    monkeypatch.setattr(downstream.Downstream, "make_room", lambda *_, **__: False)
+
+    async def test() -> None:
+        async with gateway() as it:
+            it.downstream.turned_away = 1
+            assert it.downstream.socket is not None
+            address = it.downstream.socket.getsockname()
+            loop = asyncio.get_running_loop()
+            with contextlib.ExitStack() as open_ones:
+                many = [open_ones.enter_context(socket.create_connection(address)) for _ in range(1 + beyond)]
+                for sock in many:
+                    sock.sendall(ask())  # before the loop has come to accept it
+                    sock.setblocking(False)
+                for sock in many:
+                    said = b""
+                    while data := await loop.sock_recv(sock, 4096):
+                        said += data
+                    assert said.startswith(b"HTTP/1.1 503 ") and b"retry-after: " in said
+            assert it.host.taken.empty() and not it.proxy.taken
+            await until(lambda: not it.downstream.connections)
+
+    run(test())
--- a/tests/web/test_clients.py
+++ b/tests/web/test_clients.py
@@ -278,3 +278,32 @@
             assert asked == {"north": 3, "east": 1}
 
     run(test())
+
+
+def test_a_tenant_that_goes_at_a_reload_keeps_its_requests_and_its_number(tmp_path: Path) -> None:
+    """What was taken for it ends under its name, and a tenant that is new has not its counts."""
+
+    async def test() -> None:
+        store = (
+            '[[route]]\nname = "{0}"\nprefix = "/{0}"\nclass = "pages"\ntenant = "{0}"\ntake_off = "/{0}"\n'
+        )
+        async with site(tmp_path, routes=ROUTE + store.format("north")) as it:
+            it.figures.follow(it.figures.classes, it.setup.config.names.tenants)
+            client, other = await it.client(), await it.client()
+            client.send(request("GET", "/north/wait?ms=300"))
+            while not it.runs():
+                await asyncio.sleep(0.001)
+            text = it.setup.path.read_text()
+            await it.reload(text.replace(store.format("north"), store.format("east")))
+            assert it.proxy.open == 1
+            assert (await other.ask(request("GET", "/east/")))[0] == 200
+            assert (await other.ask(request("GET", "/north/")))[0] == 404  # it is nobody's now
+            assert (await client.answer())[0] == 200
+            assert [app.headers.get("tenant") for app in it.apps[0].runs] == ["north", "east", None]
+            await it.reload(text)  # and it is back
+            assert (await client.ask(request("GET", "/north/")))[0] == 200
+            now_us = it.proxy.clock.now_us() + 1_000_000
+            asked = {each.name: each.windows[0].asked for each in it.figures.of_tenants(now_us)}
+            assert asked == {"north": 2, "east": 1}
+
+    run(test())
