Play a keyed request over HTTP/3 whose gateway and disk are lost, and one left in doubt

Copies left it to the way that HTTP/1.1 and HTTP/3 share, with no test of its own. It holds: the same answer at another gateway over both, one effect, and 409 in-doubt where the box had it and no answer was kept.

--- a/tests/copies/test_process.py
+++ b/tests/copies/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import subprocess
 import sys
 import time
@@ -13,9 +14,11 @@
 import pytest
 
 from rosedeal.admin import AdminError, NoGateway
+from rosedeal.standins.h3 import Client3
 from rosedeal.standins.rig import Gateway, Rig, Timeline, rig
 from tests.agreement.test_process import run
 from tests.copies.load import Keyed, keyed, post
+from tests.h3.harness import https
 
 PLACED_S = 20.0
 OF_BOX = 200
@@ -266,3 +269,41 @@
             assert not judged.in_doubt and not judged.unanswered, judged
 
     played(play)
+
+
+def test_a_key_that_came_over_http3_is_the_same_key_anywhere(tmp_path: Path) -> None:
+    """Once over HTTP/3, with its gateway and disk lost behind it; then in doubt, over the same transport."""
+
+    async def play() -> None:
+        authority, tables = https(tmp_path)
+        async with rig(tmp_path, boxes=2, site=tables, copies="copies = 3\n", shared=keyed()) as it:
+            await it.settled()
+            await placed(it)
+            a, b, c = it
+
+            async def post3(gateway: Gateway, key: str) -> tuple[int, dict[str, str], bytes]:
+                port = int(re.findall(r"serves HTTP/3 on \S+:(\d+)", gateway.log())[-1])
+                async with Client3(("127.0.0.1", port), str(authority.path)) as client:
+                    asked = client.ask("POST", "/echo", b"slip", [(b"idempotency-key", key.encode())])
+                    return await asked.whole()
+
+            status, _, body = await post3(a, "slip")
+            assert status == OF_BOX and effects(it, "slip") == 1
+            it.wipe(a)
+            assert (await post3(b, "slip"))[::2] == (OF_BOX, body)
+            assert (await post(c, "slip")).body == body and effects(it, "slip") == 1
+            it.run(a)
+            await it.settled()
+            await placed(it)
+            for app in it.apps:
+                app.silent = True
+            lost = asyncio.create_task(post3(b, "doubt"))
+            await it.until(lambda: effects(it, "doubt") == 1, "the box has it")
+            it.wipe(b)
+            lost.cancel()
+            for app in it.apps:
+                app.silent = False
+            status, head, _ = await post3(c, "doubt")
+            assert (status, head["idempotency-state"]) == (409, "in-doubt") and effects(it, "doubt") == 1
+
+    played(play)
