--- a/tests/console/terminal.py
+++ b/tests/console/terminal.py
@@ -31,6 +31,7 @@
         if self.pid == 0:
             env = {**os.environ, "TERM": "xterm-256color", "LANG": "C.UTF-8", **environ}
             env.pop("COLORTERM", None)
+            signal.signal(signal.SIGHUP, signal.SIG_DFL)  # as in a shell, also where these tests ignore it
             os.execvpe(sys.executable, [sys.executable, *arguments], env)
         os.set_blocking(self.fd, False)
         self._set_size(columns, rows)
