Judge an attempt overdue by its own time alone

Seen in a review of timers: `on_overdue` marked all attempts that were out when the timer of any went off. An attempt that followed one which had failed just before its time was called overdue at once: a second copy went out beside it, and if it was called off then its server was blamed for the silence. Lines at fault: `late = [... request.attempts ...]`; the timer now names its attempt.

Ruled out: two attempts of an unsafe request (no timer is set for those), and a timer after the end of the request (`done` is asked). Test: three outcomes of the first attempt; red before.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -735,7 +735,7 @@
         overdue_us = self.now_us + int(OVERDUE * self.expected_us(request))
         attempt.due_us = max(overdue_us, request.aim_us) if self.settings.varied_work else overdue_us
         if klass.effect is not Effect.UNSAFE and overdue_us < request.deadline_us:
-            self.set_timer(overdue_us, partial(self.on_overdue, request))
+            self.set_timer(overdue_us, partial(self.on_overdue, request, attempt))
         return True
 
     def end_us(self, request: Request) -> int:
@@ -744,12 +744,15 @@
             return request.deadline_us
         return min(request.deadline_us, self.now_us + int(AIM_SHARE * (request.aim_us - self.now_us)))
 
-    def on_overdue(self, request: Request) -> None:
-        """An attempt should have been answered by now: where the class allows, try another server too."""
-        late = [a for a in request.attempts if not a.ended and not request.done]
-        for attempt in late:
-            attempt.overdue = True
-        if not late or request.streaming or not self.settings.second_copies or not self.may_repeat():
+    def on_overdue(self, request: Request, attempt: Attempt) -> None:
+        """An attempt should have been answered by now: where the class allows, try another server too.
+
+        That attempt alone: one that has followed it has a time of its own.
+        """
+        if attempt.ended or request.done:
+            return
+        attempt.overdue = True
+        if request.streaming or not self.settings.second_copies or not self.may_repeat():
             return
         if len(request.attempts) < self.settings.max_attempts and self.try_send(request):
             self.retry_tokens -= 1
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -87,6 +87,25 @@
     assert not driver.balancer.requests
 
 
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.RESET, Outcome.CONNECT_FAILED])
+def test_the_time_of_an_attempt_that_is_over_is_not_that_of_the_next(outcome: Outcome) -> None:
+    """Its timer called the attempt overdue that had just followed it, and sent a second copy beside that."""
+    driver = Driver(replace(SETTINGS, max_attempts=4))
+    name, actions = driver.arrive()
+    (first,) = sends(actions)
+    timer = driver.timers[-1]
+    driver.now_us = timer.due_us - 1_000
+    (second,) = sends(driver.end(name, first.server, outcome))
+    driver.now_us = timer.due_us
+    assert driver.handle(TimerFired(timer.token)) == []
+    (attempt,) = (a for a in driver.balancer.requests[name].attempts if not a.ended)
+    assert not attempt.overdue
+    timer = driver.timers[-1]  # its own
+    driver.now_us = timer.due_us
+    (third,) = sends(driver.handle(TimerFired(timer.token)))
+    assert attempt.overdue and third.server not in (first.server, second.server)
+
+
 def test_no_second_copy_where_none_is_allowed() -> None:
     driver = Driver(replace(SETTINGS, second_copies=False))
     driver.balancer.smoothed[0] = 20_000.0
