End a console whose window was closed though SIGHUP is ignored

Five consoles of a test run under nohup were found an hour after their windows had gone, at 134 % of a processor each: with SIGHUP ignored nothing told them, and the terminal library reads the end of its input again and again. The console now looks at each redraw (0.25 s) whether the terminal has hung up, and ends with 129. Test: a real pseudo-terminal, SIGHUP ignored; without the look it does not end.

--- a/rosedeal/console/app.py
+++ b/rosedeal/console/app.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import select
+import sys
 import time
 import uuid
 from collections.abc import Callable, Coroutine
@@ -23,6 +25,7 @@
 import contextlib
 
 REDRAW_S = 0.25  # for what the clock alone changes
+GONE = 129  # exit code of one whose terminal has gone, as of one that is ended by SIGHUP
 AGAIN_S = (0.1, 0.2, 0.5, 1.0)  # between attempts to connect; the last one goes on
 
 STYLES = {
@@ -82,9 +85,27 @@
         yield self.picture
 
     def on_mount(self) -> None:
-        self.set_interval(REDRAW_S, self.picture.refresh)
+        self.set_interval(REDRAW_S, self.redraw)
         self.spawn(self.follow())
 
+    def redraw(self) -> None:
+        """Also looks whether the terminal is still there.
+
+        Guards against a window that was closed where SIGHUP is ignored (nohup): the reader of keys would go
+        on reading its end, with a whole processor, for ever.
+        """
+        if self.has_terminal():
+            self.picture.refresh()
+        else:
+            self.exit(return_code=GONE)
+
+    def has_terminal(self) -> bool:
+        if self.is_headless or sys.__stdin__ is None:
+            return True
+        poll = select.poll()
+        poll.register(sys.__stdin__.fileno(), 0)
+        return not any(events & select.POLLHUP for _, events in poll.poll(0))
+
     # The gateway
 
     async def follow(self) -> None:
--- a/tests/console/terminal.py
+++ b/tests/console/terminal.py
@@ -20,7 +20,10 @@
 
 
 class Terminal:
-    def __init__(self, arguments: list[str], columns: int = 80, rows: int = 24, **environ: str) -> None:
+    def __init__(
+        self, arguments: list[str], columns: int = 80, rows: int = 24, deaf: bool = False, **environ: str
+    ) -> None:
+        """`deaf`: its program ignores SIGHUP, as under nohup."""
         self.screen = pyte.Screen(columns, rows)
         self.stream = pyte.ByteStream(self.screen)
         self.raw = bytearray()  # all that was ever written
@@ -31,7 +34,8 @@
         if self.pid == 0:
             env = {**os.environ, "TERM": "xterm-256color", "LANG": "C.UTF-8", **environ}
             env.pop("COLORTERM", None)
-            signal.signal(signal.SIGHUP, signal.SIG_DFL)  # as in a shell, also where these tests ignore it
+            # As in a shell, also where these tests are run to ignore it.
+            signal.signal(signal.SIGHUP, signal.SIG_IGN if deaf else signal.SIG_DFL)
             os.execvpe(sys.executable, [sys.executable, *arguments], env)
         os.set_blocking(self.fd, False)
         self._set_size(columns, rows)
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -19,11 +19,14 @@
 
 
 @asynccontextmanager
-async def console(path: Path, columns: int = 80, rows: int = 24, **environ: str) -> AsyncIterator[Terminal]:
+async def console(
+    path: Path, columns: int = 80, rows: int = 24, deaf: bool = False, **environ: str
+) -> AsyncIterator[Terminal]:
     terminal = Terminal(
         ["-m", "rosedeal.cli", "console", "--socket", str(path / "admin.sock"), "--by", "vera"],
         columns,
         rows,
+        deaf,
         **environ,
     )
     try:
@@ -143,6 +146,18 @@
     run(test())
 
 
+def test_a_console_whose_window_is_closed_ends_though_it_hears_no_hangup(tmp_path: Path) -> None:
+    """Under nohup it went on for ever, and its reader of keys took more than a whole processor."""
+
+    async def test() -> None:
+        async with appliance(tmp_path), console(tmp_path, deaf=True) as terminal:
+            await terminal.until("> box-1")
+            terminal.hang_up()
+            await terminal.end()
+
+    run(test())
+
+
 def test_a_gateway_that_restarts_under_an_open_console(tmp_path: Path) -> None:
     async def test() -> None:
         async with appliance(tmp_path) as (process, _, _), console(tmp_path) as terminal:
