Keep what a gateway has learnt about boxes at two others of its group

A gateway that comes back without its folder asks for its own lesson and goes on with it, aged by the time that the others kept it by their own clocks: outcomes count half after 60 s, weights go back towards 1, times move along. It is taken only before anything was sent to a box, with the same classes, and whole or not at all (`Balancer.restore` judges it); a process that has learnt nothing sends none before it has asked. Older programs ignore the new guest's words. Bounds: 500 boxes, 256 kB a lesson, 8 MB for others, ten minutes.

--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -5,6 +5,7 @@
 python -m benchmarks.copies refill [--records N]    a wiped member filled beside serving
 python -m benchmarks.copies steps [--points 100]    a machine lost with its disk at each step of a write
 python -m benchmarks.copies size [--members 200]    messages and bytes in simulated time, at rest and filling
+python -m benchmarks.copies lessons                 what was learnt of 10, 100 and 500 boxes: bytes and time
 """
 
 from __future__ import annotations
@@ -23,13 +24,17 @@
 from typing import Any
 
 from benchmarks.common import FLEET_CPU, child, cpu_s, memory_mb, quantile
+from rosedeal.copies import learnt, snapshot, words
 from rosedeal.copies import record as records
-from rosedeal.copies import snapshot, words
+from rosedeal.copies.learnt import Lesson
+from rosedeal.interface import Outcome
+from rosedeal.interface import Send as Attempted
 from rosedeal.standins.rig import Gateway, Rig, rig
 from tests.agreement.simulation import MS, S
 from rosedeal.copies.keeper import Send
 from tests.copies.simulation import Node, World
 from tests.copies.test_process import last_steps, placed
+from tests.helpers import Driver
 
 WHOLE = 100_000  # records up to which all are laid out in simulated time
 
@@ -366,9 +371,28 @@
     )
 
 
+def lessons() -> None:
+    for boxes in (10, 100, learnt.BOXES_MOST):
+        driver = Driver(servers=boxes)
+        for n in range(min(20 * boxes, 4000)):
+            name, actions = driver.arrive()
+            driver.now_us += 10_000
+            for action in actions:
+                if isinstance(action, Attempted):
+                    driver.end(name, action.server, Outcome.ERROR if n % 7 == 0 else Outcome.OK)
+        took, data = [], b""
+        for _ in range(20):
+            began = time.perf_counter()
+            packed = learnt.pack(Lesson(driver.now_us, ("a",), {"": driver.balancer.snapshot()}))
+            took.append(time.perf_counter() - began)
+            assert packed is not None
+            data = packed
+        print(f"{boxes} boxes: {len(data) / 1000:.1f} kB, {1e3 * statistics.median(took):.1f} ms on the loop")
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("what", choices=("cost", "plain", "refill", "steps", "size"))
+    parser.add_argument("what", choices=("cost", "plain", "refill", "steps", "size", "lessons"))
     parser.add_argument("--plot", type=Path)
     parser.add_argument("--rounds", type=int, default=8)
     parser.add_argument("--seconds", type=float, default=8.0)
@@ -385,6 +409,8 @@
             asyncio.run(refill(args.records))
         case "steps":
             return asyncio.run(steps(args.points))
+        case "lessons":
+            lessons()
         case "size":
             size(args.members, args.records)
     return 0
--- a/rosedeal/cli/copies_words.py
+++ b/rosedeal/cli/copies_words.py
@@ -110,5 +110,7 @@
         )
     if result["in_doubt"]:
         lines.append(f"in doubt: {result['in_doubt']} at one seat")
+    if result.get("learnt"):
+        lines.append(result["learnt"])
     lines += [f"- {why}" for why in result["why"]]
     return "\n".join(lines)
--- a/rosedeal/cli/serve.py
+++ b/rosedeal/cli/serve.py
@@ -86,6 +86,7 @@
     assert group is not None  # the file was checked
     try:
         from rosedeal.cli.copies import WithCopies, copies_room
+        from rosedeal.copies.lessons import LessonsRoom
         from rosedeal.cli.group import Asked
     except ModuleNotFoundError as error:
         why = f"{error.name} is missing: pip install 'badgergap[copies]'"
@@ -94,8 +95,10 @@
     room.tell = admin.tell
     admin.notices.append(room.problems)
     assert isinstance(admin.group, Asked)
+    lessons = LessonsRoom(group, room, admin.proxies)
+    calls.lessons = lessons.line
     admin.group = WithCopies(admin.group, calls)
-    rooms.append(room)
+    rooms += [room, lessons]
     return guard
 
 
--- a/rosedeal/copies/calls.py
+++ b/rosedeal/copies/calls.py
@@ -35,6 +35,7 @@
 
     def __init__(self, room: CopiesRoom, keyed: Keyed, guard: Guard) -> None:
         self.room, self.keyed, self.guard = room, keyed, guard
+        self.lessons: Callable[[], str] = lambda: ""  # how it stands with what was learnt
         self.known: dict[str, Callable[[Arguments], Awaitable[Any]]] = {
             "copies.status": self.status,
             "copies.find": self.find,
@@ -96,6 +97,7 @@
             "in_doubt": max((report.doubt for report in lines.values()), default=0),
             "clock_s": it.clock.now_us(it.now_us) // 1_000_000,
             "seats": seats,
+            "learnt": self.lessons(),
             "here": {
                 "keys": len(self.guard.keys),
                 "by_end": dict(self.guard.counts),
