Run two parts of the tests beside the rest, and give each demo in them a socket of its own

Demos that tests start at the same time found the same default socket free and took it from each other (seen in loops side by side).

--- a/tests/all.sh
+++ b/tests/all.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Everything a change must pass: style, types, tests. pytest comes last: its closing line is the verdict.
-# Types, and the tests of groups of processes, which mostly wait, run beside the rest.
+# Everything a change must pass: style, types, tests. pytest comes last: its closing lines are the verdict.
+# Types, and two parts of the tests, which mostly wait for processes and sockets, run beside the rest.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 ruff check .
@@ -8,10 +8,13 @@
 told=$(mktemp -d)
 trap 'rm -rf "$told"' EXIT
 mypy > "$told/types" 2>&1 & types=$!
+beside=(tests/etcd tests/h3 tests/console tests/appliance tests/staffed)
 python -m pytest tests/agreement tests/copies > "$told/groups" 2>&1 & groups=$!
+python -m pytest "${beside[@]}" > "$told/beside" 2>&1 & others=$!
 rest=0
-python -m pytest --ignore=tests/agreement --ignore=tests/copies > "$told/rest" 2>&1 || rest=$?
+python -m pytest --ignore=tests/agreement --ignore=tests/copies "${beside[@]/#/--ignore=}" > "$told/rest" 2>&1 || rest=$?
 wait "$types" || { cat "$told/types"; rest=1; }
 wait "$groups" || rest=1
-cat "$told/groups" "$told/rest"
+wait "$others" || rest=1
+cat "$told/groups" "$told/beside" "$told/rest"
 exit "$rest"
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -296,9 +296,9 @@
     run(test())
 
 
-def test_the_demo_ends_with_nothing_left_running() -> None:
+def test_the_demo_ends_with_nothing_left_running(tmp_path: Path) -> None:
     async def test() -> None:
-        terminal = Terminal(["-m", "rosedeal.cli", "demo", "--boxes", "4"])
+        terminal = demo(tmp_path, 4)
         try:
             await terminal.until("x break")
             children = _children(terminal.pid)
@@ -314,9 +314,9 @@
     run(test())
 
 
-def test_the_demos_children_end_with_a_demo_that_is_killed() -> None:
+def test_the_demos_children_end_with_a_demo_that_is_killed(tmp_path: Path) -> None:
     async def test() -> None:
-        terminal = Terminal(["-m", "rosedeal.cli", "demo", "--boxes", "3"])
+        terminal = demo(tmp_path, 3)
         try:
             await terminal.until("x break")
             children = _children(terminal.pid)
@@ -328,6 +328,12 @@
     run(test())
 
 
+def demo(folder: Path, boxes: int) -> Terminal:
+    """With a socket of its own: two that begin at once beside each other would take the same one."""
+    arguments = ["-m", "rosedeal.cli", "demo", "--boxes", str(boxes)]
+    return Terminal(arguments, BADGERGAP_SOCKET=str(folder / "demo.sock"))
+
+
 def _children(pid: int) -> list[int]:
     text = Path(f"/proc/{pid}/task/{pid}/children").read_text()
     return [int(child) for child in text.split()]
