Take a change of members that is said again as done, not as an error

Seen in its output; the cause is in member.py: a wish is said every 0.4 s until it is answered, and each time it was judged anew, so a repeat could find its own work done ("no member is called", "votes already"). And `add` of a member that was taken out comes in two steps: where the member came back within the first call's wait, that call already made it a voter and the second, which the operator page asks for, was refused.

The leader now remembers the last 64 wishes it took up and answers a repeat as the first time; `add` of one that votes is done, as with any command that is said twice.

--- a/rosedeal/agreement/member.py
+++ b/rosedeal/agreement/member.py
@@ -12,7 +12,7 @@
 
 import hashlib
 import random
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -31,6 +31,7 @@
 CHECK_US = 2_000_000  # for the members to say whether they can load a version
 OPEN_LIMIT = 64  # publishes that wait for the members' word
 NAMES_LIMIT = 512
+BEGUN_MOST = 64
 COMPACT_ENTRIES = 2048
 COMPACT_BYTES = 4 * 1024 * 1024
 
@@ -300,6 +301,7 @@
         self.opens: dict[str, Open] = {}
         self.examining: dict[str, str] = {}  # publishes that others want examined here, and who asks
         self.changes: list[Change] = []
+        self.begun: deque[str] = deque(maxlen=BEGUN_MOST)  # wishes for a change that were taken up here
         self.enforcing = 0  # the version whose Enforce was added in this term
         self.first_at = 0
         self.looked: tuple[int, Looked] | None = None  # when, and what the leader last said of all
@@ -473,12 +475,18 @@
             self._send(self.raft.leader, wish)
 
     def _on_steer(self, now_us: int, origin: str, wish: Steer) -> None:
+        """A wish is said until it is answered: once taken up it is not judged by what came of it since."""
         if self.raft.leads:
-            why = self.change(now_us, wish.name, wish.do)
-            self._lose(origin, Outcome(wish.id, 0 if why else 1, why))
+            if wish.id not in self.begun:
+                why = self.change(now_us, wish.name, wish.do)
+                if why:
+                    self._lose(origin, Outcome(wish.id, 0, why))
+                    return
+                self.begun.append(wish.id)
+            self._lose(origin, Outcome(wish.id, 1))
 
     def change(self, now_us: int, name: str, do: str) -> str:
-        """Begin a change of members, at the leader. Why not, or nothing."""
+        """Begin a change of members, at the leader. Why not, or nothing, also where it is done already."""
         if not self.raft.settled:
             return f"the leader is {self.leader_name}" if self.raft.leader else "there is no leader"
         there = [peer for peer in self.raft.config if peer.name == name]
@@ -488,6 +496,9 @@
         why = self._why_no_change(name, do, there)
         if why:
             return why
+        if do == "add" and all(peer.votes for peer in there):
+            # Let in a moment ago, it may vote before it is said again.
+            return ""
         if not any(change.name == name for change in self.changes):
             self.changes.append(Change(name, "vote" if do == "add" else do))
         if do == "remove" and name not in self.state.barred:
@@ -502,8 +513,6 @@
             return f"another change of {name} is under way"
         if do == "remove" and len(self.raft.config) == len(there):
             return "the last member cannot be taken out"
-        if do == "add" and len(there) == 1 and there[0].votes:
-            return f"{name} votes already"
         if do == "add" and len(there) > 1:
             return f"{name} has come back as another: `group replace {name}`"
         if do == "replace" and (len(there) < 2 or not any(peer.votes for peer in there)):
--- a/tests/agreement/test_schedules.py
+++ b/tests/agreement/test_schedules.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from rosedeal.agreement.member import Settled, Steer
 from tests.agreement.guards import GUARDS, Guard
-from tests.agreement.simulation import BOUND_US, S, World, play, play_cuts
+from tests.agreement.simulation import BOUND_US, S, Node, World, leader_of, play, play_cuts
 
 
 @pytest.mark.parametrize(
@@ -84,3 +85,43 @@
     world.run(2 * S)
     only = world.nodes["v0"]
     assert only.member is not None and only.member.may_act(world.local(only))
+
+
+def steered(world: World, leader: Node, id: str, do: str, name: str) -> tuple[int, str]:
+    assert leader.member is not None
+    leader.member.steer(world.local(leader), Steer(id, name, do))
+    (told,) = [todo.outcome for todo in leader.member.out if isinstance(todo, Settled)]
+    world.settle(leader)
+    assert told.id == id
+    return told.version, told.why
+
+
+def test_a_change_that_is_said_again_is_done_once_and_never_an_error() -> None:
+    """A member says its operator's wish every 0.4 s until it is answered, and `add` comes in two steps."""
+    world = World(5, 3)
+    world.run(5 * S)
+    leader = leader_of(world)
+    assert leader is not None and leader.member is not None
+    it, name = leader.member, next(n for n in world.nodes if n != leader.name)
+
+    def voters() -> list[str]:
+        return sorted(peer.name for peer in it.raft.config if peer.votes)
+
+    assert steered(world, leader, "out", "remove", name) == (1, "")
+    world.run(world.now + 8 * S)
+    assert name not in voters() and name in it.state.barred
+    assert steered(world, leader, "out", "remove", name) == (1, ""), "it is out already"
+    assert steered(world, leader, "out 2", "remove", name) == (0, f"no member is called {name}")
+    world.crash(world.nodes[name])
+    assert steered(world, leader, "in", "add", name) == (1, "")
+    world.run(world.now + S)
+    assert name not in it.state.barred
+    assert steered(world, leader, "in", "add", name) == (1, ""), "it is let in and not there yet"
+    world.boot(world.nodes[name])
+    world.run(world.now + 3 * S)
+    assert name not in voters() and name in [peer.name for peer in it.raft.config]
+    assert steered(world, leader, "in", "add", name) == (1, "") and not it.changes, "begun once"
+    for id in ("vote", "vote", "vote again"):
+        assert steered(world, leader, id, "add", name) == (1, "")
+        world.run(world.now + 3 * S)
+        assert voters() == sorted(world.nodes) and not it.changes
