Hand an operator file's listeners over to a new process: HTTP, HTTPS, HTTP/3, admin

It has a room of its own now (rosedeal/handover/, out of the core, which knows one protocol), and rooms that listen are Parts of it. Connections in the clear go over; those over TLS end with an answer that says so; HTTP/3 stays where it is, and the new process, which alone reads the UDP socket, passes on what is not its own. Off by default (`handover` in [site]); not in a group yet, which is refused.

On the way: TLS was accepted by a task, and one that was cancelled in the turn in which it had accepted lost the connection; it is accepted in the reader now. The hold point of one start is the next line, as the core imports no hand-over.

--- a/rosedeal/__main__.py
+++ b/rosedeal/__main__.py
@@ -24,7 +24,12 @@
     except ConfigError as error:
         print(f"rosedeal: {error}", file=sys.stderr)
         return 2
-    return run(config, partial(reload_config, os.environ), hung_up=early)
+    succeed = None
+    if config.console is not None:
+        from rosedeal.handover.succession import succession_of
+
+        succeed = partial(succession_of, os.environ)
+    return run(config, partial(reload_config, os.environ), hung_up=early, succeed=succeed)
 
 
 if __name__ == "__main__":
--- a/rosedeal/admin/room.py
+++ b/rosedeal/admin/room.py
@@ -13,7 +13,7 @@
 import os
 import socket
 import stat
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from pathlib import Path
 from typing import Any, Protocol, cast
 
@@ -51,6 +51,8 @@
 KEEP_S = 2.0  # the longest that an answer waits for the disk
 KEEP_AGAIN_S = 10.0  # until what could not be kept is tried again
 FAULT = Failure(code="failed", text="a fault in the gateway, which is in its log")
+ADMIN = "admin"  # the name of its listener for the next process
+LOCK_POLL_S = 0.05
 PENDING = 64  # wishes of one connection that wait for the disk
 
 
@@ -103,6 +105,10 @@
         self.joins: Callable[[], tuple[Mapping[str, int], int, int]] = lambda: ({}, 0, 0)
         self.group: Group | None = None
         self.notices: list[Callable[[], list[str]]] = []  # what else people should know of
+        self.part = ADMIN
+        self.sock: socket.socket | None = None  # that listens; another process may listen on it too
+        self.inherited: socket.socket | None = None
+        self.gave_way = False
 
     # The room
 
@@ -116,13 +122,57 @@
             self.story.tell(self.started_us, f"{drain.name} stays drained by hand, by {drain.by}")
 
     async def start(self) -> None:
-        sock = self._claim()
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_unix_server(lambda: Connection(self), sock=sock)
+        if self.inherited is not None:
+            self.sock = self.inherited
+            self._spawn(self._lock_later())
+        else:
+            self.sock = self._claim()
+        await self._accept()
         self.story.tell(self._now_us(), "The gateway has started")
         self._spawn(self._tick())
         log.info("the admin socket is %s", self.path)
 
+    async def _accept(self) -> None:
+        assert self.sock is not None
+        self.listener = await asyncio.get_running_loop().create_unix_server(
+            lambda: Connection(self), sock=self.sock.dup()
+        )
+
+    # A part that goes over to another process
+
+    def bequeath(self) -> Mapping[str, int]:
+        return {ADMIN: self.sock.fileno()} if self.sock is not None else {}
+
+    def inherit(self, found: dict[str, socket.socket], ready: Callable[[], Awaitable[None]]) -> None:
+        if ADMIN in found and found[ADMIN].getsockname() == str(self.path):
+            self.inherited = found.pop(ADMIN)
+
+    def give_way(self, give: Callable[[int], bool]) -> None:
+        """Whoever watches is to watch the other one; what was asked here is answered here."""
+        self.gave_way = True
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+        for subscriber in list(self.subscribers):
+            subscriber.close()
+
+    def take_back(self) -> None:
+        self.gave_way = False
+        self._spawn(self._accept())
+
+    def adopt(self, sock: socket.socket) -> None:
+        """No caller is given over."""
+        sock.close()
+
+    async def _lock_later(self) -> None:
+        """The lock is the process's before this one until that has ended."""
+        while True:
+            try:
+                self._lock()
+                return
+            except OSError:
+                await asyncio.sleep(LOCK_POLL_S)
+
     def reload(self, config: Config) -> None:
         if config.grows:
             aims = (klass.aim_us for klass in config.settings.classes)
@@ -139,8 +189,11 @@
             self.listener.close()
         for connection in list(self.connections):
             connection.close()
+        if self.sock is not None:
+            self.sock.close()
         if self.lock is not None:
-            self.path.unlink(missing_ok=True)
+            if not self.gave_way:
+                self.path.unlink(missing_ok=True)
             os.close(self.lock)
 
     def _claim(self) -> socket.socket:
@@ -151,13 +204,7 @@
         if len(os.fsencode(self.path)) > PATH_LIMIT:
             raise OSError(None, f"the admin socket's path is over {PATH_LIMIT} bytes: {self.path}")
         prepare_folder(self.path)
-        self.lock = os.open(f"{self.path}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
-        try:
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            os.close(self.lock)
-            self.lock = None
-            raise OSError(None, f"another gateway serves the admin socket {self.path}") from None
+        self._lock()
         try:
             if not stat.S_ISSOCK(self.path.lstat().st_mode):
                 raise OSError(None, f"{self.path} is there and is no socket")
@@ -175,6 +222,16 @@
             os.umask(mask)
         return sock
 
+    def _lock(self) -> None:
+        """Raises OSError while another process has it."""
+        self.lock = os.open(f"{self.path}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self.lock)
+            self.lock = None
+            raise OSError(None, f"another gateway serves the admin socket {self.path}") from None
+
     # What is shown
 
     def _now_us(self) -> int:
--- a/rosedeal/cli/serve.py
+++ b/rosedeal/cli/serve.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Mapping
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -16,7 +17,7 @@
 from rosedeal.cli.setup import Setup
 from rosedeal.gateway.config import Config, ConfigError
 from rosedeal.gateway.proxy import Proxy
-from rosedeal.gateway.run import Room, log_to_stderr, run
+from rosedeal.gateway.run import Room, Succeed, log_to_stderr, run
 from rosedeal.site import SiteRoom
 from rosedeal.site.web import never
 
@@ -65,7 +66,27 @@
         rooms.append(fleet_tls(setup))
     if until_stdin_ends:
         rooms.append(Lifeline())
-    return run(config, setup.read_again, rooms, figures)
+    return run(config, setup.read_again, rooms, figures, succeed=succession(setup, environ))
+
+
+def succession(setup: Setup, environ: Mapping[str, str]) -> Succeed | None:
+    """What a second process of this gateway takes over by; it is not loaded before it is on."""
+    handover = setup.site.site.handover
+    if handover is None and (setup.config.console is None or setup.config.listen is None):
+        return None
+    from rosedeal.handover.link import Place
+    from rosedeal.handover.succession import Succession, succession_of
+
+    if handover is None:
+        return partial(succession_of, environ)
+    assert setup.store is not None  # the file was checked
+    folder, stands_by_s = setup.store.folder, handover / 1e6
+
+    def succeed(config: Config) -> Succession:
+        folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        return Succession(Place(folder), config, None, stands_by_s)
+
+    return succeed
 
 
 def join_group(setup: Setup, admin: AdminRoom) -> GroupRoom:
--- a/rosedeal/gateway/ends.py
+++ b/rosedeal/gateway/ends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+import socket
 
 # Linux tells a peer's end apart from its data; elsewhere only a reset is seen.
 END = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
@@ -25,6 +26,16 @@
     return _poll(transport, END) & END != 0
 
 
+def is_bound(sock: socket.socket, address: tuple[str, int]) -> bool:
+    """Whether it listens where this is; port 0 is any port."""
+    try:
+        host, port = sock.getsockname()[:2]
+    except (OSError, ValueError):
+        return False
+    given = "127.0.0.1" if address[0] == "localhost" else address[0]
+    return host == given and address[1] in (0, port)
+
+
 def _poll(transport: asyncio.BaseTransport | None, events: int) -> int:
     """The events of a socket; of one that is closing all of them."""
     if transport is None or transport.is_closing():
--- a/rosedeal/gateway/run.py
+++ b/rosedeal/gateway/run.py
@@ -5,12 +5,12 @@
 import asyncio
 import gc
 import logging
-import os
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import replace
-from typing import Protocol, runtime_checkable
+from typing import Any, Protocol, runtime_checkable
 
 import uvloop
 
@@ -19,7 +19,6 @@
 from rosedeal.gateway.desk import CALLERS, Desk, Hands
 from rosedeal.gateway.downstream import Downstream
 from rosedeal.gateway.proxy import Observer, Proxy
-from rosedeal.gateway.succession import succession_of
 
 log = logging.getLogger(__name__)
 
@@ -81,12 +80,53 @@
         """The process was told to end: returns once all that the room has taken is answered."""
 
 
+class Inherited(Protocol):
+    """What a process hands over that a gateway begins with."""
+
+    @property
+    def known(self) -> dict[str, Any]:
+        """The list of hosts, as `Config.known`."""
+
+    @property
+    def offset_ns(self) -> int:
+        """Of its clock against the monotonic one."""
+
+
+class Succession(Protocol):
+    """What takes over from another process of this gateway, and gives over to the next."""
+
+    listener: socket.socket | None  # of clients, handed over
+
+    async def inherit(self) -> Inherited | None:
+        """What the process that serves hands over, or None where there is none."""
+
+    def join(self, proxy: Proxy, downstream: Downstream, rooms: Sequence[Room]) -> None:
+        """Before anything has started."""
+
+    def teach(self) -> None:
+        """The hosts are listed, as far as they were handed over."""
+
+    def take(self) -> None:
+        """Clients are taken here from now on."""
+
+    def end(self) -> None:
+        """This process was told to end."""
+
+    async def close(self) -> None:
+        """All requests are answered."""
+
+
+# Where there can be one. Called on the loop.
+Succeed = Callable[[Config], Succession | None]
+
+
 async def serve(
     config: Config,
     read_again: ReadAgain,
     rooms: Sequence[Room] = (),
     observer: Observer | None = None,
     early: Sequence[int] = (),
+    succeed: Succeed | None = None,
 ) -> None:
     """Run until told to end, and then until everything taken is answered. `early`: SIGHUPs before it."""
     loop = asyncio.get_running_loop()
@@ -96,14 +136,14 @@
     loop.add_signal_handler(signal.SIGHUP, hung_up.set)
     if early:
         hung_up.set()
-    succession = succession_of(config, os.environ)
+    succession = succeed(config) if succeed is not None else None
     will = await succession.inherit() if succession is not None else None
     proxy = Proxy(config if will is None else replace(config, known=will.known), loop, observer)
     if will is not None:
         proxy.clock.offset_ns = will.offset_ns
     downstream = Downstream(config, proxy, loop)
     if succession is not None:
-        succession.join(proxy, downstream)
+        succession.join(proxy, downstream, rooms)
     for room in rooms:
         room.join(proxy)
     await proxy.start()
@@ -210,12 +250,13 @@
     rooms: Sequence[Room] = (),
     observer: Observer | None = None,
     hung_up: Sequence[int] = (),
+    succeed: Succeed | None = None,
 ) -> int:
     """Serve until told to end; returns the exit code. `hung_up`: SIGHUPs that came while it started."""
     gc.freeze()  # what the imports made is never garbage
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, read_again, rooms, observer, hung_up))
+            runner.run(serve(config, read_again, rooms, observer, hung_up, succeed))
     except OSError as error:
         why = error if error.errno is not None else error.strerror  # of our own there is no number
         print(f"rosedeal: cannot start: {why}", file=sys.stderr)
--- a/rosedeal/h3/endpoint.py
+++ b/rosedeal/h3/endpoint.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import socket
@@ -34,6 +35,8 @@
 from aioquic.quic.retry import QuicRetryTokenHandler
 
 from rosedeal.gateway.config import Address
+from rosedeal.h3 import beside
+from rosedeal.h3.beside import Beside
 from rosedeal.h3.driver import Driver, Sender
 from rosedeal.h3.library import (
     CID_LENGTH,
@@ -149,24 +152,96 @@
         self.links: dict[Link, None] = {}  # oldest first
         self.half_open: dict[Link, None] = {}
         self.transport: asyncio.DatagramTransport | None = None
+        self.sock: socket.socket | None = None  # another process may have it too
+        self.older: Beside | None = None  # the process before: what is not of this one may be its
+        self.older_ids: frozenset[bytes] = frozenset()  # of its handshakes
+        self.newer: Beside | None = None  # the process that reads the socket
+        self.will: tuple[socket.socket, socket.socket] | None = None  # both ends of the way to the next one
+        self.tasks: set[asyncio.Task[None]] = set()
         self.ending = False
 
-    async def start(self, listen: Address) -> Address:
-        host, port = listen
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_DGRAM)
-        try:
-            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-                sock.setsockopt(socket.SOL_SOCKET, option, BUFFER)
-            sock.setblocking(False)
-            sock.bind((host, port))
-            await self.loop.create_datagram_endpoint(lambda: self, sock=sock)
-        except BaseException:
-            sock.close()
-            raise
-        bound: Address = sock.getsockname()[:2]
+    async def start(
+        self, listen: Address, inherited: tuple[socket.socket, socket.socket] | None = None
+    ) -> Address:
+        """`inherited`: the socket of a process before this one, and the way to that process."""
+        if inherited is not None:
+            self.sock, way = inherited
+            self.older = Beside(way, self.loop, self.heard_older, self.lost_older)
+        else:
+            self.sock = bound_to(listen)
+            await self.read()
+        bound: Address = self.sock.getsockname()[:2]
         return bound
 
+    async def read(self) -> None:
+        """The loop's transport has a descriptor of its own."""
+        if self.sock is not None and self.transport is None:
+            await self.loop.create_datagram_endpoint(lambda: self, sock=self.sock.dup())
+
+    def read_soon(self) -> None:
+        task = self.loop.create_task(self.read())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    # Beside another process
+
+    def bequeath(self) -> tuple[int, int] | None:
+        """Descriptors of the socket and of the next process's end of the way to this one."""
+        if self.sock is None or self.newer is not None:
+            return None
+        for end in self.will or ():
+            end.close()
+        self.will = beside.pair()
+        return self.sock.fileno(), self.will[1].fileno()
+
+    def give_way(self) -> None:
+        """Another process reads from here on; connections go on with what it passes on."""
+        if self.will is None:
+            return
+        (ours, theirs), self.will = self.will, None
+        theirs.close()
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
+        self.newer = Beside(ours, self.loop, self.heard_newer, self.take_back)
+        self.newer.send(beside.stopped((id for link in self.half_open for id in link.ids), CID_LENGTH))
+
+    def take_back(self) -> None:
+        if self.newer is not None:
+            self.newer.close()
+            self.newer = None
+            self.read_soon()
+
+    def heard_newer(self, message: bytes) -> None:
+        try:
+            data, addr = beside.read_packet(message)
+        except ValueError:
+            return
+        link = self.find(data)[1]
+        if link is not None:
+            link.receive(data, addr)
+
+    def heard_older(self, message: bytes) -> None:
+        if message.startswith(beside.STOPPED):
+            self.older_ids = beside.read_stopped(message, CID_LENGTH)
+            self.read_soon()
+
+    def lost_older(self) -> None:
+        self.older, self.older_ids = None, frozenset()
+        self.read_soon()
+
+    def is_older(self, header: QuicHeader) -> bool:
+        """Whether a packet of no connection here may be of one at the process before."""
+        begins = header.packet_type in (QuicPacketType.INITIAL, QuicPacketType.VERSION_NEGOTIATION)
+        return self.older is not None and (not begins or header.destination_cid in self.older_ids)
+
+    def find(self, data: bytes) -> tuple[QuicHeader | None, Link | None]:
+        try:
+            header = pull_quic_header(Buffer(data=data), host_cid_length=CID_LENGTH)
+        except ValueError:
+            return None, None
+        return header, self.by_id.get(header.destination_cid)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
 
@@ -174,11 +249,12 @@
         """A client's port is closed, or its network is gone: its connection will find out by its timers."""
 
     def datagram_received(self, data: bytes, addr: Sender) -> None:
-        try:
-            header = pull_quic_header(Buffer(data=data), host_cid_length=CID_LENGTH)
-        except ValueError:
+        header, link = self.find(data)
+        if header is None:
+            return
+        if link is None and self.older is not None and self.is_older(header):
+            self.older.send(beside.packet(data, addr))
             return
-        link = self.by_id.get(header.destination_cid)
         if link is None:
             link = self.opening(header, data, addr)
         if link is not None:
@@ -189,6 +265,9 @@
     def send(self, data: bytes, to: Sender) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.sendto(data, to)
+        elif self.newer is not None and self.sock is not None:
+            with contextlib.suppress(OSError):  # as lost on the way
+                self.sock.sendto(data, to)
 
     def opening(self, header: QuicHeader, data: bytes, addr: Sender) -> Link | None:
         kind, version = header.packet_type, header.version
@@ -312,6 +391,28 @@
             link.close(NO_ERROR)
         if self.transport is not None:
             self.transport.close()
+        for way in (self.older, self.newer):
+            if way is not None:
+                way.close()
+        for sock in (self.sock, *(self.will or ())):
+            if sock is not None:
+                sock.close()
+        self.sock, self.will = None, None
+
+
+def bound_to(listen: Address) -> socket.socket:
+    """Raises OSError."""
+    host, port = listen
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            sock.setsockopt(socket.SOL_SOCKET, option, BUFFER)
+        sock.setblocking(False)
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
 
 
 NO_ERROR = 0x100  # H3_NO_ERROR
--- a/rosedeal/h3/room.py
+++ b/rosedeal/h3/room.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+import socket
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
 from rosedeal.gateway.config import Address, Config
+from rosedeal.gateway.ends import is_bound
 from rosedeal.gateway.proxy import Proxy
 from rosedeal.h3.endpoint import NO_ERROR, Endpoint, Link
 from rosedeal.h3.front import Front3
@@ -17,6 +19,7 @@
 
 log = logging.getLogger(__name__)
 
+SOCKET, WAY = "http3", "http3 back"  # the names of what the next process needs
 SWEEP_S = 0.5
 POLL_S = 0.02
 LAST_TAKE_S = 0.5  # requests go on coming for a moment after an end has begun
@@ -44,6 +47,8 @@
         self.endpoint: Endpoint | None = None
         self.listens: Address | None = None
         self.sweeping: asyncio.TimerHandle | None = None
+        self.part = SOCKET
+        self.inherited: tuple[socket.socket, socket.socket] | None = None
 
     # What its connections need
 
@@ -76,11 +81,40 @@
             idle_s=self.limits.idle_s,
             tickets=Tickets() if plan.early_data else None,
         )
-        self.listens = await self.endpoint.start(plan.listen)
+        self.listens = await self.endpoint.start(plan.listen, self.inherited)
         self.ways.alt_svc = b'h3=":%d"; ma=%d' % (self.listens[1], ALT_SVC_S)
         self._sweep()
         log.info("%s serves HTTP/3 on %s:%d", self.proxy.config.name, *self.listens)
 
+    # A part that goes over to another process
+
+    def bequeath(self) -> Mapping[str, int]:
+        found = self.endpoint.bequeath() if self.endpoint is not None else None
+        return {SOCKET: found[0], WAY: found[1]} if found is not None else {}
+
+    def inherit(self, found: dict[str, socket.socket], ready: Callable[[], Awaitable[None]]) -> None:
+        if (
+            self.plan is not None
+            and {SOCKET, WAY} <= found.keys()
+            and is_bound(found[SOCKET], self.plan.listen)
+        ):
+            self.inherited = found.pop(SOCKET), found.pop(WAY)
+
+    def give_way(self, give: Callable[[int], bool]) -> None:
+        """Clients are told to open their next connection, which the other process takes."""
+        if self.endpoint is not None:
+            self.endpoint.give_way()
+            for front in self._fronts():
+                front.end_soon()
+
+    def take_back(self) -> None:
+        if self.endpoint is not None:
+            self.endpoint.take_back()
+
+    def adopt(self, sock: socket.socket) -> None:
+        """No connection can go over."""
+        sock.close()
+
     def _user(self, link: Link) -> Front3:
         return Front3(link, self)
 
--- a/rosedeal/gateway/succession.py
+++ b/rosedeal/handover/succession.py
@@ -1,6 +1,7 @@
 """A gateway's processes, one after the other, that are one gateway while both live.
 
-The rules, stated once; "old" and "new" are two processes on one `Place`, and either may be both:
+What goes over: the platform's listener and its clients, and those of each room that is a `Part`. The rules,
+stated once; "old" and "new" are two processes on one `Place`, and either may be both:
 
 1. The new one asks for a will before it starts. It waits WAIT_S at the most; without one it starts as if
    alone, with the hosts out by hand that a file beside the place names.
@@ -10,7 +11,9 @@
 4. A call by hand at either is told to the other at once, before it is answered.
 5. If the new one is lost the old one takes clients again, unless it is ending. If the old one is lost the new
    one goes on.
-6. What the old one still holds of descriptors counts against the new one's limits, as it is told every
+6. Where an operator file says how long the old one stands by, the new one ends it after that time; and if the
+   new one is told to end before, both end.
+7. What the old one still holds of descriptors counts against the new one's limits, as it is told every
    HOLDS_S. What is said of an older process still counts with it.
 """
 
@@ -18,8 +21,10 @@
 
 import asyncio
 import logging
+import os
+import signal
 import socket
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from functools import partial
@@ -29,11 +34,14 @@
 from rosedeal.gateway.config import Config
 from rosedeal.gateway.downstream import ClientConnection, Downstream
 from rosedeal.gateway.drains import DrainStore
-from rosedeal.gateway.link import Link, Place, check_peer, descriptor_of
+from rosedeal.handover.link import Link, Place, check_peer, descriptor_of
+from rosedeal.handover.parts import Part
+from rosedeal.gateway.pools import MAIN, proxy_of
 from rosedeal.gateway.proxy import Proxy
 from rosedeal.gateway.roster import HandDrain, RosterError
+from rosedeal.gateway.run import Pooled, Room
 from rosedeal.gateway.sources import PLATFORM
-from rosedeal.gateway.will import Will, WillError, list_of, read_will, whose, write_will
+from rosedeal.handover.will import Will, WillError, list_of, read_will, whose, write_will
 
 log = logging.getLogger(__name__)
 
@@ -41,29 +49,39 @@
 HOLDS_S = 0.1
 FLUSH_S = 0.5  # for the heir to take the last connections
 HEIRS = 4  # that ask at a time
+HOSTS_S = 5.0  # for the new one to hear of hosts in each pool that had some
+HOSTS_POLL_S = 0.02
+LISTENERS = 32  # that a process hands over
 OTHERS_OWN = 24  # descriptors of another process beside connections: loop, log, discovery, second address
 
 
-def succession_of(config: Config, environ: Mapping[str, str]) -> Succession | None:
+def succession_of(environ: Mapping[str, str], config: Config) -> Succession | None:
     """Where operators call there is a $TMPDIR of the gateway's own; else a process has no heir."""
     folder = environ.get("TMPDIR")
     if config.console is None or config.listen is None or not folder:
         return None
     try:
-        return Succession(Place(Path(folder)), config)
+        place = Place(Path(folder))
     except OSError as error:
         log.warning("no other process can take over from this one: %s", error)
         return None
+    return Succession(place, config, DrainStore(place.folder))
 
 
 class Succession:
-    def __init__(self, place: Place, config: Config) -> None:
-        self.place, self.config = place, config
+    def __init__(
+        self, place: Place, config: Config, store: DrainStore | None = None, stands_by_s: float | None = None
+    ) -> None:
+        """`store`: keeps hosts out by hand where nothing else does. No `stands_by_s`: until it is ended."""
+        self.place, self.config, self.store, self.stands_by_s = place, config, store, stands_by_s
         self.loop = asyncio.get_running_loop()
-        self.store = DrainStore(place.folder)
         self.disk = ThreadPoolExecutor(1)  # one save after the other
+        self.parts: dict[str, Part] = {}
+        self.rooms: Sequence[Room] = ()
         self.will: Will | None = None
         self.listener: socket.socket | None = None  # of clients, handed over
+        self.listeners: dict[str, socket.socket] = {}  # of the parts, handed over and not taken yet
+        self.taught: set[Proxy] = set()
         self.before: Link | None = None  # to the process that serves, and then ends
         self.willed = asyncio.Event()
         self.at_place: socket.socket | None = None  # listens for heirs
@@ -76,6 +94,13 @@
         self.proxy: Proxy
         self.downstream: Downstream
 
+    def proxies(self) -> Mapping[str, Proxy]:
+        """Of all pools there are by now. Read with suspicion: a room may have none yet."""
+        pools = {
+            name: p for room in self.rooms if isinstance(room, Pooled) for name, p in room.proxies().items()
+        }
+        return {MAIN: self.proxy, **pools}
+
     # As the new one
 
     async def inherit(self) -> Will | None:
@@ -91,8 +116,9 @@
                 await self.willed.wait()
         except TimeoutError:
             log.warning("another process of this gateway listens and hands nothing over")
-        if self.will is None or self.listener is None:
+        if self.will is None or (self.listener is None and self.config.listen is not None):
             self.will = None
+            self.drop_listeners()
             link.close()
             return None
         log.info(
@@ -103,7 +129,11 @@
         return self.will
 
     def heard_before(self, message: dict[str, Any], sock: socket.socket | None) -> None:
-        if "will" in message:
+        if "listener" in message:
+            if sock is not None and len(self.listeners) < LISTENERS and not self.willed.is_set():
+                self.listeners[str(message["listener"])] = sock
+                return
+        elif "will" in message:
             try:
                 self.will = read_will(message, self.config.name, self.config.listen or ("", 0))
                 self.listener, sock = sock, None
@@ -111,7 +141,9 @@
                 log.warning("what another process hands over is not taken: %s", error)
             self.willed.set()
         elif "client" in message and sock is not None and self.serves:
-            self.adopt(sock)
+            sock.setblocking(False)
+            part = self.parts.get(str(message["client"]))
+            self.adopt(sock) if part is None else part.adopt(sock)
             return
         elif self.serves and self.before is not None:
             self.heard(self.before, message)
@@ -124,34 +156,84 @@
         if self.serves:
             self.count((0, 0))
 
-    def join(self, proxy: Proxy, downstream: Downstream) -> None:
+    def drop_listeners(self) -> None:
+        """What was handed over and nobody has taken: it may be of an address that is not served any more."""
+        for name, sock in self.listeners.items():
+            log.info("%s is not listened on any more, as it was handed over", name)
+            sock.close()
+        self.listeners.clear()
+
+    def join(self, proxy: Proxy, downstream: Downstream, rooms: Sequence[Room] = ()) -> None:
         """Before anything has started: what the will says of hosts out by hand, and of a drain."""
-        self.proxy, self.downstream = proxy, downstream
+        self.proxy, self.downstream, self.rooms = proxy, downstream, rooms
+        self.parts = {room.part: room for room in rooms if isinstance(room, Part)}
         will = self.will
-        proxy.roster.restore(will.drains if will is not None else self.store.load())
+        if will is not None:
+            for part in self.parts.values():
+                part.inherit(self.listeners, self.ready)
+        kept = self.store.load() if self.store is not None else []
+        proxy.roster.restore(will.drains if will is not None else kept)
         if will is not None and will.lame_s is not None:
             downstream.send_away(will.lame_s)
         proxy.by_hand.append(self.changed_by_hand)
         downstream.on_lame.append(self.changed_lame)
 
     def teach(self) -> None:
-        """The hosts are listed: go on with what was learnt of them."""
-        if self.will is not None and self.will.learnt is not None:
+        """Go on with what was learnt of hosts, in pools that have some by now and have not used them."""
+        will = self.will
+        if will is None:
+            return
+        for name, proxy in self.proxies().items():
+            learnt = will.learnt if name == MAIN else will.pools.get(name)
+            servers = proxy.balancer.servers.values()
+            if proxy in self.taught or learnt is None or not servers or any(s.used for s in servers):
+                continue
+            self.taught.add(proxy)
+            if will.classes and will.classes != proxy.filed.names.classes:
+                log.warning("what was learnt is not taken over: the classes are others")
+                continue
             try:
-                self.proxy.balancer.restore(self.proxy.clock.now_us(), self.will.learnt)
+                proxy.balancer.restore(proxy.clock.now_us(), learnt)
             except ValueError as error:
                 log.warning("what was learnt could not be taken over: %s", error)
 
+    async def ready(self) -> None:
+        """Before clients are taken: each pool that had hosts has some again, if they come in time."""
+        had = self.will.hosts if self.will is not None else {}
+        until = self.loop.time() + HOSTS_S
+
+        def lacking() -> list[str]:
+            there = self.proxies()
+            return [
+                name
+                for name, hosts in had.items()
+                if hosts and name in there and not there[name].upstream.hosts
+            ]
+
+        while lacking() and self.loop.time() < until:
+            await asyncio.sleep(HOSTS_POLL_S)
+        if lacking():
+            log.warning("no hosts are known yet in: %s", ", ".join(lacking()))
+        self.teach()
+
     def take(self) -> None:
         """Clients are taken here from now on; listen for an heir."""
+        self.teach()
+        self.drop_listeners()
         self.serves = True
         self.listen()
         if self.before is not None:
             self.before.send({"taking": True})
             self.count(self.told_holds)
+            if self.stands_by_s is not None:
+                self.loop.call_later(self.stands_by_s, self.dismiss)
+
+    def dismiss(self) -> None:
+        """This process has proved itself: the one before it may end."""
+        if self.before is not None:
+            self.before.send({"end": True})
 
     def adopt(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
         made = partial(ClientConnection, self.downstream, asked=True)
         task = self.loop.create_task(self.loop.connect_accepted_socket(made, sock))
         self.tasks.add(task)
@@ -208,14 +290,22 @@
             sock.close()  # an heir hands nothing over
         if "ask" in message:
             ours = whose(self.config.name, self.config.listen)
-            if message["ask"] != ours or self.heir is not None or self.downstream.socket is None:
+            ended = self.config.listen is not None and self.downstream.socket is None
+            if message["ask"] != ours or self.heir is not None or ended or self.ending:
                 link.close("it is of another gateway, or too late")
                 return
+            for part in self.parts.values():
+                for name, descriptor in part.bequeath().items():
+                    link.send({"listener": name}, descriptor)
             will = write_will(self.make_will(), self.config.name, self.config.listen or ("", 0))
-            link.send(will, self.downstream.socket.fileno())
+            link.send(will, self.downstream.socket.fileno() if self.downstream.socket is not None else None)
             log.info("another process of this gateway has asked for what it needs")
         elif message.get("taking") is True and self.heir is None:
             self.give_way(link)
+        elif message.get("end") is True and link is self.heir:
+            log.info("the process that took the clients ends this one")
+            self.ending = True
+            os.kill(os.getpid(), signal.SIGTERM)
         else:
             self.heard(link, message)
 
@@ -229,15 +319,21 @@
             drains=tuple(proxy.roster.drains.values()),
             lame_s=lame.age(self.loop.time()) if lame else None,
             learnt=proxy.balancer.snapshot(),
+            pools={name: p.balancer.snapshot() for name, p in self.proxies().items() if name != MAIN},
+            classes=proxy.filed.names.classes,
+            hosts={name: len(p.upstream.hosts) for name, p in self.proxies().items()},
         )
 
     def give_way(self, link: Link) -> None:
         log.info("another process of this gateway takes its clients")
         self.heir = link
         self.listen_no_more()
-        self.proxy.balancer.yields = True
-        self.proxy.upstream.close_all_idle()
+        for proxy in self.proxies().values():
+            proxy.balancer.yields = True
+            proxy.upstream.close_all_idle()
         self.downstream.give_way(self.give)
+        for name, part in self.parts.items():
+            part.give_way(partial(self.give_to, name))
         self.tell_holds()
 
     def give(self, connection: ClientConnection) -> bool:
@@ -246,6 +342,10 @@
             return False
         return self.heir.send({"client": True}, descriptor_of(connection.transport))
 
+    def give_to(self, part: str, descriptor: int) -> bool:
+        """The same of a part's client."""
+        return self.heir is not None and self.heir.send({"client": part}, descriptor)
+
     def tell_holds(self) -> None:
         if self.heir is None:
             return
@@ -262,8 +362,12 @@
         if self.ending:
             return
         log.warning("the process that took the clients has gone: they are taken here again")
-        self.proxy.balancer.yields = False
-        self.downstream.take_back()
+        for proxy in self.proxies().values():
+            proxy.balancer.yields = False
+        if self.config.listen is not None:
+            self.downstream.take_back()
+        for part in self.parts.values():
+            part.take_back()
         self.listen()
 
     # As either
@@ -285,11 +389,12 @@
             self.hearing = None
 
     def carry_out(self, name: str, by: str, out: bool) -> None:
+        proxy = proxy_of(self.proxies().values(), name)
         try:
             if out:
-                self.proxy.drain(name, by)
+                proxy.drain(name, by)
             else:
-                self.proxy.undrain(name, by)
+                proxy.undrain(name, by)
         except RosterError:
             if out:  # not listed here yet: it is out as soon as it is
                 self.proxy.roster.restore([HandDrain(name, by, self.proxy.clock.now_us())])
@@ -301,11 +406,12 @@
 
     def changed_by_hand(self, name: str, by: str, out: bool) -> None:
         self.tell({"hand": [name, by, out]})
-        self.disk.submit(self.save, list(self.proxy.roster.drains.values()))
+        if self.store is not None:
+            self.disk.submit(self.save, self.store, list(self.proxy.roster.drains.values()))
 
-    def save(self, drains: list[HandDrain]) -> None:
+    def save(self, store: DrainStore, drains: list[HandDrain]) -> None:
         try:
-            self.store.save(drains)
+            store.save(drains)
         except OSError as error:
             log.warning("hosts out by hand are not kept: %s", error.strerror or error)
 
@@ -313,12 +419,15 @@
         self.tell({"lame": lame})
 
     def end(self) -> None:
-        """This process was told to end."""
+        """This process was told to end; with it the one that stands by, or it would take clients again."""
         self.ending = True
+        if self.stands_by_s is not None:
+            self.dismiss()
 
     async def close(self) -> None:
         self.ending = True
         self.listen_no_more()
+        self.drop_listeners()
         if self.heir is not None:
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.heir.flush(), FLUSH_S)
--- a/rosedeal/gateway/will.py
+++ b/rosedeal/handover/will.py
@@ -79,6 +79,9 @@
     drains: tuple[HandDrain, ...] = ()
     lame_s: float | None = None  # since when clients are sent away, in seconds before the will
     learnt: dict[str, Any] | None = None  # a snapshot of the balancer's
+    pools: dict[str, dict[str, Any]] = field(default_factory=dict)  # the same of further pools
+    classes: tuple[str, ...] = ()  # what figures by class stand for; none: not known
+    hosts: dict[str, int] = field(default_factory=dict)  # so many that a pool had
     missing: tuple[str, ...] = field(default=(), compare=False)  # parts that could not be read, and why
 
 
@@ -95,6 +98,9 @@
         "drains": [[d.name, d.by, d.at_us, d.action] for d in will.drains],
         "lame_s": will.lame_s,
         "learnt": will.learnt,
+        "pools": will.pools,
+        "classes": list(will.classes),
+        "hosts": will.hosts,
     }
 
 
@@ -121,7 +127,19 @@
     if learnt is not None and not isinstance(learnt, dict):
         missing.append("what was learnt")
         learnt = None
-    return Will(offset_ns, known, drains, lame_s, learnt, tuple(missing))
+    pools, classes, hosts = (
+        raw.get(key, like) for key, like in (("pools", {}), ("classes", []), ("hosts", {}))
+    )
+    if not isinstance(pools, dict) or not all(isinstance(each, dict) for each in pools.values()):
+        missing.append("what was learnt in further pools")
+        pools = {}
+    if not isinstance(classes, list) or not all(isinstance(each, str) for each in classes):
+        missing.append("what was learnt, as its classes cannot be read")
+        classes, learnt, pools = [], None, {}
+    if not isinstance(hosts, dict) or not all(type(each) is int for each in hosts.values()):
+        missing.append("how many hosts there were")
+        hosts = {}
+    return Will(offset_ns, known, drains, lame_s, learnt, pools, tuple(classes), hosts, tuple(missing))
 
 
 def read_drain(raw: Any) -> HandDrain:
--- a/rosedeal/site/read.py
+++ b/rosedeal/site/read.py
@@ -172,6 +172,8 @@
         found.append(
             ("fleet.start_capacity", "means nothing without warm_after, the time until a box is warm")
         )
+    if site.site.handover is not None:
+        found += _of_handover(site)
     if site.etcd is not None:
         found += _of_etcd(site.etcd)
     if site.group is not None:
@@ -183,6 +185,17 @@
     return found
 
 
+def _of_handover(site: Site) -> list[tuple[str, str]]:
+    found: list[tuple[str, str]] = []
+    if site.site.state is None:
+        found.append(("site.handover", "needs site.state, the folder where its processes meet"))
+    if site.group is not None:
+        found.append(("site.handover", "stands beside [group], whose member cannot go over yet"))
+    if not 1_000_000 <= (site.site.handover or 0) <= 3_600_000_000:
+        found.append(("site.handover", 'allowed: from "1s" to "1h"'))
+    return found
+
+
 def _of_group(group: GroupTable, site: Site) -> list[tuple[str, str]]:
     found: list[tuple[str, str]] = []
     names = [str(member.name) for member in group.members]
--- a/rosedeal/site/schema.py
+++ b/rosedeal/site/schema.py
@@ -119,6 +119,8 @@
     )
     admin: Path | None = None  # Unix socket of console and commands; None: the user's own default
     state: Path | None = None  # folder for what outlives a restart; None: nothing does
+    # A second process of this file takes over from the first, which stands by for so long. None: it cannot.
+    handover: Duration | None = None
     zone: Name | None = None  # where this gateway stands
     discovery: Address | None = None  # a registry to follow, beside the boxes of this file
     console: Address | None = None  # where operators' scripts call; whoever reaches it may
--- a/rosedeal/web/door.py
+++ b/rosedeal/web/door.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 import ssl
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from itertools import islice
 from typing import Any
 
@@ -19,6 +20,7 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
+ACCEPTED = 64  # connections for TLS in one turn of the loop
 SWEEP_S = 0.2  # a client that is not read and has left is noticed so soon
 RESTING_SHARE = 0.5  # of the connections: so many of them between requests
 STALLED_S = 5.0  # a client that has taken or sent nothing for so long gives way when connections are short
@@ -37,9 +39,11 @@
         self.resting: dict[Front, None] = {}  # between requests, the one used last comes last
         self.draining = False
         self.listener: asyncio.Server | None = None
-        self.tls_listener: socket.socket | None = None
+        # What it listens on, and another process may too. The loop's server has a copy of its own.
+        self.sockets: list[socket.socket] = []
+        self.tls_sockets: list[socket.socket] = []
         self.context: ssl.SSLContext | None = None
-        self.accepting: asyncio.Task[None] | None = None
+        self.give: Callable[[int], bool] | None = None  # clients, to the process that takes over
         self.sweeping: asyncio.TimerHandle | None = None
         self.handshakes: dict[Handshake, None] = {}  # oldest first
         self.tasks: set[asyncio.Task[None]] = set()
@@ -52,41 +56,55 @@
     def limits(self) -> Limits:
         return self.plan.limits
 
-    async def start(self) -> Address:
-        host, port = self.plan.listen
-        self.listener = await self.loop.create_server(
-            lambda: Front(self), host, port, backlog=BACKLOG, reuse_address=True
-        )
+    async def start(self, inherited: socket.socket | None = None) -> Address:
+        """`inherited`: the socket that a process before this one listens on, and that goes on."""
+        self.sockets = [inherited] if inherited is not None else listening(self.plan.listen)
+        await self.accept_plain()
         self.sweeping = self.loop.call_later(SWEEP_S, self.sweep)
-        bound: Address = self.listener.sockets[0].getsockname()[:2]
+        bound: Address = self.sockets[0].getsockname()[:2]
         return bound
 
-    async def start_tls(self, context: ssl.SSLContext) -> Address:
+    async def start_tls(self, context: ssl.SSLContext, inherited: socket.socket | None = None) -> Address:
         assert self.plan.listen_tls is not None
         self.context = context
-        host, port = self.plan.listen_tls
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self.tls_listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
-        self.tls_listener.setblocking(False)
-        self.accepting = self.spawn(self.accept(self.tls_listener))
-        bound: Address = self.tls_listener.getsockname()[:2]
+        self.tls_sockets = [inherited] if inherited is not None else listening(self.plan.listen_tls)
+        self.accept_tls()
+        bound: Address = self.tls_sockets[0].getsockname()[:2]
         return bound
 
-    async def accept(self, listener: socket.socket) -> None:
-        """Take connections for TLS, and make room for each before its handshake."""
-        while True:
+    async def accept_plain(self) -> None:
+        (sock,) = self.sockets
+        self.listener = await self.loop.create_server(lambda: Front(self), sock=sock.dup(), backlog=BACKLOG)
+
+    def accept_tls(self) -> None:
+        for sock in self.tls_sockets:
+            self.loop.add_reader(sock.fileno(), self.accept, sock)
+
+    def accept(self, listener: socket.socket) -> None:
+        """Take connections for TLS, and make room for each before its handshake.
+
+        At once, with no task between the system and this: what a task that ends has accepted would be lost.
+        """
+        for _ in range(ACCEPTED):
             try:
-                sock, _ = await self.loop.sock_accept(listener)
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                return
             except OSError as error:  # no descriptor, or a client that has gone again
                 log.warning("a connection for TLS could not be taken: %s", error.strerror)
-                await asyncio.sleep(ACCEPT_AGAIN_S)
-                continue
+                self.loop.remove_reader(listener.fileno())
+                self.loop.call_later(ACCEPT_AGAIN_S, self.accept_again)
+                return
             sock.setblocking(False)
             if self.held >= self.plan.limits.connections and not self.make_room():
                 sock.close()
                 continue
             self.handshakes[Handshake(self, sock)] = None
 
+    def accept_again(self) -> None:
+        if self.give is None:
+            self.accept_tls()
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = self.loop.create_task(work)
         self.tasks.add(task)
@@ -148,6 +166,45 @@
             del self.resting[oldest]
             if oldest.may_close:
                 oldest.close()
+        if self.give is not None:
+            # Not from within the parser, which may have more of this client's.
+            self.loop.call_soon(self.try_to_give, front)
+
+    # To another process
+
+    def give_way(self, give: Callable[[int], bool]) -> None:
+        """Nothing is accepted any more. Who rests is given over; over TLS the next answer is the last."""
+        self.give = give
+        self.stop_accepting()
+        for front in list(self.connections):
+            self.try_to_give(front)
+
+    def try_to_give(self, front: Front) -> None:
+        if self.give is None or front not in self.connections or not front.may_be_given:
+            return
+        assert front.transport is not None
+        if self.give(front.transport.get_extra_info("socket").fileno()):
+            self.drop(front)
+            front.abort()
+
+    def adopt(self, sock: socket.socket) -> None:
+        self.spawn(self._adopt(sock))
+
+    async def _adopt(self, sock: socket.socket) -> None:
+        def made() -> Front:
+            front = Front(self)
+            front.asked = True
+            return front
+
+        with contextlib.suppress(OSError):  # it has gone meanwhile
+            await self.loop.connect_accepted_socket(made, sock)
+
+    def take_back(self) -> None:
+        self.give = None
+        if self.draining:
+            return
+        self.spawn(self.accept_plain())
+        self.accept_tls()
 
     def sweep(self) -> None:
         now = self.loop.time()
@@ -160,13 +217,16 @@
     async def drain(self) -> None:
         """Planned end: take what still comes, answer everything; streams and tunnels get their time."""
         self.draining = True
-        await asyncio.sleep(LAST_ACCEPT_S)
+        if self.give is None:
+            await asyncio.sleep(LAST_ACCEPT_S)
         self.stop_listening()
         until = self.loop.time() + self.plan.limits.end_s
         while self.connections:
             late = self.loop.time() > until
             for connection in list(self.connections):
-                if connection.idle and (connection.may_close or late):
+                # After a hand-over nobody waits for this process: who rests over TLS may ask once more.
+                rests = connection.may_close and self.give is None
+                if connection.idle and (rests or late):
                     connection.close()
                 elif late:
                     connection.reset()
@@ -181,12 +241,27 @@
         for connection in list(self.connections):
             connection.abort()
 
-    def stop_listening(self) -> None:
+    def stop_accepting(self) -> None:
         if self.listener is not None:
             self.listener.close()
-        if self.accepting is not None and self.tls_listener is not None:
-            self.accepting.cancel()
-            self.tls_listener.close()
+            self.listener = None
+        for sock in self.tls_sockets:
+            self.loop.remove_reader(sock.fileno())
+
+    def stop_listening(self) -> None:
+        self.stop_accepting()
+        for sock in (*self.sockets, *self.tls_sockets):
+            sock.close()
+        self.sockets, self.tls_sockets = [], []
+
+
+def listening(address: Address) -> list[socket.socket]:
+    """A bound socket. Raises OSError."""
+    host, port = address
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    sock.setblocking(False)
+    return [sock]
 
 
 class Handshake:
--- a/rosedeal/web/front.py
+++ b/rosedeal/web/front.py
@@ -351,7 +351,8 @@
             return True
         if not incoming.upload.complete:
             return True
-        return (self.closing or self.refusing or self.door.draining) and not self.waiting
+        leaves = self.door.draining or (self.door.give is not None and self.peer.scheme == b"https")
+        return (self.closing or self.refusing or leaves) and not self.waiting
 
     def head_lines(self, incoming: Written, head: AnswerHead) -> bytes:
         assert isinstance(incoming, Incoming)
@@ -427,6 +428,15 @@
         transport = self.transport
         return transport is None or transport.is_closing() or ends.is_quiet(transport)
 
+    @property
+    def may_be_given(self) -> bool:
+        """Whether nothing of it is in this process: no part of a request, no answer unsent, no keys."""
+        transport = self.transport
+        if transport is None or transport.is_closing() or self.peer.scheme == b"https":
+            return False
+        here = self.closing or self.refusing or self.tunnel or self.left or self.rest
+        return self.idle and not here and not transport.get_write_buffer_size()
+
     @property
     def gives_way(self) -> bool:
         """Between requests: whether nothing that it has asked, or has been answered, goes with it."""
--- a/rosedeal/web/room.py
+++ b/rosedeal/web/room.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import logging
+import socket
 import ssl
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
+from rosedeal.gateway import ends
 from rosedeal.gateway.config import Address, Config
 from rosedeal.gateway.pools import PoolPlan, Pools
 from rosedeal.gateway.proxy import Observer, Proxy
@@ -21,6 +23,9 @@
 Read = Callable[[], tuple[WebPlan, Sequence[PoolPlan]]]
 
 
+HTTP, HTTPS = "http", "https"  # the names of its listeners for the next process
+
+
 class WebRoom:
     """`read` gives what the operator file says now; it was checked when the file was read."""
 
@@ -46,6 +51,9 @@
         self.listens: Address | None = None
         self.reloading: asyncio.Task[None] | None = None  # the newest
         self.turn = asyncio.Lock()  # one reload after the other, whole
+        self.part = HTTP
+        self.inherited: dict[str, socket.socket] = {}
+        self.ready: Callable[[], Awaitable[None]] | None = None  # hosts are known, after a hand-over
 
     def proxies(self) -> Mapping[str, Proxy]:
         return self.pools.proxies() if self.pools is not None else {}
@@ -62,14 +70,45 @@
         self.ways.once = self.once
         self.set_joins(plan)
         self.door = Door(self.ways, proxy.loop)
-        self.listens = await self.door.start()
+        if self.ready is not None:
+            await self.ready()
+        self.listens = await self.door.start(self.inherited.pop(HTTP, None))
         if proxy.listens is None:
             proxy.listens = self.listens
         log.info("%s serves HTTP on %s:%d", proxy.config.name, *self.listens)
         if plan.listen_tls is not None and self.certificates is not None:
-            self.listens_tls = await self.door.start_tls(self.certificates())
+            context, inherited = self.certificates(), self.inherited.pop(HTTPS, None)
+            self.listens_tls = await self.door.start_tls(context, inherited)
             log.info("%s serves HTTPS on %s:%d", proxy.config.name, *self.listens_tls)
 
+    # A part that goes over to another process
+
+    def bequeath(self) -> Mapping[str, int]:
+        door = self.door
+        named = {HTTP: door.sockets, HTTPS: door.tls_sockets} if door is not None else {}
+        return {name: sockets[0].fileno() for name, sockets in named.items() if sockets}
+
+    def inherit(self, found: dict[str, socket.socket], ready: Callable[[], Awaitable[None]]) -> None:
+        self.ready = ready
+        plan = self.read()[0]
+        for name, listen in ((HTTP, plan.listen), (HTTPS, plan.listen_tls)):
+            if name in found and listen is not None and ends.is_bound(found[name], listen):
+                self.inherited[name] = found.pop(name)
+
+    def give_way(self, give: Callable[[int], bool]) -> None:
+        if self.door is not None:
+            self.door.give_way(give)
+
+    def take_back(self) -> None:
+        if self.door is not None:
+            self.door.take_back()
+
+    def adopt(self, sock: socket.socket) -> None:
+        if self.door is not None:
+            self.door.adopt(sock)
+        else:
+            sock.close()
+
     def joined(self) -> tuple[Mapping[str, int], int, int]:
         """Reads of routes that join, by what became of them; groups that take members, and their members."""
         its = self.ways.joins if self.ways is not None else None
--- a/tests/staffed/test_succession.py
+++ b/tests/staffed/test_succession.py
@@ -16,9 +16,9 @@
 
 import pytest
 
-from rosedeal.gateway.link import NAME, Link, Place
-from rosedeal.gateway.succession import Succession
-from rosedeal.gateway.will import encode
+from rosedeal.handover.link import NAME, Link, Place
+from rosedeal.handover.succession import Succession
+from rosedeal.handover.will import encode
 from rosedeal.standins.net import Server, read_message
 from tests.sockets import PATIENCE_S, Client, Registry, ask, chunk, configuration, entry, gateway, news, run
 from tests.staffed.test_calls import call
--- a/tests/staffed/test_will.py
+++ b/tests/staffed/test_will.py
@@ -17,7 +17,7 @@
 from rosedeal.gateway.discovery import parse_list
 from rosedeal.gateway.roster import HandDrain
 from rosedeal.gateway.sources import Entry, host_id
-from rosedeal.gateway.will import (
+from rosedeal.handover.will import (
     FRAME_LIMIT,
     HEADER,
     Decoder,
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -503,7 +503,7 @@
 STARTS = [
     ("rosedeal.gateway.config:load_config", -signal.SIGTERM),
     ("rosedeal.gateway.run:gc.freeze", -signal.SIGTERM),
-    ("rosedeal.gateway.run:succession_of", 0),
+    ("rosedeal.gateway.run:Proxy", 0),
     ("rosedeal.gateway.run:Downstream.start", 0),
     ("rosedeal.gateway.run:Reloader", 0),
 ]
