Fill a lost seat also where a part has more records than one answer tells of

Cause: keeper.py tells of MARKS_LIMIT records in one answer (_on_compare), the first buckets that differ; the seat that asks says only its own checksums, which stay as they are until all is told, so each answer told of the same buckets and the look never came to its end. Ruled out: the rate (4,000 a second) and GIVE_UP_US, with which a part is gone on with at the next look. It takes more than 6,000 records a part that a seat lacks: in small groups the bound of a seat comes before that.

Compare now names the buckets that were told of already (an older program's seats pass it over, and tell as before), and is said again at once while that brings further ones. A look is given up after 20 s in which it came no further.

--- a/rosedeal/copies/keeper.py
+++ b/rosedeal/copies/keeper.py
@@ -448,7 +448,7 @@
         if self.broken or self.stuck or not self.placement.epoch:
             return
         for each in list(self.passes.values()):
-            if now_us - each.began_us > GIVE_UP_US:
+            if now_us - each.moved_us > GIVE_UP_US:
                 del self.passes[each.part]
             else:
                 self._go_on(now_us, each)
@@ -497,15 +497,18 @@
         each = self.passes[part] = Pass(
             part, self.placement.epoch, self.holder, sources, filling, now_us, quiet, asked_us=now_us
         )
+        each.moved_us = now_us
         self._ask_sums(each)
         if not each.others:
             self._judge(now_us, each)
 
-    def _ask_sums(self, each: Pass) -> None:
+    def _ask_sums(self, each: Pass, holder: str = "") -> None:
+        """Of this one, or of all who have not told of all buckets."""
         sums = self.shelf.sums_of(each.part)
         for seat in each.others:
-            if not each.is_whole(seat.holder):
-                self.out.append(Send(seat.name, Compare(each.epoch, seat.holder, each.part, sums)))
+            if not each.is_whole(seat.holder) and holder in ("", seat.holder):
+                had = sum(1 << number for number in each.covered(seat.holder))
+                self.out.append(Send(seat.name, Compare(each.epoch, seat.holder, each.part, sums, had)))
 
     def _on_compare(self, name: str, word: Compare) -> None:
         if not self._serves(word.holder, word.epoch):
@@ -516,7 +519,7 @@
         for number, (own, other) in enumerate(zip(self.shelf.sums_of(word.part), word.sums, strict=True)):
             if own == other:
                 same.append(number)
-            elif count < MARKS_LIMIT:
+            elif count < MARKS_LIMIT and not word.had >> number & 1:
                 marks[number] = self.shelf.marks_of(word.part * BUCKETS + number)
                 count += len(marks[number])
         self._tell(name, Compared(word.epoch, self.holder, word.part, tuple(same), marks))
@@ -525,7 +528,11 @@
         each = self.passes.get(word.part)
         if each is None or word.epoch != each.epoch or each.epoch != self.placement.epoch:
             return
+        before = len(each.covered(word.holder))
         each.heard(word.holder, word.same, word.marks)
+        if not each.judged and len(each.covered(word.holder)) > before:
+            each.moved_us = now_us
+            self._ask_sums(each, word.holder)  # for what that answer had no room for
         self._go_on(now_us, each)
 
     def _go_on(self, now_us: int, each: Pass) -> None:
@@ -558,7 +565,7 @@
             self._settle(now_us, each, key)
         if len(found.undecided) > ROUNDS:
             each.rounds += 1  # never: the part is looked at again until there are few
-            each.began_us = now_us - GIVE_UP_US + ROUND_PAUSE_US
+            each.moved_us = now_us - GIVE_UP_US + ROUND_PAUSE_US
         self._fetch(now_us, each)
         self._go_on(now_us, each)
 
@@ -590,6 +597,8 @@
         each = self.passes.get(word.part)
         if each is None or not each.judged or word.epoch != self.placement.epoch:
             return
+        if word.items or word.gone:
+            each.moved_us = now_us
         for key, ballot, value in word.items:
             wanted = each.left.get(key)
             if wanted is None or wanted.holder != word.holder:
--- a/rosedeal/copies/repair.py
+++ b/rosedeal/copies/repair.py
@@ -19,7 +19,7 @@
 from rosedeal.copies.register import BUCKETS, NONE, Ballot, Mark
 
 WAIT_US = 1_000_000  # for the other seats of a part to speak
-GIVE_UP_US = 20_000_000  # until a look that does not come to an end is begun anew
+GIVE_UP_US = 20_000_000  # until a look that comes no further is begun anew
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +55,7 @@
     same: dict[str, set[int]] = field(default_factory=dict)  # buckets that do not differ, by holder
     marks: dict[str, dict[int, list[Mark]]] = field(default_factory=dict)
     asked_us: int = 0
+    moved_us: int = 0  # when it last came further
     left: dict[bytes, Wanted] = field(default_factory=dict)  # to be fetched
     rounds: int = 0  # under way
     judged: bool = False
@@ -69,9 +70,12 @@
             self.same.setdefault(holder, set()).update(same)
             self.marks.setdefault(holder, {}).update(marks)
 
+    def covered(self, holder: str) -> set[int]:
+        """The buckets that this one has told of."""
+        return self.same.get(holder, set()) | self.marks.get(holder, {}).keys()
+
     def is_whole(self, holder: str) -> bool:
-        covered = self.same.get(holder, set()) | self.marks.get(holder, {}).keys()
-        return len(covered) == BUCKETS
+        return len(self.covered(holder)) == BUCKETS
 
     def whole(self) -> list[str]:
         """Of the sources, who has been compared with, this seat itself among them if it is one."""
--- a/rosedeal/copies/words.py
+++ b/rosedeal/copies/words.py
@@ -57,6 +57,9 @@
     holder: str
     part: int
     sums: tuple[int, ...]
+    had: int = (
+        0  # a bit for each bucket that this one was told of: one answer does not hold all of a large part
+    )
 
 
 class Compared(Struct, frozen=True, array_like=True, tag="d"):
--- a/tests/copies/test_schedules.py
+++ b/tests/copies/test_schedules.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from rosedeal.copies import keeper as keepers
 from rosedeal.copies import placement
 from rosedeal.copies import record as records
 from rosedeal.copies.keeper import Keeper, Options, Save, Send
@@ -75,6 +76,32 @@
     assert keepers[0].mended == 1
 
 
+def test_a_part_of_more_records_than_one_answer_tells_of_is_filled(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A seat of 390,000 records in 10 parts was never filled: each answer told of the same first buckets."""
+    monkeypatch.setattr(keepers, "MARKS_LIMIT", 40)  # of some 300 that a part lacks
+    count = 600
+    world = World(5, 3, parts=2, checked=False)
+    world.run(8 * S)
+    begun = records.begun("c", "n0", 1, b"d" * 16, "", "k", 0, 36_000 * S)
+    done = records.encode(records.done(begun, 200, ((b"a", b"b"),), b"x"))
+    for n in range(count):
+        for node in world.nodes.values():
+            assert node.keeper is not None
+            line = node.keeper.shelf.adopt(records.key_of("", "r", b"%d" % n), (1, 1, 1, 0), done, 0)
+            node.disk.durable.append(line)
+    lost = world.nodes["n1"]
+    world.wipe(lost)
+    world.boot(lost)
+    assert lost.keeper is not None
+    began = world.now
+    while lost.keeper.shelf.records < count and world.now - began < 30 * S:
+        world.run(world.now + S)
+    assert lost.keeper.shelf.records == count
+    seen = world.messages
+    world.run(world.now + 10 * S)
+    assert world.messages - seen < 1500, "and it rests"
+
+
 def test_at_the_bound_a_new_key_is_refused_and_nothing_is_dropped() -> None:
     """By records and by a tenant's share; what was begun has room for its answer."""
     shelf = Shelf(bounds=Bounds(records=4, bytes=1 << 20, share=0.5))
