--- a/rosedeal/cli/group_words.py
+++ b/rosedeal/cli/group_words.py
@@ -153,6 +153,7 @@
 key = "group.key"
 {members}
 [copies]
+[changes]
 
 # From here on the group's word counts, once it has agreed on something.
 [[class]]
--- a/rosedeal/staged/room.py
+++ b/rosedeal/staged/room.py
@@ -32,7 +32,7 @@
 log = logging.getLogger(__name__)
 
 ROOM, BODY = "staged", "staged body"  # the words in the group's log
-TICK_S = 0.1
+TICK_S = 0.25
 AGAIN_US = 1_000_000  # until a step that is not in the log is proposed again
 ASK_S = 10.0  # for a leader to take up what a person wishes
 SAY_S = 0.5  # between two times that it is said to a leader
