Take each figure of a block once for the judge, and say side by side what is soft, once

The judge took each member's figure of a block for its side, for all untouched ones and for their zone; it is taken once now (`term`), and _mean joins such terms. sides.py listed what a keyed route owns though all but SOFT counts: the list is gone. Further out: two arguments and a counter that nothing read, an export list, a second look at what stands apart, private names of the room that the calls used.

--- a/rosedeal/staged/calls.py
+++ b/rosedeal/staged/calls.py
@@ -16,7 +16,7 @@
 from rosedeal.staged import sides
 from rosedeal.staged.controller import Run
 from rosedeal.staged.judge import BLOCK_S, BLOCKS_LEAST
-from rosedeal.staged.plan import MEMBER, BadPlan, Plan, Seat, shown, stages_of
+from rosedeal.staged.plan import MEMBER, BadPlan, Plan, shown, stages_of
 from rosedeal.staged.room import StagedRoom
 
 Arguments = Mapping[str, Any]
@@ -59,9 +59,8 @@
     async def check(self, arguments: Arguments) -> Any:
         plan, body, older, newer = self._read(arguments)
         why = await self._against(body, older, newer)
-        seats = self.room._seats()
         try:
-            stages = stages_of(plan, seats)
+            stages = stages_of(plan, self.room.seats())
         except BadPlan as error:
             raise Refused(str(error)) from None
         asked = self._asked()
@@ -70,10 +69,9 @@
             "split": self._split(older, newer) if why else [],
             "differs": contradictions(older, newer),
             "stages": [
-                {"members": list(names), "least_s": self._least_s(plan, names, seats, asked)}
-                for names in stages
+                {"members": list(names), "least_s": self._least_s(plan, names, asked)} for names in stages
             ],
-            "blind": self._blind(plan, stages, seats, asked),
+            "blind": self._blind(plan, stages, asked),
             "plan": shown(plan),
         }
 
@@ -91,13 +89,14 @@
         return []
 
     def _split(self, older: Mapping[str, Any], newer: Mapping[str, Any]) -> list[str]:
-        if not sides.apart(older, newer):
+        apart = sides.apart(older, newer)
+        if not apart:
             return []
         wide = sides.split(older, newer)
         if wide is None:
             return ["nothing of it may live side by side: publish it (`settings publish`)"]
         return [
-            f"first, by stages, without: {'; '.join(sides.apart(older, newer))}",
+            f"first, by stages, without: {'; '.join(apart)}",
             "then the rest with `settings publish`: in force only once all know it",
         ]
 
@@ -110,16 +109,14 @@
                 found[name] = found.get(name, 0.0) + counts.asked / (len(blocks) * BLOCK_S)
         return found
 
-    def _least_s(
-        self, plan: Plan, names: tuple[str, ...], seats: list[Seat], asked: Mapping[str, float]
-    ) -> float:
+    def _least_s(self, plan: Plan, names: tuple[str, ...], asked: Mapping[str, float]) -> float:
         """How long a stage takes at the least: each member as busy as this one."""
         rate = sum(asked.values()) * len(names)
         enough_s = plan.requests / rate if rate else float("inf")
         return min(plan.longest_us / 1e6, max(plan.least_us / 1e6, enough_s, BLOCKS_LEAST * BLOCK_S))
 
     def _blind(
-        self, plan: Plan, stages: tuple[tuple[str, ...], ...], seats: list[Seat], asked: Mapping[str, float]
+        self, plan: Plan, stages: tuple[tuple[str, ...], ...], asked: Mapping[str, float]
     ) -> list[str]:
         """Guards that could not say anything in `longest` at today's load."""
         found = []
@@ -160,7 +157,7 @@
         return {
             "ok": not self.room.problems(),
             "me": self.room.name,
-            "leader": self.room._leader(),
+            "leader": self.room.leader(),
             "treated": stand.treated,
             "why": self.room.unknown or stand.failed,
             "change": of_run(run) if run is not None else None,
--- a/rosedeal/staged/judge.py
+++ b/rosedeal/staged/judge.py
@@ -193,11 +193,13 @@
             rest = [name for name in blocks if name not in self.treated]
             for name, block in blocks.items():
                 self.members[name].whole = self.members[name].whole.joined(block)
-            for number_of, guard in enumerate(self.plan.guards):
-                base = self._bases(number_of, blocks)
-                point = self._point(guard, each, blocks, arm, rest, base)
-                if point is not None:
-                    self.series[number_of].append(point)
+            for place, guard in enumerate(self.plan.guards):
+                if guard.measure != "crashes":
+                    base = self._bases(place, blocks)
+                    terms = {name: term(guard, block, base[name]) for name, block in blocks.items()}
+                    point = self._point(terms, arm, rest)
+                    if point is not None:
+                        self.series[place].append(point)
         self.closed = max(self.closed, number)
 
     def verdict(self) -> Verdict:
@@ -252,35 +254,28 @@
         usual = sum(known) / len(known) if known else 0.0
         return {name: base if base is not None else usual for name, base in found.items()}
 
-    def _point(
-        self,
-        guard: Guard,
-        number: int,
-        blocks: Mapping[str, Block],
-        arm: Sequence[str],
-        rest: Sequence[str],
-        base: Mapping[str, float],
-    ) -> Point | None:
-        if guard.measure == "crashes":
-            return None
-        treated, zones = _mean(guard, arm, blocks, base, self.members)
+    def _point(self, terms: Mapping[str, Mean], arm: Sequence[str], rest: Sequence[str]) -> Point | None:
+        treated = _mean(terms[name] for name in arm)
         if treated is None:
             return None
-        overall, _ = _mean(guard, rest, blocks, base, self.members)
+        overall = _mean(terms[name] for name in rest)
         if overall is None:
             if self.members.keys() - self.treated:
                 return None  # there are untouched ones, and nothing is known of them
-            return Point(number, treated.value, treated.of, math.inf, treated.counting)
+            return Point(treated.value, treated.of, math.inf, treated.counting)
+        zones: dict[str, float] = {}
+        for name in arm:
+            zone = self.members[name].zone
+            zones[zone] = zones.get(zone, 0.0) + terms[name].of / treated.of
         value, of, counting = 0.0, 0.0, 0.0
         for zone, share in zones.items():
-            same, _ = _mean(
-                guard, [n for n in rest if self.members[n].zone == zone], blocks, base, self.members
-            )
-            use = same if same is not None else overall
-            value += share * use.value
-            counting += share * share * use.counting
-            of += use.of
-        return Point(number, treated.value - value, treated.of, of, treated.counting + counting)
+            if share > 0:
+                same = _mean(terms[name] for name in rest if self.members[name].zone == zone)
+                use = same if same is not None else overall
+                value += share * use.value
+                counting += share * share * use.counting
+                of += use.of
+        return Point(treated.value - value, treated.of, of, treated.counting + counting)
 
     def _hard(self, guard: Guard, series: Sequence[Point]) -> str:
         last = series[-HARD_BLOCKS:]
@@ -356,7 +351,6 @@
 
 @dataclass(frozen=True, slots=True)
 class Point:
-    number: int
     value: float
     treated: float  # requests
     untouched: float
@@ -412,27 +406,22 @@
     return 0.0 if guard.measure in MEMBER else 0.25 / of
 
 
-def _mean(
-    guard: Guard,
-    names: Sequence[str],
-    blocks: Mapping[str, Block],
-    base: Mapping[str, float],
-    members: Mapping[str, Told],
-) -> tuple[Mean | None, dict[str, float]]:
-    """Of members in a block, and which share of it each zone has."""
+def term(guard: Guard, block: Block, base: float) -> Mean:
+    """A member's figure in a block, less its usual one. Of nothing where it did nothing."""
+    amount, of = figure(guard, block)
+    if of <= 0:
+        return Mean(0.0, 0.0, 0.0)
+    return Mean(_scale(guard, amount, of) - base, of, _counting(guard, amount, of))
+
+
+def _mean(terms: Iterable[Mean]) -> Mean | None:
+    """Weighted by what each is of; None: of nothing at all."""
     total, value, counting = 0.0, 0.0, 0.0
-    zones: dict[str, float] = {}
-    for name in names:
-        amount, of = figure(guard, blocks[name])
-        if of <= 0:
-            continue
-        value += of * (_scale(guard, amount, of) - base[name])
-        counting += of * of * _counting(guard, amount, of)
-        total += of
-        zones[members[name].zone] = zones.get(members[name].zone, 0.0) + of
-    if total <= 0:
-        return None, {}
-    return Mean(value / total, total, counting / total**2), {zone: of / total for zone, of in zones.items()}
+    for each in terms:
+        total += each.of
+        value += each.of * each.value
+        counting += each.of * each.of * each.counting
+    return Mean(value / total, total, counting / total**2) if total > 0 else None
 
 
 def _worse(guard: Guard, value: float) -> float:
--- a/rosedeal/staged/room.py
+++ b/rosedeal/staged/room.py
@@ -73,7 +73,6 @@
         self.wishes: dict[str, asyncio.Future[str]] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
         self.tell: Callable[[str], None] = lambda text: None
-        self.told_events = 0
 
     # The room
 
@@ -158,7 +157,7 @@
         now_us = clock_us()
         match word:
             case Beat():
-                if name == self._leader():
+                if name == self.leader():
                     if word.number <= self.number:
                         self.beaten_us = now_us
                     self._say(name, self.stand())
@@ -172,7 +171,7 @@
                     self._say(name, Past(word.id, self.past[1]))
             case Past():
                 if self.judge is not None and word.id == self.judging[0]:
-                    zones = {seat.name: seat.zone for seat in self._seats()}
+                    zones = {seat.name: seat.zone for seat in self.seats()}
                     self.judge.past(name, zones.get(name, ""), word.blocks[-PAST_BLOCKS:])
                     self.asked[name] = -1
             case Begin():
@@ -226,11 +225,11 @@
         else:
             self.group.pass_on(name, ROOM, words.encode(word))
 
-    def _leader(self) -> str:
+    def leader(self) -> str:
         member = self.group.member
         return member.leader_name if member is not None else ""
 
-    def _seats(self) -> list[Seat]:
+    def seats(self) -> list[Seat]:
         member = self.group.member
         return [Seat(peer.name, peer.zone) for peer in member.raft.config] if member is not None else []
 
@@ -251,8 +250,8 @@
             run = self.run
             if run is None or not run.under_way:
                 self.blocks.append(block)
-            elif self._leader():
-                self._say(self._leader(), Did(block))
+            elif self.leader():
+                self._say(self.leader(), Did(block))
         member = self.group.member
         leads = member is not None and member.raft.settled
         if leads and not self.led:
@@ -269,7 +268,7 @@
     def _lead(self, now_us: int) -> None:
         if now_us >= self.beat_at:
             self.beat_at = now_us + BEAT_US
-            for seat in self._seats():
+            for seat in self.seats():
                 self._say(seat.name, Beat(self.number))
         if self.wanted is not None:
             self._begin(now_us, self.wanted)
@@ -291,7 +290,7 @@
         return View(
             now_us,
             self.since_us,
-            self._seats(),
+            self.seats(),
             self.stands,
             self.verdict,
             newest.settings_at,
@@ -311,7 +310,7 @@
             self.judge.begin(run.told, run.before)
             self.block = now_us // (BLOCK_S * 1_000_000)
             self.judge.close(self.block)  # what ends now was mostly before
-        for seat in self._seats():
+        for seat in self.seats():
             asked = self.asked.get(seat.name, 0)
             if asked >= 0 and now_us - asked > AGAIN_US:
                 self.asked[seat.name] = now_us
@@ -379,7 +378,7 @@
             return
         try:
             begun = controller.begin(
-                word.id, word.by, word.reason, word.plan, word.base, self._seats(), time.time()
+                word.id, word.by, word.reason, word.plan, word.base, self.seats(), time.time()
             )
         except BadPlan as error:
             self.answers[word.id] = str(error)
@@ -433,7 +432,7 @@
         until = time.monotonic() + ASK_S
         try:
             while not done.done() and time.monotonic() < until:
-                leader = self._leader()
+                leader = self.leader()
                 if leader:
                     self._say(leader, word)
                 await asyncio.wait({done}, timeout=SAY_S if leader else TICK_S)
--- a/rosedeal/staged/sides.py
+++ b/rosedeal/staged/sides.py
@@ -23,21 +23,8 @@
 
 Tables = Mapping[str, Any]
 KNOWN = ("limits", "fleet", "class", "route", "pool", "box")
-# Of a route that keeps keys: where a request with a key goes, and which requests are its.
-OWNS = (
-    "host",
-    "path",
-    "prefix",
-    "methods",
-    "header",
-    "query",
-    "take_off",
-    "add",
-    "class",
-    "pool",
-    "pools",
-    "tenant",
-)
+# Of a route that keeps keys: what says neither where a request with a key goes nor which requests are its.
+SOFT = frozenset(("between_bytes", "failing", "join", "upload_limit", "answer_within", "whole_within"))
 BOX_FIXED = ("address", "pool", "protocol")
 
 
@@ -91,13 +78,8 @@
 
 
 def _changed(old: Tables, new: Tables) -> list[str]:
-    others = (old.keys() | new.keys()) - set(OWNS) - {"once", "name"}
-    return [key for key in OWNS if old.get(key) != new.get(key)] + [
-        key for key in sorted(others) if key not in SOFT and old.get(key) != new.get(key)
-    ]
-
-
-SOFT = frozenset(("between_bytes", "failing", "join", "upload_limit", "answer_within", "whole_within"))
+    keys = (old.keys() | new.keys()) - SOFT - {"once", "name"}
+    return [key for key in sorted(keys) if old.get(key) != new.get(key)]
 
 
 def _ahead(tables: Tables, name: str) -> list[str]:
@@ -126,14 +108,10 @@
         for section in ("route", "class"):
             if section in older:
                 wide[section] = older[section]
-        gone = {str(t.get("name")) for t in older.get("pool") or []} - {
-            str(t.get("name")) for t in wide.get("pool") or []
-        }
-        wide["pool"] = list(wide.get("pool") or []) + [
-            t for t in older.get("pool") or [] if t.get("name") in gone
-        ]
-        if not wide["pool"]:
-            del wide["pool"]
+        pools = named(wide.get("pool"))
+        gone = [table for name, table in named(older.get("pool")).items() if name not in pools]
+        if pools or gone:
+            wide["pool"] = [*pools.values(), *gone]
     if not wide["box"]:
         del wide["box"]
     return None if wide == dict(older) else wide
--- a/rosedeal/staged/words.py
+++ b/rosedeal/staged/words.py
@@ -6,7 +6,7 @@
 
 from rosedeal.staged.controller import Stand
 from rosedeal.staged.judge import Block
-from rosedeal.staged.plan import Guard, Plan
+from rosedeal.staged.plan import Plan
 
 
 class Beat(msgspec.Struct, frozen=True, array_like=True, tag="b"):
@@ -72,19 +72,3 @@
 def decode(data: bytes) -> Word:
     """Raises MsgspecError."""
     return _words.decode(data)
-
-
-__all__ = [
-    "Answer",
-    "Beat",
-    "Begin",
-    "Did",
-    "Guard",
-    "Past",
-    "Stand",
-    "Steer",
-    "Want",
-    "Word",
-    "decode",
-    "encode",
-]
