Have the loads of the three hand-over tests wait and end by one piece

`more` and `end` stood alike in the tests of the platform's hand-over, the operator file's and HTTP/3's.

--- a/tests/handover/test_http3.py
+++ b/tests/handover/test_http3.py
@@ -12,7 +12,7 @@
 
 from rosedeal.standins.h3 import Broken, Client3
 from tests.handover.test_ordinary import Site, site
-from tests.sockets import PATIENCE_S, run
+from tests.sockets import PATIENCE_S, Clients, run
 
 REJECTED = 0x10B  # H3_REQUEST_REJECTED: nothing was done, and the client may ask anew
 
@@ -40,12 +40,12 @@
         yield Site3(it)
 
 
-class Load3:
+class Load3(Clients):
     """Clients that keep their connection as long as it lasts, and others that open one for each request."""
 
     def __init__(self, site: Site3, kept: int = 4, fresh: int = 4) -> None:
-        self.site, self.over, self.number = site, False, 0
-        self.answers: Counter[int] = Counter()
+        super().__init__()
+        self.site, self.number = site, 0
         self.lost: list[str] = []
         self.again = 0  # requests that were rejected, or fell on a connection that had ended before
         self.tasks = [asyncio.create_task(self.play(n < kept)) for n in range(kept + fresh)]
@@ -80,15 +80,6 @@
         if client is not None:
             client.close()
 
-    async def more(self, answers: int) -> None:
-        wanted = self.answers.total() + answers
-        while self.answers.total() < wanted:
-            await asyncio.sleep(0.005)
-
-    async def end(self) -> None:
-        self.over = True
-        await asyncio.gather(*self.tasks)
-
 
 def test_connections_stay_whole_where_they_are(tmp_path: Path) -> None:
     async def test() -> None:
--- a/tests/handover/test_ordinary.py
+++ b/tests/handover/test_ordinary.py
@@ -17,7 +17,7 @@
 from rosedeal.standins.app import App
 from rosedeal.standins.certificates import Authority
 from tests.appliance.harness import Admin, Process
-from tests.sockets import PATIENCE_S, run
+from tests.sockets import PATIENCE_S, Clients, run
 from tests.web.harness import ROUTE, Raw, request, site_text
 
 TAKES = "another process of this gateway takes its clients"
@@ -85,12 +85,12 @@
             app.die()
 
 
-class Load:
+class Load(Clients):
     """Clients on kept and on new connections, in the clear and over TLS, without a pause."""
 
     def __init__(self, it: Site) -> None:
-        self.site, self.over = it, False
-        self.answers: Counter[int] = Counter()
+        super().__init__()
+        self.site = it
         self.lost: list[str] = []
         self.last: Counter[bool] = Counter()  # answers that ended their connection, by whether over TLS
         self.number = 0
@@ -121,15 +121,6 @@
         if client is not None:
             client.writer.close()
 
-    async def more(self, answers: int = 150) -> None:
-        wanted = self.answers.total() + answers
-        while self.answers.total() < wanted:
-            await asyncio.sleep(0.005)
-
-    async def end(self) -> None:
-        self.over = True
-        await asyncio.gather(*self.tasks)
-
 
 def ran_once(it: Site) -> bool:
     runs = Counter(each.target for app in it.apps for each in app.runs if "n=" in each.target)
@@ -144,18 +135,18 @@
             first = await it.start()
             load, admin = Load(it), Admin(tmp_path / "gw.sock")
             await admin.connect()
-            await load.more()
+            await load.more(150)
             await admin.steer("drain", "one", even_last=True)
             await load.more(50)
             seen = len(it.apps[0].runs)
             old = first
             for _ in range(2):
                 new = await it.start()
-                await load.more()
+                await load.more(150)
                 assert old.child is not None
                 assert await asyncio.wait_for(old.child.wait(), PATIENCE_S) == 0
                 assert not [line for line in old.log + new.log if "Traceback" in line or "ERROR" in line]
-                await load.more()
+                await load.more(150)
                 old = new
             assert len(it.apps[0].runs) == seen, "it is out by hand"
             again = Admin(tmp_path / "gw.sock")
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import socket
+from collections import Counter
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -107,6 +108,24 @@
     return f"{method} /{klass}?user=00ff HTTP/1.1\r\n{head}\r\n".encode() + body
 
 
+class Clients:
+    """Some that ask without a pause, each a task of `tasks`, until `over`; `answers`: by status."""
+
+    def __init__(self) -> None:
+        self.answers: Counter[int] = Counter()
+        self.over = False
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def more(self, answers: int = 100) -> None:
+        wanted = self.answers.total() + answers
+        while self.answers.total() < wanted:
+            await asyncio.sleep(0.005)
+
+    async def end(self) -> None:
+        self.over = True
+        await asyncio.gather(*self.tasks)
+
+
 @dataclass
 class Gateway:
     proxy: Proxy
--- a/tests/staffed/test_succession.py
+++ b/tests/staffed/test_succession.py
@@ -20,7 +20,19 @@
 from rosedeal.handover.succession import Succession
 from rosedeal.handover.will import encode
 from rosedeal.standins.net import Server, read_message
-from tests.sockets import PATIENCE_S, Client, Registry, ask, chunk, configuration, entry, gateway, news, run
+from tests.sockets import (
+    PATIENCE_S,
+    Client,
+    Clients,
+    Registry,
+    ask,
+    chunk,
+    configuration,
+    entry,
+    gateway,
+    news,
+    run,
+)
 from tests.staffed.test_calls import call
 from tests.test_process import logged
 
@@ -110,14 +122,13 @@
             each.stop()
 
 
-class Load:
+class Load(Clients):
     """Clients that ask without a pause, some on one connection, some on a new one each time."""
 
     def __init__(self, it: Site, kept: int = 6, fresh: int = 4) -> None:
+        super().__init__()
         self.site = it
-        self.answers: Counter[int] = Counter()
         self.turned_back: list[str] = []
-        self.over = False
         self.asked: set[str] = set()
         self.tasks = [asyncio.create_task(self.keep()) for _ in range(kept)]
         self.tasks += [asyncio.create_task(self.renew()) for _ in range(fresh)]
@@ -155,15 +166,6 @@
             client.writer.close()
             await asyncio.sleep(0.002)
 
-    async def more(self, answers: int = 100) -> None:
-        wanted = self.answers.total() + answers
-        while self.answers.total() < wanted:
-            await asyncio.sleep(0.005)
-
-    async def end(self) -> None:
-        self.over = True
-        await asyncio.gather(*self.tasks)
-
 
 def test_three_versions_under_load_turn_nothing_back(tmp_path: Path) -> None:
     """Two upgrades in a row. Every request has its one answer, each ran once, bans and drains hold."""
