--- a/rosedeal/web/door.py
+++ b/rosedeal/web/door.py
@@ -40,8 +40,8 @@
         self.draining = False
         self.listener: asyncio.Server | None = None
         # What it listens on, and another process may too. The loop's server has a copy of its own.
-        self.sockets: list[socket.socket] = []
-        self.tls_sockets: list[socket.socket] = []
+        self.socket: socket.socket | None = None
+        self.tls_socket: socket.socket | None = None
         self.context: ssl.SSLContext | None = None
         self.give: Callable[[int], bool] | None = None  # clients, to the process that takes over
         self.sweeping: asyncio.TimerHandle | None = None
@@ -58,27 +58,28 @@
 
     async def start(self, inherited: socket.socket | None = None) -> Address:
         """`inherited`: the socket that a process before this one listens on, and that goes on."""
-        self.sockets = [inherited] if inherited is not None else listening(self.plan.listen)
+        self.socket = inherited or listening(self.plan.listen)
         await self.accept_plain()
         self.sweeping = self.loop.call_later(SWEEP_S, self.sweep)
-        bound: Address = self.sockets[0].getsockname()[:2]
+        bound: Address = self.socket.getsockname()[:2]
         return bound
 
     async def start_tls(self, context: ssl.SSLContext, inherited: socket.socket | None = None) -> Address:
         assert self.plan.listen_tls is not None
         self.context = context
-        self.tls_sockets = [inherited] if inherited is not None else listening(self.plan.listen_tls)
+        self.tls_socket = inherited or listening(self.plan.listen_tls)
         self.accept_tls()
-        bound: Address = self.tls_sockets[0].getsockname()[:2]
+        bound: Address = self.tls_socket.getsockname()[:2]
         return bound
 
     async def accept_plain(self) -> None:
-        (sock,) = self.sockets
-        self.listener = await self.loop.create_server(lambda: Front(self), sock=sock.dup(), backlog=BACKLOG)
+        assert self.socket is not None
+        sock = self.socket.dup()
+        self.listener = await self.loop.create_server(lambda: Front(self), sock=sock, backlog=BACKLOG)
 
     def accept_tls(self) -> None:
-        for sock in self.tls_sockets:
-            self.loop.add_reader(sock.fileno(), self.accept, sock)
+        if self.tls_socket is not None:
+            self.loop.add_reader(self.tls_socket.fileno(), self.accept, self.tls_socket)
 
     def accept(self, listener: socket.socket) -> None:
         """Take connections for TLS, and make room for each before its handshake.
@@ -245,23 +246,24 @@
         if self.listener is not None:
             self.listener.close()
             self.listener = None
-        for sock in self.tls_sockets:
-            self.loop.remove_reader(sock.fileno())
+        if self.tls_socket is not None:
+            self.loop.remove_reader(self.tls_socket.fileno())
 
     def stop_listening(self) -> None:
         self.stop_accepting()
-        for sock in (*self.sockets, *self.tls_sockets):
-            sock.close()
-        self.sockets, self.tls_sockets = [], []
+        for sock in (self.socket, self.tls_socket):
+            if sock is not None:
+                sock.close()
+        self.socket = self.tls_socket = None
 
 
-def listening(address: Address) -> list[socket.socket]:
+def listening(address: Address) -> socket.socket:
     """A bound socket. Raises OSError."""
     host, port = address
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.create_server((host, port), family=family, backlog=BACKLOG)
     sock.setblocking(False)
-    return [sock]
+    return sock
 
 
 class Handshake:
--- a/rosedeal/web/room.py
+++ b/rosedeal/web/room.py
@@ -85,8 +85,8 @@
 
     def bequeath(self) -> Mapping[str, int]:
         door = self.door
-        named = {HTTP: door.sockets, HTTPS: door.tls_sockets} if door is not None else {}
-        return {name: sockets[0].fileno() for name, sockets in named.items() if sockets}
+        named = {HTTP: door.socket, HTTPS: door.tls_socket} if door is not None else {}
+        return {name: sock.fileno() for name, sock in named.items() if sock is not None}
 
     def inherit(self, found: dict[str, socket.socket], ready: Callable[[], Awaitable[None]]) -> None:
         self.ready = ready
