--- a/badgergap/balancing/actions.py
+++ b/badgergap/balancing/actions.py
@@ -5,7 +5,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class RejectionReason(StrEnum):
+    """Why a request is answered without having been served; for the log, and compared by nobody."""
+
+    UNSTATED = "unstated"
+    UNKNOWN_CLASS = "unknown_class"
+    OUT_OF_TIME = "out_of_time"  # an answer would come too late to be of value
+    SHED = "shed"  # the endpoints are overloaded
+    NO_ENDPOINT = "no_endpoint"  # none is eligible and has budget
+    KEY_TURN = "key_turn"  # its key's turn comes too late
+    NO_REPEAT = "no_repeat"  # it may have run, and must not or cannot be afforded to run again
+    NO_ATTEMPT_LEFT = "no_attempt_left"
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,6 +46,7 @@
 
     request_id: str
     retry_after_us: int = 0
+    reason: RejectionReason = field(default=RejectionReason.UNSTATED, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
@@ -39,6 +54,7 @@
     """Final answer: no success and no promise about the effect."""
 
     request_id: str
+    reason: RejectionReason = field(default=RejectionReason.UNSTATED, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
--- a/badgergap/balancing/request_lifecycle.py
+++ b/badgergap/balancing/request_lifecycle.py
@@ -4,7 +4,7 @@
 
 from functools import partial
 
-from badgergap.balancing.actions import Cancel, ExtendTimeout, Fail, Reject, Send
+from badgergap.balancing.actions import Cancel, ExtendTimeout, Fail, Reject, RejectionReason, Send
 from badgergap.balancing.admission import AdmissionControl
 from badgergap.balancing.circuit_breaker import BreakerState
 from badgergap.balancing.eligibility import OVERDUE_MULTIPLE
@@ -69,11 +69,14 @@
             return
         if not 0 <= event.request_class < len(self.classes):
             self._context.log(f"request {event.request_id} is of unknown class {event.request_class}")
-            self._context.actions.append(Fail(event.request_id))
+            self._context.actions.append(Fail(event.request_id, RejectionReason.UNKNOWN_CLASS))
             return
         request = self.register(event, self.classes[event.request_class])
-        if self._is_shed(request) or not (self._wait_for_key(request) or self._try_send(request)):
-            self._answer_unserved(request)
+        reason = self._shed_reason(request)
+        if reason is not None:
+            self._answer_unserved(request, reason)
+        elif not (self._wait_for_key(request) or self._try_send(request)):
+            self._answer_unserved(request, RejectionReason.NO_ENDPOINT)
 
     def register(self, event: RequestArrived, rules: RequestClass) -> Request:
         """Record a request; learn its class's usual timeout and work from it."""
@@ -116,11 +119,12 @@
                 left_us = max(1, attempt_deadline_us(request, now_us) - now_us)
                 self._context.actions.append(ExtendTimeout(request.request_id, number, left_us))
 
-    def _is_shed(self, request: Request) -> bool:
+    def _shed_reason(self, request: Request) -> RejectionReason | None:
+        """Return why a request is to be rejected before it costs an endpoint anything; None: it is not."""
         now_us = self._context.now_us
         if now_us >= attempt_deadline_us(request, now_us):
-            return True  # too late to be of any value
-        return self._admission.is_shed(request)
+            return RejectionReason.OUT_OF_TIME
+        return RejectionReason.SHED if self._admission.is_shed(request) else None
 
     # Ordered requests
 
@@ -137,14 +141,14 @@
         least_us = int(self._latency.baseline_of(request))
         deadline_us = attempt_deadline_us(request, now_us)
         if earliest_start_us(queue, now_us, least_us) + least_us > deadline_us:
-            self._answer_unserved(request)
+            self._answer_unserved(request, RejectionReason.KEY_TURN)
         else:
             self._context.set_timer(deadline_us - least_us, partial(self._stop_waiting, request))
         return True
 
     def _stop_waiting(self, request: Request) -> None:
         if not request.attempts:
-            self._answer_unserved(request)
+            self._answer_unserved(request, RejectionReason.KEY_TURN)
 
     def release_queues(self) -> None:
         """Let those go whose turn has come in this event."""
@@ -157,7 +161,7 @@
         now_us = self._context.now_us
         while now_us >= queue.quiet_until_us and queue.requests and not queue.requests[0].attempts:
             if not self._try_send(queue.requests[0]):
-                self._answer_unserved(queue.requests[0])
+                self._answer_unserved(queue.requests[0], RejectionReason.NO_ENDPOINT)
         self.ordering.discard_if_empty(queue, now_us)
 
     # Attempts
@@ -246,11 +250,14 @@
         allowed = not request.streaming and (not may_have_run or is_repeatable(request.rules))
         if may_have_run and not self._can_afford_retry(request, outcome):
             allowed = False
-        if not allowed or not has_time or not self.policy.has_attempts_left(request):
-            self._answer_unserved(request)
-            return
-        if not self._try_send(request):
-            self._answer_unserved(request)
+        if not allowed:
+            self._answer_unserved(request, RejectionReason.NO_REPEAT)
+        elif not has_time:
+            self._answer_unserved(request, RejectionReason.OUT_OF_TIME)
+        elif not self.policy.has_attempts_left(request):
+            self._answer_unserved(request, RejectionReason.NO_ATTEMPT_LEFT)
+        elif not self._try_send(request):
+            self._answer_unserved(request, RejectionReason.NO_ENDPOINT)
         elif may_have_run:
             self.retry_budget.spend()
 
@@ -263,7 +270,7 @@
         """
         if self.retry_budget.allows_repeat(self._admission.shed_fraction):
             return True
-        return is_over(outcome) and self.retry_budget.can_spend() and not self._is_shed(request)
+        return is_over(outcome) and self.retry_budget.can_spend() and self._shed_reason(request) is None
 
     # Streams and disconnected clients
 
@@ -311,15 +318,15 @@
         if self._context.now_us <= request.objective_at_us:
             self._admission.served[request.request_class] += request.clients
 
-    def _answer_unserved(self, request: Request) -> None:
+    def _answer_unserved(self, request: Request, reason: RejectionReason) -> None:
         """Give the final answer when no attempt is in flight and none is to come."""
         if request.done:
             return
         may_have_run = any(attempt.may_have_run for attempt in request.attempts)
         if is_rejectable(request.rules, may_have_run):
-            self._context.actions.append(Reject(request.request_id, self._retry_after_us()))
+            self._context.actions.append(Reject(request.request_id, self._retry_after_us(), reason))
         else:
-            self._context.actions.append(Fail(request.request_id))
+            self._context.actions.append(Fail(request.request_id, reason))
         self._finish(request)
 
     def _retry_after_us(self) -> int:
--- a/badgergap/proxy/downstream/client_connection.py
+++ b/badgergap/proxy/downstream/client_connection.py
@@ -27,6 +27,8 @@
 
 from badgergap.proxy import unread_input
 from badgergap.proxy.body_streams import AnswerHead
+from badgergap.proxy.diagnostics import EventKind
+from badgergap.proxy.diagnostics.close_reason import CloseReason
 from badgergap.proxy.downstream import request_reader
 from badgergap.proxy.downstream.forwarding import exchange_spec
 from badgergap.proxy.downstream.http_connection import AFTER_FRAMING_LOST
@@ -97,10 +99,25 @@
         """The connection is gone: drop its requests and what is held for them."""
         self.server.discard(self)
         self.write_paused = False
+        self.count_close()
         self.abandon_all()
         self.incoming = IncomingRequest()
         self.account_memory()
 
+    def count_close(self) -> None:
+        """Count why the connection ended; warn of a request that this side left without a response."""
+        events = self.server.proxy.diagnostics.events
+        events.count(EventKind.CONNECTION_CLOSED, self.close_reason)
+        if self.has_open_requests and self.close_reason is not CloseReason.CLIENT:
+            request_id = self.current.request_id.decode("latin-1") if self.current is not None else ""
+            events.warn(
+                EventKind.UNANSWERED_CLOSE,
+                self.close_reason,
+                "request %s was not answered: its connection was closed (%s)",
+                request_id,
+                self.close_reason,
+            )
+
     def abandon_current(self) -> None:
         """Drop the current request: its attempts are cancelled, and it gets no response."""
         current, request = self.current, self.request
@@ -126,6 +143,7 @@
         if incoming is self.current and not incoming.upload.complete:
             # Its head was valid and its body is not: the attempts that have begun are cancelled.
             if incoming.source is not None:
+                self.note_close(CloseReason.INVALID_REQUEST)
                 self.reset()
                 return
             self.abandon_current()
@@ -159,6 +177,7 @@
         self.pipeline.clear()
         if self.current is not None and self.current.source is not None:
             self.stop_reading()
+            self.note_close(CloseReason.INVALID_REQUEST)
             self.reset()  # within a response there is no place for another
             return
         self.abandon_current()
@@ -262,6 +281,7 @@
         if incoming.is_last:
             self.stop_reading()
             self.pipeline.clear()
+            self.note_close(CloseReason.LAST_RESPONSE)
             if incoming.rejection is None and incoming.upload.complete and self.closes_cleanly:
                 self.close()
             else:
@@ -280,6 +300,7 @@
         assert isinstance(incoming, IncomingRequest)
         self.release(incoming)
         self.current = self.request = None
+        self.note_close(CloseReason.RESPONSE_BROKEN)
         self.reset()
 
     def release(self, incoming: IncomingRequest) -> None:
@@ -322,10 +343,12 @@
 
     def on_migrated(self) -> None:
         """Close this process's descriptor: another process has its own, so the client does not notice."""
+        self.note_close(CloseReason.MIGRATED)
         self.evict()
 
     def evict(self) -> None:
         """Close now: its descriptor is needed for another connection."""
+        self.note_close(CloseReason.EVICTED)
         self.abort()
 
     def eviction_priority(self, now: float, for_memory: bool = False) -> eviction.EvictionPriority:
@@ -350,8 +373,10 @@
             now, self.has_open_requests, self.is_receiving, self.phase_began_at
         ):
             case ConnectionAction.CLOSE if self.may_close:
+                self.note_close(CloseReason.LAME_DUCK)
                 self.close()
             case ConnectionAction.REJECT:
+                self.note_close(CloseReason.LAME_DUCK)
                 self.stop_reading()
                 self.write(complete_response(refused("this gateway sends its clients away"), True, False))
                 self.linger(LAME_DUCK_LINGER_S)
@@ -364,6 +389,7 @@
             return
         self.update_write_progress(now)
         if self.unsent_bytes and now - self.progress_at > UNREAD_S:
+            self.note_close(CloseReason.RESPONSE_UNREAD)
             self.reset()  # what it does not take cannot be kept in memory for ever
         elif self.is_closing:
             return
@@ -380,4 +406,5 @@
             and now - self.phase_began_at > (IDLE_S if self.requests_read else request_reader.REQUEST_S)
             and self.may_close
         ):
+            self.note_close(CloseReason.IDLE)
             self.close()
--- a/badgergap/proxy/downstream/connection_registry.py
+++ b/badgergap/proxy/downstream/connection_registry.py
@@ -5,6 +5,7 @@
 import asyncio
 import heapq
 
+from badgergap.proxy.diagnostics.close_reason import CloseReason
 from badgergap.proxy.downstream.client_connection import ClientConnection
 from badgergap.proxy.downstream.http_connection import HttpConnection
 from badgergap.proxy.downstream.incoming_request import IncomingRequest
@@ -60,6 +61,7 @@
         self.connections.add(connection)
         beyond = len(self.connections) - self.limit
         if beyond > self.rejected_capacity:
+            connection.note_close(CloseReason.OVER_LIMIT)
             connection.write(complete_response(refused("too many connections"), True, False))
             if beyond > 2 * self.rejected_capacity:
                 connection.close()  # with its input unread: the reset may overtake the response
@@ -109,4 +111,5 @@
             oldest = next(iter(self.idle_connections))
             del self.idle_connections[oldest]
             if oldest.may_close:
+                oldest.note_close(CloseReason.TOO_MANY_IDLE)
                 oldest.close()
--- a/badgergap/proxy/downstream/http_connection.py
+++ b/badgergap/proxy/downstream/http_connection.py
@@ -16,6 +16,7 @@
 
 from badgergap.proxy import unread_input
 from badgergap.proxy.body_streams import DownloadSource, Upload
+from badgergap.proxy.diagnostics.close_reason import CloseReason
 from badgergap.proxy.downstream.response_writer import RespondedRequest
 
 LINGER_S = 1.0  # what a client still sends behind the last response is dropped for so long
@@ -108,6 +109,7 @@
         self.unsent_bytes = 0  # that the client had not taken at the last check
         self.phase_began_at = loop.time()  # its accept, last response, or the first byte of what is read
         self.progress_at = self.phase_began_at  # when the client last sent or took something
+        self.close_reason = CloseReason.CLIENT  # the first that this side had for ending it
 
     # State
 
@@ -244,6 +246,11 @@
         transport = self.transport
         return transport is None or not transport.can_write_eof() or unread_input.is_quiet(transport)
 
+    def note_close(self, reason: CloseReason) -> None:
+        """Keep the first reason that this side has for ending the connection."""
+        if self.close_reason is CloseReason.CLIENT:
+            self.close_reason = reason
+
     def linger(self, for_s: float | None = None) -> None:
         """Close for sending, and drop for `for_s` seconds (LINGER_S) what the client is still sending.
 
--- a/badgergap/proxy/downstream/listener.py
+++ b/badgergap/proxy/downstream/listener.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable
 
+from badgergap.proxy.diagnostics.close_reason import CloseReason
 from badgergap.proxy.downstream.client_connection import ClientConnection
 from badgergap.proxy.downstream.connection_registry import ConnectionRegistry
 from badgergap.proxy.downstream.request_validation import RequestValidator
@@ -194,6 +195,7 @@
             for connection in [c for c in self.connections if not c.has_open_requests]:
                 if self.try_to_migrate(connection) or (self.migrate is not None and waited_s < MIGRATION_S):
                     continue
+                connection.note_close(CloseReason.SHUTDOWN)
                 priority = connection.eviction_priority(self.loop.time())
                 if (
                     priority < eviction.EvictionPriority.NEW and connection.may_close
--- a/badgergap/proxy/lifecycle/process.py
+++ b/badgergap/proxy/lifecycle/process.py
@@ -57,6 +57,7 @@
             self.succession.join(self.proxy, self.downstream, self.components)
         for component in self.components:
             component.join(self.proxy)
+        self.proxy.diagnostics.loop_monitor.start()
         await self.proxy.start()
         if self.succession is not None:
             self.succession.restore_learned_state()
@@ -94,6 +95,7 @@
             await component.close()
         if self.succession is not None:
             await self.succession.close()
+        self.proxy.diagnostics.events.write_summary()
         self.proxy.close()
 
 
--- a/badgergap/proxy/pools.py
+++ b/badgergap/proxy/pools.py
@@ -106,7 +106,8 @@
         self._divide()
 
     async def _start(self, plan: PoolPlan) -> None:
-        proxy = Proxy(plan.config, self.main.loop, self.observer, self.main.clock)
+        main_proxy = self.main
+        proxy = Proxy(plan.config, main_proxy.loop, self.observer, main_proxy.clock, main_proxy.diagnostics)
         # Drains by hand are of endpoints in whatever pool.
         main = self.main.directory
         proxy.directory.registry.drains = main.registry.drains
--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -27,26 +27,25 @@
     Log,
     Outcome,
     Reject,
+    RejectionReason,
     RequestArrived,
     RequestCoalesced,
     Send,
     SendPeerMessage,
     SetTimer,
-    StreamStarted,
     TimerFired,
     WatchEndpoints,
 )
+from badgergap.proxy.attempt_recorder import AttemptRecorder
 from badgergap.proxy.clock import Clock
+from badgergap.proxy.diagnostics import Diagnostics, EventKind, RequestTrace
 from badgergap.proxy.endpoints.directory import EndpointDirectory
 from badgergap.proxy.gateway_responses import OUT_OF_TOUCH, plain, refused
 from badgergap.proxy.lifecycle.config import Address, Config, needs_restart
-from badgergap.proxy.lifecycle.proxy_settings import ReportMode
-from badgergap.proxy.limits import eviction
-from badgergap.proxy.limits.memory import Budget, total_of
-from badgergap.proxy.load_reports import parse_report
+from badgergap.proxy.load_reports import report_of
 from badgergap.proxy.peer_messages import PeerMessenger
 from badgergap.proxy.requests import Observer, Reply, Request, RequestSpec
-from badgergap.proxy.upstream.connection_pool import REST_S, Upstream
+from badgergap.proxy.upstream.configured import upstream_of
 from badgergap.proxy.upstream.exchange import Answer
 from badgergap.proxy.upstream.health_check import HealthChecker
 
@@ -60,38 +59,6 @@
 CLEAN_UP_S = 1.0
 
 
-class AttemptRecorder:
-    """An `AttemptListener`: accounts for one attempt, and feeds its progress to the balancer."""
-
-    __slots__ = ("attempt_number", "endpoint_id", "proxy", "request", "sent_us")
-
-    def __init__(
-        self, proxy: Proxy, request: Request, attempt_number: int, endpoint_id: int, sent_us: int
-    ) -> None:
-        self.proxy = proxy
-        self.request = request
-        self.attempt_number = attempt_number
-        self.endpoint_id = endpoint_id
-        self.sent_us = sent_us
-
-    def on_committed(self) -> None:
-        """No retry is possible from here on: the balancer is notified that this attempt is the last."""
-        if self.request.last_resort is not None:
-            self.request.last_resort.cancel()  # the rest takes as long as the client and the route say
-        self.proxy.feed(StreamStarted(self.request.id, self.attempt_number, answered=False))
-
-    def on_response_started(self, status: int, waited_s: float) -> None:
-        """The response is being passed on, `waited_s` seconds after the request was sent."""
-        self.proxy.close_with(self.request, status)
-        self.proxy.feed(StreamStarted(self.request.id, self.attempt_number, latency_us=int(waited_s * 1e6)))
-
-    def on_ended(self, outcome: Outcome, answer: Answer | None) -> None:
-        """The attempt has ended with this outcome, and the response if it was not passed on."""
-        if outcome is Outcome.ERROR and self.request.spec.passes_failures:
-            self.request.endpoint_failure = answer
-        self.proxy.attempt_ended(self, outcome, answer)
-
-
 class Proxy:
     """One pool: its balancer, its endpoints, the connections to them, and the requests that are open."""
 
@@ -101,8 +68,11 @@
         loop: asyncio.AbstractEventLoop,
         observer: Observer | None = None,
         clock: Clock | None = None,
+        diagnostics: Diagnostics | None = None,
     ) -> None:
         settings = config.settings
+        self.diagnostics = diagnostics if diagnostics is not None else Diagnostics(loop)
+        self.event_log = self.diagnostics.events
         self.observer = observer
         self.config = config
         self.settings = settings
@@ -111,7 +81,7 @@
         self.latest_config = config  # as read last: the start of the next reload
         self.clock = clock if clock is not None else Clock()
         self.balancer = Balancer(settings, config.seed)
-        self.upstream = _upstream(config, loop)
+        self.upstream = upstream_of(config, loop)
         self.directory = EndpointDirectory(config, loop, self.clock.now_us, self.upstream, self.feed)
         self.peers = PeerMessenger(config, self.proxy_settings.may_message, loop, self.feed)
         self.health_checker = HealthChecker(
@@ -232,9 +202,10 @@
                 self.loop.call_later(max(0, delay_us) / 1e6, self.feed, TimerFired(action.token))
             case Reject():
                 if not self.hand_over(action.request_id):
-                    self.finish(action.request_id, refused("trying again is harmless", action.retry_after_us))
+                    answer = refused("trying again is harmless", action.retry_after_us)
+                    self.finish(action.request_id, answer, action.reason)
             case Fail():
-                self.finish(action.request_id, plain(502, "failed"))
+                self.finish(action.request_id, plain(502, "failed"), action.reason)
             case Cancel():
                 request = self.requests.get(action.request_id)
                 exchange = request.attempts[action.attempt_number] if request is not None else None
@@ -263,6 +234,7 @@
         epoch = self.current_epoch() if self.current_epoch is not None else 0
         if epoch < 0 or not self.has_capacity():
             reply(refused("too many requests" if epoch >= 0 else OUT_OF_TOUCH))
+            self.event_log.count(EventKind.REQUEST_REJECTED, "not_admitted")
             if self.observer is not None:
                 self.observer.on_answered(self.clock.now_us(), spec.request_class, 503, 0, spec.tenant)
             return None
@@ -272,6 +244,8 @@
             0, min(spec.client_timeout_us - spec.waited_us - TRANSIT_US, self.shutdown_us - now_us)
         )
         request = Request(str(self.accepted_count), spec, now_us, now_us + remaining_us, reply, epoch=epoch)
+        request.trace.client_id = spec.client_id
+        request.trace.note(now_us, "class %d read %d us after it came", spec.request_class, spec.waited_us)
         self.requests[request.id] = request
         self.open_requests += 1
         self.set_deadline(request, now_us, request.deadline_us)
@@ -304,6 +278,8 @@
         """The client has closed its connection."""
         if request.reply is not None:
             self.close_account(request)
+            self.event_log.count(EventKind.CLIENT_LEFT, "with_request_open")
+            request.trace.note(self.clock.now_us(), "client left")
             if self.observer is not None:
                 self.observer.on_client_left(
                     self.clock.now_us(), request.spec.request_class, request.spec.tenant
@@ -361,15 +337,19 @@
     def answer_at_deadline(self, request: Request) -> None:
         """Guards against a request that nobody has answered when its client is about to give up."""
         if request.reply is not None:
-            log.warning("request %s had no answer at its deadline", request.id)
+            request.trace.is_unusual = True
+            log.warning("request %s had no answer at its deadline", request.trace.client_id or request.id)
             self.settle(request, plain(504, "out of time"))
             self.feed(ClientDisconnected(request.id))
             self.forget_if_over(request)
 
-    def finish(self, request_id: str, answer: Answer) -> None:
+    def finish(self, request_id: str, answer: Answer, reason: RejectionReason) -> None:
         """Give the balancer's verdict on a request, if an answer is still owed."""
         request = self.requests.get(request_id)
         if request is not None:
+            self.event_log.count(EventKind.REQUEST_REJECTED, reason)
+            request.trace.is_unusual = True
+            request.trace.note(self.clock.now_us(), "rejected: %s", reason)
             # An endpoint's own failure tells the client more than what this gateway could say.
             self.settle(request, answer if request.endpoint_failure is None else request.endpoint_failure)
             self.forget_if_over(request)
@@ -400,6 +380,8 @@
         """Account for the final answer, which is given now, with this status."""
         if request.reply is not None:
             self.close_account(request)
+            self.event_log.count(EventKind.REQUEST_ANSWERED, str(status))
+            request.trace.note(self.clock.now_us(), "answered %d", status)
             if request.spec.on_answered is not None:
                 request.spec.on_answered()
             if self.observer is not None:
@@ -422,7 +404,14 @@
     def forget_if_over(self, request: Request) -> None:
         """Forget a request that is owed no response and has no attempt in flight."""
         if request.reply is None and request.attempts_in_flight == 0:
-            self.requests.pop(request.id, None)
+            forgotten = self.requests.pop(request.id, None)
+            if forgotten is not None and request.trace.is_unusual:
+                self.write_trace(request.trace)
+
+    def write_trace(self, trace: RequestTrace) -> None:
+        """Log the story of a request that did not simply succeed, within the bound on such lines."""
+        if self.event_log.may_write(EventKind.REQUEST_ANSWERED):
+            log.info("request %s: %s", trace.client_id, trace.render())
 
     # Attempts
 
@@ -447,6 +436,7 @@
             return
 
         request.attempts_in_flight += 1
+        request.trace.note(sent_us, "attempt %d to %d for %d us", number, action.endpoint_id, left_us)
         recorder = AttemptRecorder(self, request, number, action.endpoint_id, sent_us)
         exchange = request.spec.launch(self.upstream, action.endpoint_id, left_us / 1e6, recorder)
         request.attempts.append(exchange)
@@ -464,33 +454,23 @@
         request = attempt.request
         request.attempts_in_flight -= 1
         latency_us = self.clock.now_us() - attempt.sent_us
+        self.note_attempt_end(attempt, outcome, latency_us)
         if outcome is Outcome.SUCCESS and answer is not None:
             self.settle(request, answer)
         endpoint_id = attempt.endpoint_id
         if self.observer is not None:
             self.observer.on_attempt_ended(attempt.sent_us + latency_us, endpoint_id, outcome, latency_us)
-        finished, load = request.reply is None, self.load_report(answer)
+        finished, load = request.reply is None, report_of(answer, self.proxy_settings.reports.mode)
         self.feed(
             AttemptEnded(request.id, attempt.attempt_number, endpoint_id, outcome, latency_us, finished, load)
         )
         self.forget_if_over(request)
 
-    def load_report(self, answer: Answer | None) -> tuple[tuple[str, float], ...]:
-        """The load report that came along with an answer, where the settings say that there is one."""
-        if answer is None or self.proxy_settings.reports.mode is not ReportMode.ANSWERS:
-            return ()
-        return parse_report(answer.header(b"server-load"))
-
-
-def _upstream(config: Config, loop: asyncio.AbstractEventLoop) -> Upstream:
-    settings = config.proxy_settings
-    return Upstream(
-        loop,
-        # With an operator file the other half is for the listeners of its site.
-        connections=eviction.per_side(config.sockets) if config.grows else eviction.limit(config.sockets, 0),
-        connect_timeout_us=settings.connect_timeout_us,
-        idle_us=settings.idle_connection_us,
-        drain_grace_us=settings.drain_grace_us,
-        budget=Budget(total_of(config.memory_mb)),
-        rest_s=0.0 if config.grows else REST_S,
-    )
+    def note_attempt_end(self, attempt: AttemptRecorder, outcome: Outcome, latency_us: int) -> None:
+        """Count an attempt's outcome, and add it to the story of its request."""
+        self.event_log.count(EventKind.ATTEMPT_ENDED, outcome.name.lower())
+        trace = attempt.request.trace
+        if outcome is not Outcome.SUCCESS:
+            trace.is_unusual = True
+        number = attempt.attempt_number
+        trace.note(attempt.sent_us + latency_us, "attempt %d ended: %s", number, outcome.name.lower())
--- a/badgergap/proxy/requests.py
+++ b/badgergap/proxy/requests.py
@@ -21,6 +21,7 @@
 from typing import Protocol
 
 from badgergap.balancing.interface import Outcome
+from badgergap.proxy.diagnostics import RequestTrace
 from badgergap.proxy.upstream.connection_pool import Upstream
 from badgergap.proxy.upstream.exchange import Answer, Exchange
 
@@ -82,6 +83,7 @@
     offer_elsewhere: OfferElsewhere | None = None
     on_answered: Callable[[], None] | None = None  # called just before the final answer is given
     passes_failures: bool = True  # an endpoint's own failure is the answer where nothing better came of it
+    client_id: str = ""  # the Request-Id that client and endpoints know it by; for the log
 
 
 @dataclass(slots=True, eq=False)
@@ -98,3 +100,4 @@
     attempts_in_flight: int = 0
     endpoint_failure: Answer | None = None  # an endpoint's own answer that counts as its failure
     epoch: int = 0  # of the rules that it was admitted under
+    trace: RequestTrace = field(default_factory=RequestTrace)
