--- a/badgergap/standins/box.py
+++ b/badgergap/standins/box.py
@@ -27,6 +27,7 @@
     id: str
     klass: str
     method: str
+    timeout_ms: int = 0  # the deadline that it was told; 0: none
 
 
 class Box:
@@ -154,6 +155,7 @@
         self.turn = 0
         self.url = b""
         self.id = ""
+        self.timeout_ms = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -177,7 +179,7 @@
             self.abort()
 
     def on_message_begin(self) -> None:
-        self.url, self.id = b"", ""
+        self.url, self.id, self.timeout_ms = b"", "", 0
 
     def on_url(self, url: bytes) -> None:
         self.url += url
@@ -185,10 +187,13 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == b"request-id":
             self.id = value.decode("latin-1")
+        elif name.lower() == b"request-timeout-ms":
+            self.timeout_ms = int(value)
 
     def on_message_complete(self) -> None:
         klass = self.url.split(b"?")[0].strip(b"/").decode("latin-1")
-        seen = Seen(self.began_at, self.id, klass, self.parser.get_method().decode())
+        method = self.parser.get_method().decode()
+        seen = Seen(self.began_at, self.id, klass, method, self.timeout_ms)
         self.began_at = 0.0
         self.box.take(self, seen)
 
