Look at the client's socket just before the first byte of every attempt

A loop that was held up reads request and close in two turns; with an idle connection to an endpoint the request is written in the first. Front of ordinary HTTP never looked unless reading was paused, and an attempt whose connection came up late asked only for what had been read.

Joined reads ask all their members, keyed requests their client.

Over HTTP/3 a client's end stands in datagrams that cannot be looked at: open.

--- a/badgergap/h3/front.py
+++ b/badgergap/h3/front.py
@@ -295,6 +295,10 @@
 
     # What goes: a Client
 
+    def client_has_left(self) -> bool:
+        """Whether the stream has ended, as far as datagrams have been read."""
+        return not self.open
+
     def answer(self, answer: Answer) -> None:
         if not self.open:
             return
--- a/badgergap/joining/room.py
+++ b/badgergap/joining/room.py
@@ -173,6 +173,11 @@
     def open(self) -> bool:
         return self.group.state is not State.OVER
 
+    def client_has_left(self) -> bool:
+        """Whether all members have left: each that has is looked at, and goes."""
+        left = [seat.client.client_has_left() for seat in self.seats.values()]
+        return all(left)
+
     def answer(self, answer: Answer) -> None:
         self.joins.forget(self)
         numbers = self.group.settle()
--- a/badgergap/proxy/body_streams.py
+++ b/badgergap/proxy/body_streams.py
@@ -146,6 +146,9 @@
 class Download(Protocol):
     """The client's side of a response."""
 
+    def client_has_left(self) -> bool:
+        """Whether nobody waits for a response any more, also where that has not been read yet."""
+
     def interim(self, status: int, headers: Headers) -> None:
         """A response of the kind 1xx, ahead of the final one."""
 
--- a/badgergap/proxy/diagnostics/event_log.py
+++ b/badgergap/proxy/diagnostics/event_log.py
@@ -22,7 +22,6 @@
     REQUEST_REJECTED = "rejected"
     CLIENT_LEFT = "client_left"
     ATTEMPT_ENDED = "attempt"
-    ATTEMPT_WITHHELD = "withheld"
     CONNECTION_CLOSED = "connection"
     UNANSWERED_CLOSE = "closed_unanswered"
     LOOP_HELD_UP = "held_up"
--- a/badgergap/proxy/downstream/client_connection.py
+++ b/badgergap/proxy/downstream/client_connection.py
@@ -25,7 +25,6 @@
 from functools import partial
 from typing import Protocol, cast
 
-from badgergap.proxy import unread_input
 from badgergap.proxy.body_streams import AnswerHead
 from badgergap.proxy.diagnostics import EventKind
 from badgergap.proxy.diagnostics.close_reason import CloseReason
@@ -237,7 +236,7 @@
         `timeout_s`: what the endpoint is told it has. `listener`: is told how the attempt ends.
         """
         upload = incoming.upload
-        if is_early(incoming.exchange, upload) or self.client_has_left():
+        if is_early(incoming.exchange, upload):
             unsent = Exchange(b"", listener.on_ended)
             self.loop.call_soon(unsent.never_sent)
             return unsent
@@ -311,22 +310,11 @@
         if self.accounted_bytes:
             self.account_memory()
 
-    def client_has_left(self) -> bool:
-        """Whether the client has closed, as its socket tells where it is not read: nothing more is forwarded.
-
-        Of a first attempt for a client that is read, the loop tells soon enough.
-        """
-        if not self.read_paused and (self.current is None or self.current.exchange is None):
-            return False
-        if not unread_input.has_left(self.transport):
-            return False
-        self.loop.call_soon(self.on_client_left)
-        return True
-
     def on_client_left(self) -> None:
-        """Handle the client's end, which has not been read."""
-        self.abandon_all()
-        self.abort()
+        """Handle the client's end, which was found in its socket."""
+        if self.has_open_requests:
+            self.server.proxy.diagnostics.events.count(EventKind.CLIENT_LEFT, "found_unread")
+        super().on_client_left()
 
     def may_migrate(self) -> bool:
         """Whether another process can take it: no part of a request, and no unsent response, is held here."""
--- a/badgergap/proxy/downstream/http_connection.py
+++ b/badgergap/proxy/downstream/http_connection.py
@@ -215,6 +215,22 @@
         self.abandon_all()
         return False
 
+    def client_has_left(self) -> bool:
+        """Whether the client has closed, as its socket tells before it is read. Its requests end soon then.
+
+        Guards against a request that is forwarded while the close behind it stands unread: the loop was held
+        up, or does not read this client for now.
+        """
+        if not unread_input.has_left(self.transport):
+            return False
+        self.loop.call_soon(self.on_client_left)
+        return True
+
+    def on_client_left(self) -> None:
+        """Handle the client's end, which has not been read."""
+        self.abandon_all()
+        self.abort()
+
     def abandon_all(self) -> None:
         """Drop all that the client has requested, and read nothing more."""
         self.stop_reading()
--- a/badgergap/proxy/downstream/response_writer.py
+++ b/badgergap/proxy/downstream/response_writer.py
@@ -31,6 +31,9 @@
     def serves(self, incoming: RespondedRequest) -> bool:
         """Whether it is this request's turn, and its response is not complete."""
 
+    def client_has_left(self) -> bool:
+        """Whether the client has closed, also where that has not been read yet."""
+
     def send_response(self, incoming: RespondedRequest, answer: Answer) -> None:
         """Send a complete response to this request."""
 
@@ -60,6 +63,10 @@
         """Whether the client still waits for this response or the rest of it."""
         return self.writer.serves(self.incoming)
 
+    def client_has_left(self) -> bool:
+        """Whether nobody waits for this response any more."""
+        return not self.open or self.writer.client_has_left()
+
     def answer(self, answer: Answer) -> None:
         """Send a complete response."""
         self.writer.send_response(self.incoming, answer)
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -61,7 +61,7 @@
         if exchange is None or exchange.done:
             self.abort()
         elif (
-            exchange.unwanted
+            not exchange.may_begin()
             or not self.pool.may_send(self.endpoint)
             or not self.pool.is_epoch_current(self.epoch)
         ):
@@ -209,7 +209,7 @@
         It ends as TIMEOUT after so many seconds, and as NEVER_SENT if nothing may be sent to the endpoint.
         """
         endpoint = self.endpoints.get(endpoint_id)
-        if endpoint is None or not self.may_send(endpoint):
+        if endpoint is None or not self.may_send(endpoint) or not exchange.may_begin():
             self.loop.call_soon(exchange.never_sent)
             return
         exchange.timer = self.loop.call_later(timeout_s, exchange.give_up, Outcome.TIMEOUT)
--- a/badgergap/proxy/upstream/exchange.py
+++ b/badgergap/proxy/upstream/exchange.py
@@ -76,6 +76,10 @@
         """Its request is over: what has not been sent yet shall not be."""
         self.unwanted = True
 
+    def may_begin(self) -> bool:
+        """Whether it is still to be sent; asked just before its first byte."""
+        return not (self.done or self.unwanted)
+
     def lost(self) -> None:
         """The connection is lost, or what came on it was no response."""
         self.end(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
--- a/badgergap/proxy/upstream/stream_attempt.py
+++ b/badgergap/proxy/upstream/stream_attempt.py
@@ -96,6 +96,10 @@
             None  # the endpoint has yet to say that it wants the body
         )
 
+    def may_begin(self) -> bool:
+        """Whether it is still to be sent. Its client's close may stand unread behind the request."""
+        return super().may_begin() and not self.spec.download.client_has_left()
+
     # What carries it
 
     def send_body(self, data: bytes) -> None:
--- a/badgergap/replication/keyed_attempt.py
+++ b/badgergap/replication/keyed_attempt.py
@@ -31,6 +31,10 @@
         """Whether its request still waits for this turn's answer."""
         return self.keyed_request.inner is self.turn
 
+    def client_has_left(self) -> bool:
+        """Whether nobody waits for this turn's answer any more."""
+        return not self.open or self.keyed_request.client.client_has_left()
+
     def answer(self, answer: Answer) -> None:
         """Pass on the endpoint's whole answer."""
         if self.open:
--- a/badgergap/web/front.py
+++ b/badgergap/web/front.py
@@ -21,7 +21,6 @@
 from badgergap.ordinary.plan import Limits
 from badgergap.ordinary.turn import Turn
 from badgergap.ordinary.ways import Ways
-from badgergap.proxy import unread_input
 from badgergap.proxy.body_streams import AnswerHead, DownloadSource, Headers
 from badgergap.proxy.downstream.http_connection import (
     AFTER_BEGIN,
@@ -399,14 +398,6 @@
         brings = self.is_receiving and not self.upload_paused and self.current in (None, self.incoming)
         return self.write_paused or brings or not (self.has_requested or self.has_open_requests)
 
-    def client_has_left(self) -> bool:
-        """Whether the client has closed, as its socket tells where it is not read."""
-        if not self.read_paused or self.in_tunnel or not unread_input.has_left(self.transport):
-            return False
-        self.abandon_all()
-        self.abort()
-        return True
-
     def time_out(self, current: Incoming) -> None:
         """End a request whose route's time is over. A response on its way ends in a reset.
 
@@ -423,7 +414,7 @@
 
     def check_time(self, now: float) -> None:
         """Enforce the time limits at `now` (loop time, seconds)."""
-        if self.client_has_left():
+        if self.read_paused and not self.in_tunnel and self.client_has_left():
             return
         limits, current = self.door.limits, self.current
         self.update_write_progress(now)
--- a/tests/web/test_endings.py
+++ b/tests/web/test_endings.py
@@ -14,7 +14,7 @@
 from badgergap.web.front import Front
 from tests.proxy.test_endings import until
 from tests.sockets import run
-from tests.web.harness import Raw, Site, request, site
+from tests.web.harness import ROUTE, Raw, Site, request, site
 
 
 def hold_connects(it: Site, monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
@@ -72,6 +72,26 @@
     run(test())
 
 
+# Guards against report c96572 on ordinary HTTP: a loop that was held up read a request, alone or joined with
+# others, and forwarded it before it came to the close behind it.
+@pytest.mark.parametrize("routes", [ROUTE, ROUTE + "join = true\n"], ids=["alone", "joined"])
+def test_who_left_while_the_loop_was_held_up_is_not_forwarded(routes: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        async with site(tmp_path, routes=routes) as it:
+            client = await it.client()
+            assert (await client.ask(request("GET")))[0] == 200  # a connection to the box is at hand
+            ran = it.runs()
+            for _ in range(3):  # the loop does not turn meanwhile
+                with socket.create_connection(("127.0.0.1", it.port)) as leaving:
+                    leaving.sendall(request("GET"))
+            await until(lambda: it.proxy.accepted_count > 1)
+            await until(lambda: not it.proxy.requests and not it.proxy.balancer.requests)
+            assert (await client.ask(request("GET")))[0] == 200
+            assert it.runs() == ran + 1
+
+    run(test())
+
+
 @pytest.mark.parametrize("close", ["time", "rest", "end"])
 def test_a_close_does_not_cross_a_request_that_has_come(close: str, tmp_path: Path) -> None:
     async def test() -> None:
