Read what discovery has sent before a request is decided on and before it is written

What callers saw: after a hold-up of 0.7 s, 10 of 30 requests went to an endpoint whose drain had been told 0.7 s before (grace 0.5 s).

Cause: the loop reads sockets in the order in which data came. A drain behind requests stands unread while they are decided on and written; its grace was then counted from the read. The same clock also stands still within one turn of the loop, and the whole grace was used, so that a hold-up between look and write went beyond it.

Change: EndpointDirectory.catch_up reads discovery's sockets ahead of the loop before an arrival is decided on and in Upstream.may_send. A message that stood in its socket for over 50 ms (TCP_INFO) gives no grace. may_send goes by time.monotonic(), and the grace is 0.15 s shorter than the settings', which is what a gateway may be held up for. unread_input.read_now is what Http1Connection.read_last did.

An etcd's and a group's lists are not read ahead: open.

--- a/badgergap/proxy/endpoints/directory.py
+++ b/badgergap/proxy/endpoints/directory.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 
 from badgergap.balancing.interface import EndpointList, EndpointListKind
@@ -100,6 +101,11 @@
 
     # Updates
 
+    def catch_up(self) -> None:
+        """Take in what discovery has sent and the loop has not read yet."""
+        if self.discovery is not None:
+            self.discovery.read_unread()
+
     def receive_update(self, source: str, update: EndpointUpdate) -> None:
         """Take an update from a source, unless `intercept_update` takes it."""
         if self.intercept_update is None or not self.intercept_update(source, update):
@@ -111,17 +117,20 @@
         That another source than the platform fails, or has nothing new, is between it and the registry: the
         balancer's answer to a failure is to ask the platform again.
         """
-        update = self.registry.receive(self.now_us(), source, update)
+        update = replace(self.registry.receive(self.now_us(), source, update), is_late=update.is_late)
         if source == PLATFORM or update.entries or update.kind is EndpointListKind.FULL:
             self.publish_update(update)
 
     def publish_update(self, update: EndpointUpdate) -> None:
         """Pass a merged update on: first to the connections, then to the balancer."""
         if update.kind in (EndpointListKind.FULL, EndpointListKind.DISK):
-            self.upstream.drain_unlisted(entry.listed.endpoint_id for entry in update.entries)
+            listed_ids = (entry.listed.endpoint_id for entry in update.entries)
+            self.upstream.drain_unlisted(listed_ids, update.is_late)
         for entry in update.entries:
             listed = entry.listed
-            self.upstream.update_endpoint(listed.endpoint_id, entry.address, listed.status, entry.protocol)
+            self.upstream.update_endpoint(
+                listed.endpoint_id, entry.address, listed.status, entry.protocol, update.is_late
+            )
         self.feed(update.as_event())
 
     # Drains by hand
--- a/badgergap/proxy/endpoints/discovery.py
+++ b/badgergap/proxy/endpoints/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 from typing import Any
 
 from badgergap.balancing.interface import EndpointListKind
@@ -118,6 +119,12 @@
         """Begin a call for the full list; its result comes as an update."""
         self.fetches.add(DiscoveryCall(self, PATH, watch=False))
 
+    def read_unread(self) -> None:
+        """Read what has come, ahead of the loop: a drain that stands unread counts as announced."""
+        for call in (self.previous_watch, self.current_watch, *self.fetches):
+            if call is not None:
+                call.read_unread()
+
     def on_list(self, raw: Any, call: DiscoveryCall) -> None:
         """A call has received a message. Raises ValueError for one that is no list."""
         update = parse_list(raw, self.names)
@@ -131,7 +138,7 @@
             self.unreadable_count = 0
         if call is not self.previous_watch and (is_complete or self.unreadable_count >= UNREADABLE_MOST):
             self.index = version_of(raw)
-        self.on_update(update)
+        self.on_update(replace(update, is_late=call.is_late))
         if not is_complete:
             self.on_unreadable(call)
 
--- a/badgergap/proxy/endpoints/discovery_call.py
+++ b/badgergap/proxy/endpoints/discovery_call.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from badgergap.proxy import unread_input
 from badgergap.proxy.endpoints.message_splitter import MessageSplitter
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
 SILENCE_S = 3.5
 CONNECT_S = 1.0
 MOVE_ANSWER_S = 1.5  # in place of SILENCE_S, until a service has answered its first watch after a move
+LATE_S = 0.05
 LINE_LIMIT = 8 * 1024 * 1024  # bytes, also of a message of several lines
 
 
@@ -46,6 +48,8 @@
         self.silent = False  # it is over because nothing came for too long
         self.answered = False  # something has come: of the list, or that there is nothing new
         self.silence: asyncio.TimerHandle | None = None
+        self.is_parsing = False
+        self.is_late = False  # what is being read stood in the socket for longer than LATE_S
         self.task = discovery.loop.create_task(self.open())
 
     async def open(self) -> None:
@@ -80,13 +84,28 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what discovery has sent; malformed input fails the call."""
+        self.is_late = unread_input.data_age_s(self.transport) > LATE_S
+        self.is_parsing = True
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             self.fail(f"malformed answer: {error}")
+        finally:
+            self.is_parsing = False
         if not self.over:
             self.restart_silence_timer()  # with the limit that holds after this answer
 
+    def read_unread(self) -> None:
+        """Read what discovery has sent and the loop has not read yet."""
+        if self.over or self.is_parsing or self.transport is None or self.transport.is_closing():
+            return  # what is being parsed may lead here
+        if unread_input.is_quiet(self.transport):
+            return
+        for data in unread_input.read_now(self.transport, LINE_LIMIT):
+            self.data_received(data)
+            if self.over:
+                break
+
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is gone: the call has failed, unless it is over."""
         self.fail("connection lost")
--- a/badgergap/proxy/endpoints/sources.py
+++ b/badgergap/proxy/endpoints/sources.py
@@ -34,6 +34,7 @@
 
     kind: EndpointListKind
     entries: tuple[Entry, ...] = ()
+    is_late: bool = False  # it stood unread for a while: the drains that it reports have had their grace
 
     def as_event(self) -> EndpointList:
         """For the balancer."""
--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -83,6 +83,7 @@
         self.balancer = Balancer(settings, config.seed)
         self.upstream = upstream_of(config, loop)
         self.directory = EndpointDirectory(config, loop, self.clock.now_us, self.upstream, self.feed)
+        self.upstream.catch_up = self.directory.catch_up
         self.peers = PeerMessenger(config, self.proxy_settings.may_message, loop, self.feed)
         self.health_checker = HealthChecker(
             self.upstream, self.proxy_settings.reports.mode, self.clock.now_us, self.feed
@@ -249,6 +250,7 @@
         self.requests[request.id] = request
         self.open_requests += 1
         self.set_deadline(request, now_us, request.deadline_us)
+        self.directory.catch_up()
         self.feed(
             RequestArrived(
                 request.id,
--- a/badgergap/proxy/unread_input.py
+++ b/badgergap/proxy/unread_input.py
@@ -1,13 +1,21 @@
-"""Looks at what a socket holds that its transport has not read, before a close or an attempt."""
+"""Looks at what a socket holds that its transport has not read: before a close, an attempt or a decision."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import select
 import socket
+import struct
+from collections.abc import Iterator
 
 # Linux reports a peer's close apart from its data; elsewhere only a reset is seen.
 CLOSE_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
+READ_SIZE = 64 * 1024
+# `struct tcp_info` of Linux: milliseconds since the last data came.
+TCP_INFO_SIZE = 56
+LAST_DATA_RECEIVED = struct.Struct("=52xI")
 
 
 def is_quiet(transport: asyncio.BaseTransport | None) -> bool:
@@ -27,6 +35,36 @@
     return _poll(transport, CLOSE_EVENTS) & CLOSE_EVENTS != 0
 
 
+def read_now(transport: asyncio.BaseTransport | None, limit: int) -> Iterator[bytes]:
+    """Read what stands in a socket, `limit` bytes at the most, ahead of the loop's turn. Not for TLS.
+
+    Ends before an end of the other side, which is left to the transport, as is an error.
+    """
+    if transport is None or transport.get_extra_info("ssl_object") is not None:
+        return
+    with (
+        contextlib.suppress(OSError, ValueError),
+        # A descriptor of its own: the loop may close the transport's meanwhile.
+        socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as sock,
+    ):
+        while limit > 0 and (data := sock.recv(min(limit, READ_SIZE), socket.MSG_DONTWAIT)):
+            limit -= len(data)
+            yield data
+
+
+def data_age_s(transport: asyncio.BaseTransport | None) -> float:
+    """Seconds since the last data came to a TCP socket, read or not; 0 where the system does not tell."""
+    if transport is None or transport.is_closing():
+        return 0.0
+    sock = transport.get_extra_info("socket")
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+        (milliseconds,) = LAST_DATA_RECEIVED.unpack(info)
+    except (OSError, struct.error):
+        return 0.0
+    return float(milliseconds) / 1000.0
+
+
 def is_bound(sock: socket.socket, address: tuple[str, int]) -> bool:
     """Whether a socket is bound to `address`; port 0 is any port."""
     try:
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import ssl
+import time
 from bisect import bisect_right
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -32,6 +33,8 @@
 # each that rests is one that a busy endpoint has to be connected to anew.
 REST_S = 0.01
 CONNECT_UNSTATED_S = 1.0
+# A process may be held up for so long between its look at the clock and its write.
+HOLD_UP_S = 0.15
 
 EndpointId = int
 
@@ -112,7 +115,9 @@
 
     address: Address
     protocol: str = ""  # in which it is spoken to; "" is HTTP/1.1
-    stop_at: float | None = None  # loop time from which nothing new may be written, once it drains or is gone
+    stop_at: float | None = (
+        None  # time.monotonic() from which nothing new may be written, once it drains or is gone
+    )
     idle: list[PooledConnection] = field(default_factory=list)  # the one used last comes last
 
 
@@ -140,7 +145,11 @@
         self.on_open: Callable[[], None] | None = None  # a connection to an endpoint has been begun
         self.connect_timeout_s = connect_timeout_us / 1e6 or CONNECT_UNSTATED_S
         self.idle_s = (idle_us / 1e6 or IDLE_UNSTATED_S) * IDLE_SHARE
-        self.drain_grace_s = drain_grace_us / 1e6
+        self.drain_grace_s = max(0.0, drain_grace_us / 1e6 - HOLD_UP_S)
+        # The loop's own time stands still within one turn, which a crowd can make long.
+        self.now: Callable[[], float] = time.monotonic
+        # Called before something is sent: takes in what is known of endpoints and stands unread.
+        self.catch_up: Callable[[], None] = lambda: None
         self.rest_s = rest_s
         # For connections to all endpoints; a certificate that does not fit means no connection.
         self.tls: ssl.SSLContext | None = None
@@ -156,35 +165,48 @@
     # Endpoints
 
     def update_endpoint(
-        self, endpoint_id: EndpointId, address: Address, status: EndpointStatus, protocol: str = ""
+        self,
+        endpoint_id: EndpointId,
+        address: Address,
+        status: EndpointStatus,
+        protocol: str = "",
+        is_late: bool = False,
     ) -> None:
-        """Update an endpoint; another address or protocol closes the idle connections to the one before."""
+        """Update an endpoint; another address or protocol closes the idle connections to the one before.
+
+        `is_late`: if it drains, its grace is over.
+        """
         endpoint = self.endpoints.setdefault(endpoint_id, Endpoint(address, protocol))
         if endpoint.address != address or endpoint.protocol != protocol:
             # Another machine. Guards against a connection to the one before that is busy now and rests later.
             self.close_idle(endpoint_id)
-            endpoint.stop_at = self.loop.time()
+            endpoint.stop_at = self.now()
             endpoint = self.endpoints[endpoint_id] = Endpoint(address, protocol)
         if status is EndpointStatus.READY:
             endpoint.stop_at = None
         else:
-            self.drain_endpoint(endpoint_id)
+            self.drain_endpoint(endpoint_id, is_late)
 
-    def drain_endpoint(self, endpoint_id: EndpointId) -> None:
-        """The endpoint drains or is gone: nothing new to it once the grace is over."""
+    def drain_endpoint(self, endpoint_id: EndpointId, is_late: bool = False) -> None:
+        """The endpoint drains or is gone: nothing new to it after the grace. `is_late`: it is over."""
         endpoint = self.endpoints.get(endpoint_id)
-        if endpoint is not None and endpoint.stop_at is None:
-            endpoint.stop_at = self.loop.time() + self.drain_grace_s
+        if endpoint is None:
+            return
+        if endpoint.stop_at is None:
+            endpoint.stop_at = self.now() + self.drain_grace_s
             self.close_idle(endpoint_id)
+        if is_late:
+            endpoint.stop_at = min(endpoint.stop_at, self.now())
 
-    def drain_unlisted(self, listed: Iterable[EndpointId]) -> None:
+    def drain_unlisted(self, listed: Iterable[EndpointId], is_late: bool = False) -> None:
         """Drain every endpoint that is not listed."""
         for endpoint_id in self.endpoints.keys() - set(listed):
-            self.drain_endpoint(endpoint_id)
+            self.drain_endpoint(endpoint_id, is_late)
 
     def may_send(self, endpoint: Endpoint) -> bool:
-        """Whether something new may be written to the endpoint now."""
-        return endpoint.stop_at is None or self.loop.time() < endpoint.stop_at
+        """Whether something new may be written to the endpoint now, by all that this gateway was told."""
+        self.catch_up()
+        return endpoint.stop_at is None or self.now() < endpoint.stop_at
 
     def is_epoch_current(self, epoch: int) -> bool:
         """Whether what was begun in this epoch may still be sent."""
@@ -307,7 +329,7 @@
         for endpoint_id, endpoint in list(self.endpoints.items()):
             while endpoint.idle and endpoint.idle[0].idle_since < oldest:
                 endpoint.idle[0].abort()
-            if endpoint.stop_at is not None and not self.may_send(endpoint) and not endpoint.idle:
+            if endpoint.stop_at is not None and endpoint.stop_at <= self.now() and not endpoint.idle:
                 del self.endpoints[endpoint_id]
 
     def close(self) -> None:
--- a/badgergap/proxy/upstream/stream_exchange.py
+++ b/badgergap/proxy/upstream/stream_exchange.py
@@ -10,14 +10,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import os
-import socket
 from dataclasses import replace
 
 import httptools
 
 from badgergap.balancing.interface import Outcome
+from badgergap.proxy import unread_input
 from badgergap.proxy.body_streams import HOLD, AnswerHead, Headers
 from badgergap.proxy.downstream.response_writer import last_chunk
 from badgergap.proxy.header_fields import InvalidHeadError, response_headers, trailers
@@ -326,21 +324,10 @@
         Guards against losing the answer of an endpoint that rejects an upload and closes: the next write
         meets the reset, while the answer still stands unread in the socket.
         """
-        transport = self.transport
-        if transport is None or transport.get_extra_info("ssl_object") is not None:
-            return
-        left = LAST_READ
-        with (
-            contextlib.suppress(OSError, ValueError),
-            # A descriptor of its own: the transport's is about to be closed by the loop.
-            socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as sock,
-        ):
-            while left > 0 and self.exchange is not None:
-                data = sock.recv(min(left, BUFFER), socket.MSG_DONTWAIT)
-                if not data:
-                    break
-                left -= len(data)
-                self.data_received(data)
+        for data in unread_input.read_now(self.transport, LAST_READ):
+            self.data_received(data)
+            if self.exchange is None:
+                break
 
     # Parser
 
