Count a request's time from when its last byte came, and pass on what is left at the write

What callers saw: after a hold-up of 0.6 s endpoints were told 598 ms more than their clients had left, and requests whose time was over were forwarded. With a connection that came up 0.4 s late the endpoint was told the 0.4 s as well.

Cause: received_at was the loop's time at the read, not when the byte came; the deadline's line was written when the attempt was launched, before its connection was there.

RequestArrived.waited_us tells the balancer: the objective counts from the client's send, and the vote on usual timeouts goes by what the client stated. EndpointHead writes what is left as it is sent; an attempt whose time is over is not begun.

--- a/badgergap/balancing/events.py
+++ b/badgergap/balancing/events.py
@@ -80,6 +80,7 @@
     tenant: int = 0
     is_write: bool = False
     allowed_endpoints: tuple[int, ...] = ()  # where not all may have it
+    waited_us: int = 0  # since the client sent it; its stated timeout is the sum of this and what is left
 
 
 @dataclass(slots=True, frozen=True)
--- a/badgergap/balancing/latency_model.py
+++ b/badgergap/balancing/latency_model.py
@@ -91,15 +91,16 @@
         retry that is given all that is left. Guards against taking first tries for late retries: a client's
         last try may be given more time than its first.
         """
+        stated_us = event.client_timeout_us + event.waited_us
         usual_us, votes = self.usual_timeouts[event.request_class]
-        is_usual = abs(event.client_timeout_us - usual_us) <= SAME_TIMEOUT_TOLERANCE * usual_us
+        is_usual = abs(stated_us - usual_us) <= SAME_TIMEOUT_TOLERANCE * usual_us
         if not event.is_retry:
             votes += 1 if is_usual else -1
             replaced = votes < 0
-            vote = TimeoutVote(event.client_timeout_us, 1) if replaced else TimeoutVote(usual_us, votes)
+            vote = TimeoutVote(stated_us, 1) if replaced else TimeoutVote(usual_us, votes)
             self.usual_timeouts[event.request_class] = vote
             is_usual = is_usual or replaced or retries_are_marked
-        return 0 if is_usual else max(0, rules.client_timeout_us - event.client_timeout_us)
+        return 0 if is_usual else max(0, rules.client_timeout_us - stated_us)
 
 
 def baseline_change_us(baseline_us: float, recent_us: float, answer_count: int) -> float:
--- a/badgergap/balancing/request_lifecycle.py
+++ b/badgergap/balancing/request_lifecycle.py
@@ -93,7 +93,7 @@
             rules,
             event.key,
             now_us + event.client_timeout_us,
-            now_us + max(0, rules.objective_us - used_us),
+            now_us + max(0, rules.objective_us - used_us - event.waited_us),
             size,
             allowed_endpoints=event.allowed_endpoints,
         )
--- a/badgergap/proxy/downstream/client_connection.py
+++ b/badgergap/proxy/downstream/client_connection.py
@@ -159,7 +159,7 @@
     def on_body_complete(self, incoming: IncomingRequest) -> None:
         """Notify the proxy that the body of the current request is complete."""
         if incoming is self.current and self.request is not None:
-            self.server.proxy.on_body_complete(self.request)
+            self.server.proxy.on_body_complete(self.request, int(incoming.waited_s() * 1e6))
 
     def send_continue(self) -> None:
         """Send 100 Continue in its turn: before that, the response to another would come behind it."""
@@ -214,8 +214,8 @@
         if not server.lame_duck.accepts_requests(now):
             self.send_response(incoming, refused("this gateway sends its clients away"))
             return
-        waited_s = now - incoming.received_at if incoming.upload.complete else 0.0
-        spec = server.validator.validate(incoming, partial(self.start_attempt, incoming), waited_s)
+        launch = partial(self.start_attempt, incoming)
+        spec = server.validator.validate(incoming, launch, incoming.waited_s())
         incoming.forwarded_head = b"%b %b HTTP/1.1\r\n%b" % (spec.method, spec.target, spec.headers)
         self.requests_read += 1
         incoming.request_id = server.validator.reserve_id(incoming)
--- a/badgergap/proxy/downstream/forwarding.py
+++ b/badgergap/proxy/downstream/forwarding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from badgergap.proxy.body_streams import Headers
 from badgergap.proxy.downstream.incoming_request import IncomingRequest
 from badgergap.proxy.downstream.request_validation import BODY_LIMIT
@@ -10,16 +12,19 @@
 
 
 class EndpointHead:
-    """A head of the platform's, whose lines are prepared."""
+    """A head of the platform's, whose lines are prepared but for the deadline."""
 
-    __slots__ = ("prepared_lines",)
+    __slots__ = ("deadline_at", "prepared_lines")
 
-    def __init__(self, ready: bytes) -> None:
-        self.prepared_lines = ready
+    def __init__(self, prepared_lines: bytes, deadline_at: float) -> None:
+        """`deadline_at`: time.monotonic() until which the endpoint's answer is waited for."""
+        self.prepared_lines = prepared_lines
+        self.deadline_at = deadline_at
 
     def lines(self) -> bytes:
-        """Return the prepared lines as they are sent."""
-        return self.prepared_lines
+        """Return the lines as they are sent now: the time for a connection is off the deadline."""
+        left_ms = max(1, int((self.deadline_at - time.monotonic()) * 1000))
+        return b"%bRequest-Timeout-Ms: %d\r\n" % (self.prepared_lines, left_ms)
 
 
 class FinalResponseWriter(ResponseWriter):
@@ -32,16 +37,16 @@
 
 
 def exchange_spec(writer: ResponseConnection, incoming: IncomingRequest, timeout_s: float) -> ExchangeSpec:
-    """Describe one attempt; its response goes to `writer`. `timeout_s`: the deadline that is forwarded."""
+    """Describe one attempt; its response goes to `writer`, within `timeout_s` seconds from now."""
     upload = incoming.upload
     length = upload.size if upload.complete else incoming.length
-    lines = incoming.forwarded_head + b"Request-Timeout-Ms: %d\r\n" % -(-int(timeout_s * 1e6) // 1000)
+    lines = incoming.forwarded_head
     if length is None:
         lines += b"Transfer-Encoding: chunked\r\n"
     elif length or incoming.method != b"GET":
         lines += b"Content-Length: %d\r\n" % length
     return ExchangeSpec(
-        head=EndpointHead(lines),
+        head=EndpointHead(lines, time.monotonic() + timeout_s),
         upload=upload,
         download=FinalResponseWriter(writer, incoming),
         is_head=False,
--- a/badgergap/proxy/downstream/incoming_request.py
+++ b/badgergap/proxy/downstream/incoming_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 
 from badgergap.proxy.body_streams import DownloadSource, Upload
@@ -18,7 +19,7 @@
 class IncomingRequest(RequestHead):
     """A request while it is read, and its response while it is written."""
 
-    received_at: float = 0.0  # loop time of its last byte
+    received_at: float = 0.0  # time.monotonic() when its last byte came
     upload: Upload = NO_BODY
     size: int = 0  # bytes of its header fields, then of its body
     raw_bytes: int = 0  # read for it, with its framing
@@ -36,6 +37,10 @@
     chunked: bool = False  # how the response is framed
     is_last: bool = False  # the connection ends with its response
 
+    def waited_s(self) -> float:
+        """Seconds since its last byte came; 0 while more is to come."""
+        return time.monotonic() - self.received_at if self.upload.complete else 0.0
+
     def check_head(self, version: str) -> None:
         """Check the head before any of the body has come. Raises BadRequestError."""
         if version not in VERSIONS:
--- a/badgergap/proxy/downstream/request_reader.py
+++ b/badgergap/proxy/downstream/request_reader.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from functools import partial
 from typing import Protocol
 
 import httptools
 
+from badgergap.proxy import unread_input
 from badgergap.proxy.body_streams import Upload
 from badgergap.proxy.downstream.http_connection import AFTER_BEGIN, AFTER_END, IDLE, RECEIVING, HttpConnection
 from badgergap.proxy.downstream.incoming_request import IncomingRequest
@@ -219,7 +221,8 @@
         if self.state is not IDLE:
             return
         incoming = self.incoming
-        incoming.received_at = self.loop.time()
+        # The loop may have been held up since the last byte came: its client has waited that long already.
+        incoming.received_at = time.monotonic() - unread_input.data_age_s(self.transport)
         incoming.keep_alive = self.parser.should_keep_alive()
         if not incoming.upload.complete:
             incoming.upload.end([])
--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -262,6 +262,7 @@
                 spec.tenant,
                 spec.is_write,
                 spec.allowed_endpoints,
+                spec.waited_us,
             )
         )
         return request
@@ -306,13 +307,17 @@
             exchange.timer.cancel()
             exchange.timer = self.loop.call_later(action.timeout_us / 1e6, exchange.give_up, Outcome.TIMEOUT)
 
-    def on_body_complete(self, request: Request) -> None:
-        """A body that was passed on as it came is complete: its client's time counts from here."""
+    def on_body_complete(self, request: Request, waited_us: int) -> None:
+        """A body that was passed on as it came is complete: its client's time began `waited_us` ago."""
         if request.reply is None:
             return
         request.arrived_us = self.clock.now_us()
         remaining_us = max(
-            0, min(request.spec.client_timeout_us - TRANSIT_US, self.shutdown_us - request.arrived_us)
+            0,
+            min(
+                request.spec.client_timeout_us - waited_us - TRANSIT_US,
+                self.shutdown_us - request.arrived_us,
+            ),
         )
         self.set_deadline(request, request.arrived_us, request.arrived_us + remaining_us)
 
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -231,6 +231,7 @@
         It ends as TIMEOUT after so many seconds, and as NEVER_SENT if nothing may be sent to the endpoint.
         """
         endpoint = self.endpoints.get(endpoint_id)
+        exchange.deadline_at = self.now() + timeout_s
         if endpoint is None or not self.may_send(endpoint) or not exchange.may_begin():
             self.loop.call_soon(exchange.never_sent)
             return
--- a/badgergap/proxy/upstream/exchange.py
+++ b/badgergap/proxy/upstream/exchange.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -52,13 +53,23 @@
 class Exchange:
     """One request to one endpoint. It ends once, with one outcome."""
 
-    __slots__ = ("_ended", "connection", "done", "payload", "timer", "unwanted", "written")
+    __slots__ = (
+        "_ended",
+        "connection",
+        "deadline_at",
+        "done",
+        "payload",
+        "timer",
+        "unwanted",
+        "written",
+    )
 
     def __init__(self, payload: bytes, ended: Ended) -> None:
         self.payload = payload
         self._ended = ended
         self.connection: Carrier | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.deadline_at: float | None = None  # time.monotonic() from which it is not begun any more
         self.written = False  # the endpoint may have run it: see the rule above
         self.done = False
         self.unwanted = False
@@ -78,7 +89,9 @@
 
     def may_begin(self) -> bool:
         """Whether it is still to be sent; asked just before its first byte."""
-        return not (self.done or self.unwanted)
+        if self.done or self.unwanted:
+            return False
+        return self.deadline_at is None or time.monotonic() < self.deadline_at
 
     def lost(self) -> None:
         """The connection is lost, or what came on it was no response."""
--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -187,6 +187,28 @@
     run(test())
 
 
+# Guards against a deadline that was written before its connection was there: the endpoint was told of time
+# that its client no longer had.
+@pytest.mark.parametrize("waited_s", [0.0, 0.4])
+def test_the_deadline_passed_on_is_what_is_left_once_the_connection_is_there(
+    waited_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            free = hold_connects(it, monkeypatch)
+            client = await it.client()
+            client.send(ask(Request_Timeout_Ms="2000"))
+            await it.event(RequestArrived)
+            await asyncio.sleep(waited_s)
+            free.set()
+            taken = await it.host.taken.get()
+            assert 0 < int(taken.head["request-timeout-ms"]) <= 2000 - waited_s * 1000
+            taken.answer()
+            assert (await client.answer())[0] == 200
+
+    run(test())
+
+
 # Closing a connection at rest against a request that has come
 
 
