Take the answers that stand unread before an attempt times out

What callers saw: 503 in place of answers that had come in time, after a hold-up of 0.8 s; the endpoints were blamed (breakers, shed fraction).

Cause: after a stop in epoll_wait the loop runs the timers that are due before it reads. The attempt's time-out closed its connection over the unread answer. A connection that came up meanwhile counted as refused in the same way.

Change: Upstream.time_out reads the connection's socket first (Http1Connection.read_unread, which was read_last).

Answers over TLS and HTTP/3 are not read ahead: open.

--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -305,7 +305,7 @@
         exchange = request.attempts[action.attempt_number] if request is not None else None
         if exchange is not None and not exchange.done and exchange.timer is not None:
             exchange.timer.cancel()
-            exchange.timer = self.loop.call_later(action.timeout_us / 1e6, exchange.give_up, Outcome.TIMEOUT)
+            exchange.timer = self.loop.call_later(action.timeout_us / 1e6, self.upstream.time_out, exchange)
 
     def on_body_complete(self, request: Request, waited_us: int) -> None:
         """A body that was passed on as it came is complete: its client's time began `waited_us` ago."""
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -79,6 +79,9 @@
         """Send the exchange's request."""
         raise NotImplementedError
 
+    def read_unread(self) -> None:
+        """Take in what the endpoint has sent and the loop has not read yet."""
+
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is gone: an exchange on it is lost."""
         self.pool.forget(self)
@@ -235,7 +238,7 @@
         if endpoint is None or not self.may_send(endpoint) or not exchange.may_begin():
             self.loop.call_soon(exchange.never_sent)
             return
-        exchange.timer = self.loop.call_later(timeout_s, exchange.give_up, Outcome.TIMEOUT)
+        exchange.timer = self.loop.call_later(timeout_s, self.time_out, exchange)
         while (connection := self.take_idle(endpoint)) is not None:
             if type(connection) is kind and connection.is_quiet():
                 connection.write(exchange)
@@ -243,6 +246,17 @@
             connection.abort()
         self.connect(endpoint, exchange, kind)
 
+    def time_out(self, exchange: Exchange) -> None:
+        """End an exchange whose time is over, unless its response is here.
+
+        Guards against a loop that was held up and runs its timers before it reads: what the endpoint has sent
+        in time would be lost, and the endpoint blamed.
+        """
+        connection = exchange.connection
+        if isinstance(connection, PooledConnection):
+            connection.read_unread()
+        exchange.give_up(Outcome.TIMEOUT)
+
     def take_idle(self, endpoint: Endpoint) -> PooledConnection | None:
         """Take the connection to use again: of those that have rested, the one used last.
 
@@ -272,6 +286,7 @@
 
     async def open(self, connection: PooledConnection, exchange: Exchange) -> None:
         """Connect within `connect_timeout_s` seconds; a failure to do so ends the exchange."""
+        began_at = self.now()
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 await self.loop.create_connection(
@@ -282,7 +297,8 @@
                 )
         except (OSError, TimeoutError, ValueError) as error:  # the last from an address that is none
             self.forget(connection)
-            if isinstance(error, OSError) and error.errno in NO_DESCRIPTOR:
+            was_held_up = self.now() - began_at > self.connect_timeout_s + HOLD_UP_S
+            if was_held_up or getattr(error, "errno", None) in NO_DESCRIPTOR:
                 exchange.never_sent()
             else:
                 exchange.lost()
--- a/badgergap/proxy/upstream/stream_exchange.py
+++ b/badgergap/proxy/upstream/stream_exchange.py
@@ -291,7 +291,7 @@
         self.write_blocked = False
         self.count_unsent()
         if exc is not None and self.exchange is not None:
-            self.read_last()
+            self.read_unread()
         exchange = self.attempt
         if self.exchange is None or exchange is None:
             return
@@ -318,8 +318,8 @@
             self.transport.abort()
         return False
 
-    def read_last(self) -> None:
-        """Read what the endpoint had sent before the connection broke.
+    def read_unread(self) -> None:
+        """Take in what the endpoint has sent and the loop has not read yet.
 
         Guards against losing the answer of an endpoint that rejects an upload and closes: the next write
         meets the reset, while the answer still stands unread in the socket.
