End attempts by their own time-out before the answer of last resort

Cause: the last resort is due 2 ms after the attempt's time-out, but is armed earlier: where the process is preempted for over 2 ms between reading the clock and arming the attempt's timer, the order turns round.

Change: Proxy.answer_at_deadline first ends the attempts that are out (Upstream.time_out, which reads what stands unread); 504 only if that leads to no answer.

--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -342,7 +342,15 @@
         request.last_resort = self.loop.call_later(delay_s, self.answer_at_deadline, request)
 
     def answer_at_deadline(self, request: Request) -> None:
-        """Guards against a request that nobody has answered when its client is about to give up."""
+        """Guards against a request that nobody has answered when its client is about to give up.
+
+        The timers of its attempts are due as well, and may come later where the loop was held up: what they
+        lead to is the better answer.
+        """
+        if self.clock.now_us() >= request.deadline_us:
+            for exchange in list(request.attempts):
+                if exchange is not None:
+                    self.upstream.time_out(exchange)
         if request.reply is not None:
             request.trace.is_unusual = True
             log.warning("request %s had no answer at its deadline", request.trace.client_id or request.id)
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -252,6 +252,8 @@
         Guards against a loop that was held up and runs its timers before it reads: what the endpoint has sent
         in time would be lost, and the endpoint blamed.
         """
+        if exchange.done:
+            return
         connection = exchange.connection
         if isinstance(connection, PooledConnection):
             connection.read_unread()
--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -209,6 +209,26 @@
     run(test())
 
 
+# Guards against the answer of last resort ahead of an attempt's own time-out, on a starved machine: 504 in
+# place of what the attempt's end means.
+@pytest.mark.parametrize(("klass", "status"), [("look", 503), ("buy", 502)])
+def test_at_the_deadline_an_attempt_ends_by_its_own_time_out_first(klass: str, status: int) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask(klass))
+            await it.host.taken.get()
+            (request,) = it.proxy.requests.values()
+            request.deadline_us = it.proxy.clock.now_us()
+            it.proxy.answer_at_deadline(request)
+            assert (await client.answer())[0] == status
+            assert (await it.event(AttemptEnded)).outcome is Outcome.TIMEOUT
+            await settled(it)
+            nothing_left(it)
+
+    run(test())
+
+
 # Closing a connection at rest against a request that has come
 
 
