Accept connections here, so that a lack of descriptors loses none of them

What callers saw: while accept failed with EMFILE or ENFILE, 20 of 60 connections were closed without an answer.

Cause: the loop's own listener (libuv) gives up a spare descriptor, accepts what is queued and closes it, to be rid of it.

Change: downstream/acceptor.py accepts by readiness on the listening socket, for the platform's clients and ordinary HTTP. A lack of descriptors or memory evicts an idle connection and tries again in 20 ms, while clients wait in the system's queue; any other error is that of one connection. Errors are counted and logged. At a planned end the queue is taken until it is empty, and a connection that is being opened is waited for; ordinary HTTP takes its queue too. TLS did so already. Two tests of ordinary HTTP looked at the loop's server, which is no more: they wait for the listening socket's close alone, which comes after it.

--- /dev/null
+++ b/badgergap/proxy/downstream/acceptor.py
@@ -0,0 +1,102 @@
+"""Accepts connections on a listening socket, whatever `accept` fails with.
+
+The loop's own listener is not used: where descriptors are short it accepts and closes connections, whose
+requests then have no answer. Here they wait in the system's queue until there is a descriptor again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import socket
+from collections.abc import Callable
+
+from badgergap.proxy.diagnostics import EventKind, EventLog
+
+log = logging.getLogger(__name__)
+
+ACCEPTED_MOST = 64  # in one turn of the loop
+ACCEPT_AGAIN_S = 0.02  # after a lack of descriptors or memory, which readiness would report again at once
+# The lack of something that others may give back; any other error is that of one connection (accept(2)).
+SHORTAGES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+
+
+class Acceptor:
+    """Accepts from one listening socket, which stays its owner's."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        listener: socket.socket,
+        make_protocol: Callable[[], asyncio.BaseProtocol],
+        events: EventLog,
+        on_shortage: Callable[[], object],
+    ) -> None:
+        """`on_shortage`: called when there is no descriptor for a connection, to free one."""
+        self._loop = loop
+        self._listener = listener
+        self._make_protocol = make_protocol
+        self._events = events
+        self._on_shortage = on_shortage
+        self._retry: asyncio.TimerHandle | None = None
+        self._is_listening = False
+        self.opening: set[asyncio.Task[None]] = set()  # accepted, and not yet with their protocol
+
+    def start(self) -> None:
+        """Accept from now on."""
+        self._is_listening = True
+        self._loop.add_reader(self._listener.fileno(), self.accept)
+
+    def stop(self) -> None:
+        """Accept nothing more; what is being opened goes on."""
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+        if self._is_listening:
+            self._is_listening = False
+            self._loop.remove_reader(self._listener.fileno())
+
+    def accept(self) -> bool:
+        """Accept what the system has queued, up to a bound; return whether there may be more."""
+        for _ in range(ACCEPTED_MOST):
+            try:
+                sock, _ = self._listener.accept()
+            except BlockingIOError:
+                return False
+            except OSError as error:
+                if not self._survives(error):
+                    break
+            else:
+                self._open(sock)
+        return True
+
+    def _survives(self, error: OSError) -> bool:
+        """Whether to go on at once after an error; else it is tried again soon."""
+        name = errno.errorcode.get(error.errno or 0, "unknown")
+        self._events.warn(EventKind.CALL_FAILED, f"accept_{name}", "accept failed: %s", error.strerror)
+        if error.errno not in SHORTAGES:
+            return True
+        self._on_shortage()
+        if self._is_listening and self._retry is None:
+            self._loop.remove_reader(self._listener.fileno())
+            self._retry = self._loop.call_later(ACCEPT_AGAIN_S, self._start_again)
+        return False
+
+    def _start_again(self) -> None:
+        self._retry = None
+        if self._is_listening:
+            self._loop.add_reader(self._listener.fileno(), self.accept)
+
+    def _open(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        task = self._loop.create_task(self._connect(sock))
+        self.opening.add(task)
+        task.add_done_callback(self.opening.discard)
+
+    async def _connect(self, sock: socket.socket) -> None:
+        try:
+            await self._loop.connect_accepted_socket(self._make_protocol, sock)
+        except OSError as error:
+            sock.close()  # its client has gone meanwhile
+            log.info("an accepted connection could not be used: %s", error.strerror)
--- a/badgergap/proxy/downstream/listener.py
+++ b/badgergap/proxy/downstream/listener.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Callable
 
 from badgergap.proxy.diagnostics.close_reason import CloseReason
+from badgergap.proxy.downstream.acceptor import ACCEPT_AGAIN_S, Acceptor
 from badgergap.proxy.downstream.client_connection import ClientConnection
 from badgergap.proxy.downstream.connection_registry import ConnectionRegistry
 from badgergap.proxy.downstream.request_validation import RequestValidator
@@ -21,6 +21,7 @@
 # New connections go on coming for 0.4 s after a planned restart has begun.
 LAST_ACCEPT_S = 0.5
 LAST_REQUEST_S = 0.6
+LAST_ACCEPT_TURNS = 20  # for the queue of the listener to be taken, also while descriptors are short
 UNREAD_DRAIN_S = 3.0  # for a client to read the response that it was sent
 FINISH_POLL_S = 0.01
 MIGRATION_S = 0.5  # for a response to be sent, so that its connection can be handed to the next process
@@ -37,7 +38,7 @@
         self.partial_request_s = eviction.partial_request_s(self.longest_deadline_s)
         self.draining = False
         self.socket: socket.socket | None = None  # that listens; another process may listen on it too
-        self.listener: asyncio.Server | None = None
+        self.acceptor: Acceptor | None = None
         self.migrate: Callable[[ClientConnection], bool] | None = None  # to the process that takes over
         self.lame_duck = LameDuck()
         self.lame_duck_observers: list[Callable[[bool], None]] = []
@@ -53,17 +54,23 @@
         if self.config.listen is None:
             raise ValueError("nothing to listen on")
         self.socket = listener or bind_socket(self.config.listen, shared=self.config.console is not None)
-        await self.accept()
+        self.accept()
         self.loop.call_later(CLEANUP_INTERVAL_S, self.cleanup)
         bound: Address = self.socket.getsockname()[:2]
         return bound
 
-    async def accept(self) -> None:
-        """Accept clients, by a descriptor of the loop's own: what it closes leaves the socket as it is."""
+    def accept(self) -> None:
+        """Accept clients from now on."""
         assert self.socket is not None
-        self.listener = await self.loop.create_server(
-            lambda: ClientConnection(self), sock=self.socket.dup(), backlog=BACKLOG
+        self.socket.listen(BACKLOG)
+        self.acceptor = Acceptor(
+            self.loop,
+            self.socket,
+            lambda: ClientConnection(self),
+            self.proxy.diagnostics.events,
+            self.evict_one,
         )
+        self.acceptor.start()
 
     # Another process of this gateway
 
@@ -80,7 +87,7 @@
     def resume_accepting(self) -> None:
         """Accept clients again: the process that was to take over has ended."""
         self.migrate = None
-        self.accept_task = self.loop.create_task(self.accept())
+        self.accept()
 
     def try_to_migrate(self, connection: ClientConnection) -> bool:
         """Hand a connection over, if there is another process and the connection is idle."""
@@ -166,31 +173,27 @@
         loop is busy: at its close they would be reset. It is closed here, not only the loop's copy: else new
         ones would go on queueing for a process that takes none.
         """
+        acceptor = self.acceptor
         self.stop_listening()
-        listener, self.socket = self.socket, None
-        if listener is None or self.migrate is not None:
-            self.socket = listener  # another process listens on it too
-            return
-        last: list[socket.socket] = []
-        with contextlib.suppress(OSError):  # none is left, or no descriptor
-            while len(last) < BACKLOG:
-                last.append(listener.accept()[0])
-        listener.close()
-        for sock in last:
-            sock.setblocking(False)
-            with contextlib.suppress(OSError):
-                await self.loop.connect_accepted_socket(lambda: ClientConnection(self), sock)
+        if self.socket is None or acceptor is None or self.migrate is not None:
+            return  # another process listens on it too
+        for _ in range(LAST_ACCEPT_TURNS):
+            if not acceptor.accept():
+                break
+            await asyncio.sleep(ACCEPT_AGAIN_S)
+        self.socket.close()
+        self.socket = None
+        await asyncio.gather(*acceptor.opening)
 
     def stop_listening(self) -> None:
         """Accept no connections here; the socket itself stays as it is."""
-        if self.listener is not None:
-            self.listener.close()
-            self.listener = None
+        if self.acceptor is not None:
+            self.acceptor.stop()
 
     async def finish_requests(self) -> None:
         """Wait for the last responses, and close each connection once it has none open."""
         began = self.loop.time()
-        while self.connections:
+        while self.connections or (self.acceptor is not None and self.acceptor.opening):
             waited_s = self.loop.time() - began
             for connection in [c for c in self.connections if not c.has_open_requests]:
                 if self.try_to_migrate(connection) or (self.migrate is not None and waited_s < MIGRATION_S):
--- a/badgergap/web/door.py
+++ b/badgergap/web/door.py
@@ -14,6 +14,8 @@
 from badgergap.ordinary.heads import Peer, is_trusted
 from badgergap.ordinary.plan import Limits, WebPlan
 from badgergap.ordinary.ways import Ways
+from badgergap.proxy.diagnostics import EventLog
+from badgergap.proxy.downstream.acceptor import Acceptor
 from badgergap.proxy.lifecycle.config import Address
 from badgergap.web.front import Front
 
@@ -35,13 +37,13 @@
 class Door:
     """The listener for ordinary clients, with and without TLS, and its connections."""
 
-    def __init__(self, ways: Ways, loop: asyncio.AbstractEventLoop) -> None:
-        self.ways, self.loop = ways, loop
+    def __init__(self, ways: Ways, loop: asyncio.AbstractEventLoop, events: EventLog) -> None:
+        self.ways, self.loop, self.events = ways, loop, events
         self.connections: set[Front] = set()
         self.idle_connections: dict[Front, None] = {}  # between requests, the one used last comes last
         self.draining = False
-        self.listener: asyncio.Server | None = None
-        # Another process may listen on these too. The loop's server has a copy of its own.
+        self.acceptor: Acceptor | None = None
+        # Another process may listen on these too.
         self.socket: socket.socket | None = None
         self.tls_socket: socket.socket | None = None
         self.context: ssl.SSLContext | None = None
@@ -61,7 +63,7 @@
     async def start(self, inherited: socket.socket | None = None) -> Address:
         """Listen; return where. `inherited`: the socket of the process before this one. Raises OSError."""
         self.socket = inherited or bind_socket(self.plan.listen)
-        await self.accept_plain()
+        self.accept_plain()
         self.cleanup_timer = self.loop.call_later(CLEANUP_INTERVAL_S, self.cleanup)
         bound: Address = self.socket.getsockname()[:2]
         return bound
@@ -74,10 +76,11 @@
         bound: Address = self.tls_socket.getsockname()[:2]
         return bound
 
-    async def accept_plain(self) -> None:
+    def accept_plain(self) -> None:
         assert self.socket is not None
-        sock = self.socket.dup()
-        self.listener = await self.loop.create_server(lambda: Front(self), sock=sock, backlog=BACKLOG)
+        self.socket.listen(BACKLOG)
+        self.acceptor = Acceptor(self.loop, self.socket, lambda: Front(self), self.events, self.evict_one)
+        self.acceptor.start()
 
     def accept_tls(self) -> None:
         if self.tls_socket is not None:
@@ -211,7 +214,7 @@
         self.migrate = None
         if self.draining:
             return
-        self.spawn(self.accept_plain())
+        self.accept_plain()
         self.accept_tls()
 
     def cleanup(self) -> None:
@@ -227,9 +230,11 @@
         self.draining = True
         if self.migrate is None:
             await asyncio.sleep(LAST_ACCEPT_S)
+            if self.acceptor is not None:
+                self.acceptor.accept()  # what stands in the queue would be reset
         self.stop_listening()
         until = self.loop.time() + self.plan.limits.end_s
-        while self.connections:
+        while self.connections or (self.acceptor is not None and self.acceptor.opening):
             late = self.loop.time() > until
             for connection in list(self.connections):
                 # After a hand-over nobody waits for this process: idle clients over TLS may ask once more.
@@ -250,9 +255,8 @@
             connection.abort()
 
     def stop_accepting(self) -> None:
-        if self.listener is not None:
-            self.listener.close()
-            self.listener = None
+        if self.acceptor is not None:
+            self.acceptor.stop()
         if self.tls_socket is not None:
             self.loop.remove_reader(self.tls_socket.fileno())
 
--- a/badgergap/web/room.py
+++ b/badgergap/web/room.py
@@ -70,7 +70,7 @@
         self.ways = Ways(plan, self.pools, proxy.loop, proxy.config.seed, self.carry)
         self.ways.once = self.once
         self.set_joins(plan)
-        self.door = Door(self.ways, proxy.loop)
+        self.door = Door(self.ways, proxy.loop, proxy.diagnostics.events)
         if self.ready is not None:
             await self.ready()
         self.listens = await self.door.start(self.inherited.pop(HTTP, None))
--- a/tests/web/test_endings.py
+++ b/tests/web/test_endings.py
@@ -113,7 +113,7 @@
             else:
                 door.draining = True
                 ending = asyncio.create_task(door.drain())
-                await until(lambda: door.listener is None and door.socket is None)
+                await until(lambda: door.socket is None)
                 await asyncio.sleep(0)
             assert not front.transport.is_closing()
             front.transport.resume_reading()
@@ -243,7 +243,7 @@
                 await until(lambda: not unread_input.is_quiet(transport))
                 await until(lambda: not it.proxy.requests)
             ending = asyncio.create_task(door.drain())
-            await until(lambda: door.listener is None and door.socket is None)
+            await until(lambda: door.socket is None)
             await asyncio.sleep(0)
             assert not transport.is_closing()
             transport.resume_reading()
