Hold no lack of ports or permission on this machine against endpoints

What callers saw: after connect had failed with EADDRNOTAVAIL or EAGAIN for a moment, 503 for 10 of 10 requests: all breakers were open.

Cause: only a lack of descriptors and memory counted as this machine's own (NO_DESCRIPTOR); a lack of ports ended as CONNECT_FAILED, which is held against the endpoint. Change: LOCAL_ERRORS, which end NEVER_SENT.

Seen: test_a_lack_on_this_machine_is_not_held_against_endpoints failed for EADDRNOTAVAIL and EAGAIN before (ENOBUFS, EMFILE passed), passes. test_every_client_is_answered_while_calls_fail: 19 of 20 calls and errors pass; WRITE-ENOBUFS is known red: uvloop takes it for the connection's end.

--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -22,7 +22,20 @@
 
 log = logging.getLogger(__name__)
 
-NO_DESCRIPTOR = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+# What a connect fails with for want of something on this machine: descriptors, memory, ports, permission.
+LOCAL_ERRORS = frozenset(
+    (
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+        errno.EADDRINUSE,
+        errno.EAGAIN,
+        errno.EACCES,
+        errno.EPERM,
+    )
+)
 # Part of the time after which endpoints close idle connections. Guards against a request that crosses the
 # endpoint's close: it would end as a reset, which may have run.
 IDLE_SHARE = 0.7
@@ -300,7 +313,7 @@
         except (OSError, TimeoutError, ValueError) as error:  # the last from an address that is none
             self.forget(connection)
             was_held_up = self.now() - began_at > self.connect_timeout_s + HOLD_UP_S
-            if was_held_up or getattr(error, "errno", None) in NO_DESCRIPTOR:
+            if was_held_up or getattr(error, "errno", None) in LOCAL_ERRORS:
                 exchange.never_sent()
             else:
                 exchange.lost()
--- a/tests/faults/test_calls.py
+++ b/tests/faults/test_calls.py
@@ -18,6 +18,7 @@
 SEED = 11
 REQUESTS = 60
 LOST = "no answer"
+WORK_S = 0.05  # so that requests at the same time need connections of their own
 # accept(2): what it may fail with for a moment, the new connection's own network errors among it.
 ACCEPT_ERRORS = [
     errno.ECONNABORTED,
@@ -49,7 +50,7 @@
     tasks = []
     for _ in range(count):
         tasks.append(asyncio.create_task(asked_once(gateway)))
-        await asyncio.sleep(0.005)
+        await asyncio.sleep(0.002)
     return Counter(await asyncio.gather(*tasks))
 
 
@@ -71,3 +72,82 @@
                 assert await answers(gateway, 5) == {200: 5}
 
     run(test())
+
+
+# What calls may fail with for a moment, and which of them say that no connection is broken.
+TRANSIENT = [
+    (Call.SOCKET, errno.EMFILE),
+    (Call.SOCKET, errno.ENFILE),
+    (Call.SOCKET, errno.ENOBUFS),
+    (Call.SOCKET, errno.ENOMEM),
+    (Call.CONNECT, errno.EADDRNOTAVAIL),
+    (Call.CONNECT, errno.EAGAIN),
+    (Call.CONNECT, errno.ENOBUFS),
+    (Call.CONNECT, errno.ENETUNREACH),
+    (Call.CONNECT, errno.EHOSTUNREACH),
+    (Call.CONNECT, errno.ECONNREFUSED),
+    (Call.CONNECT, errno.ETIMEDOUT),
+    (Call.CONNECT, errno.EINTR),
+    (Call.READ, errno.EAGAIN),
+    (Call.READ, errno.EINTR),
+    (Call.WRITE, errno.EAGAIN),
+    (Call.WRITE, errno.EINTR),
+    (Call.WRITE, errno.ENOBUFS),
+    (Call.WAIT, errno.EINTR),
+    (Call.SHORT_READ, errno.EAGAIN),
+    (Call.SHORT_WRITE, errno.EAGAIN),
+]
+
+
+# Guards against a call that fails for a moment and costs a client its answer, or an endpoint its good name.
+@pytest.mark.parametrize(
+    ("call", "error"), TRANSIENT, ids=[f"{call.name}-{errno.errorcode[error]}" for call, error in TRANSIENT]
+)
+def test_every_client_is_answered_while_calls_fail(call: Call, error: int, tmp_path: Path) -> None:
+    async def test() -> None:
+        with Injector(tmp_path, SEED) as injector:
+            settings = settings_of(KINDS)
+            environ = injector.environ()
+            async with Platform(
+                tmp_path, KINDS, settings=settings, environ=environ, work_s=WORK_S
+            ) as platform:
+                (gateway,) = platform.gateways
+                assert await answers(gateway, 5) == {200: 5}
+                injector.set(call, error, probability=0.3)
+                heard = await answers(gateway, REQUESTS)
+                assert injector.injected().get(call, 0) > 0
+                assert set(heard) <= {200, 503}
+                injector.clear()
+                await asyncio.sleep(2.0)
+                assert await answers(gateway, 10) == {200: 10}
+                ids = [each.id for box in platform.boxes.values() for each in box.seen]
+                assert len(ids) == len(set(ids))
+
+    run(test())
+
+
+# Guards against a lack on this machine that is taken for the fault of the endpoints: their breakers opened.
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        (Call.CONNECT, errno.EADDRNOTAVAIL),
+        (Call.CONNECT, errno.ENOBUFS),
+        (Call.CONNECT, errno.EAGAIN),
+        (Call.SOCKET, errno.EMFILE),
+    ],
+    ids=["EADDRNOTAVAIL", "ENOBUFS", "EAGAIN", "EMFILE"],
+)
+def test_a_lack_on_this_machine_is_not_held_against_endpoints(call: Call, error: int, tmp_path: Path) -> None:
+    async def test() -> None:
+        with Injector(tmp_path, SEED) as injector:
+            settings = settings_of(KINDS)
+            environ = injector.environ()
+            async with Platform(tmp_path, KINDS, settings=settings, environ=environ) as platform:
+                (gateway,) = platform.gateways
+                injector.set(call, error)
+                assert await answers(gateway, REQUESTS) == {503: REQUESTS}
+                injector.clear()
+                assert await answers(gateway, 10) == {200: 10}
+                assert "breaker" not in gateway.log()
+
+    run(test())
