Leave attempts without a time-out of their own to the answer of last resort

Cause: 'End attempts by their own time-out before the answer of last resort' also ended attempts whose body is committed and whose timer is cancelled: 502 in place of 504 (test_the_time_of_a_long_request_counts_from_its_last_byte, which had not been run on that commit).

Change: Exchange.has_time_out. Seen: the test failed before, passes; tests/proxy/test_bodies.py and test_endings.py pass.

--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -349,7 +349,7 @@
         """
         if self.clock.now_us() >= request.deadline_us:
             for exchange in list(request.attempts):
-                if exchange is not None:
+                if exchange is not None and exchange.has_time_out:
                     self.upstream.time_out(exchange)
         if request.reply is not None:
             request.trace.is_unusual = True
--- a/badgergap/proxy/upstream/exchange.py
+++ b/badgergap/proxy/upstream/exchange.py
@@ -87,6 +87,11 @@
         """Its request is over: what has not been sent yet shall not be."""
         self.unwanted = True
 
+    @property
+    def has_time_out(self) -> bool:
+        """Whether it is out, and ends by a time-out of its own; one whose body is committed does not."""
+        return not self.done and self.timer is not None and not self.timer.cancelled()
+
     def may_begin(self) -> bool:
         """Whether it is still to be sent; asked just before its first byte."""
         if self.done or self.unwanted:
