Count the time of half a request from when its bytes came

Cause: phase_began_at was the loop's time at the read. Change: RequestReader.data_received takes the age of what it reads from the socket once, for the request's first byte, its last byte and its limits; ordinary HTTP does so at a request's first byte. A limit is not enforced while something stands unread: it may be the rest.

Seen: test_half_a_request_read_late_has_its_error_in_time (kept, new) failed before, passes; test_the_rest_of_a_request_that_stands_unread passed before and after (the loop read first).

--- a/badgergap/proxy/downstream/client_connection.py
+++ b/badgergap/proxy/downstream/client_connection.py
@@ -25,6 +25,7 @@
 from functools import partial
 from typing import Protocol, cast
 
+from badgergap.proxy import unread_input
 from badgergap.proxy.body_streams import AnswerHead
 from badgergap.proxy.diagnostics import EventKind
 from badgergap.proxy.diagnostics.close_reason import CloseReason
@@ -382,11 +383,12 @@
         elif self.is_closing:
             return
         elif self.is_receiving and not self.incoming.head_complete:
-            if not self.has_open_requests and now - self.phase_began_at > request_reader.REQUEST_S:
+            is_late = now - self.phase_began_at > request_reader.REQUEST_S
+            if is_late and not self.has_open_requests and unread_input.is_quiet(self.transport):
                 self.reject_and_close(BadRequestError(408, "the rest of the request has not come"))
                 self.start_next()
         elif self.is_receiving:
-            if not self.read_paused and now > self.due_at:
+            if not self.read_paused and now > self.due_at and unread_input.is_quiet(self.transport):
                 self.reject_and_close(BadRequestError(408, "the rest of the request has not come"))
                 self.start_next()
         elif (
--- a/badgergap/proxy/downstream/request_reader.py
+++ b/badgergap/proxy/downstream/request_reader.py
@@ -57,6 +57,7 @@
         self.server = server
         self.requests_read = requests_read  # valid requests so far
         self.accounted_bytes = 0  # reported to the budget: held of a body, and not taken of a response
+        self.data_came_at = 0.0  # time.monotonic() when what is being read came to this machine
         self.due_at = 0.0  # loop time by which more of a body has to have come
 
     # What the subclass does
@@ -96,6 +97,8 @@
         if self.is_closing:
             return
         self.progress_at = self.loop.time()
+        # The loop may have been held up since: times of this request count from when its bytes came.
+        self.data_came_at = time.monotonic() - unread_input.data_age_s(self.transport)
         self.server.idle_connections.pop(self, None)
         if self.state is IDLE:
             self.begin()
@@ -125,8 +128,8 @@
         """Handle the first byte of a request, also one that the parser skips."""
         self.incoming = IncomingRequest()
         self.state = AFTER_BEGIN[self.state]
-        if self.requests_read:
-            self.phase_began_at = self.loop.time()
+        is_first = not self.requests_read
+        self.phase_began_at = min(self.phase_began_at, self.data_came_at) if is_first else self.data_came_at
 
     def make_newest_last(self) -> None:
         """Read nothing after the newest request: its response is the connection's last."""
@@ -221,8 +224,7 @@
         if self.state is not IDLE:
             return
         incoming = self.incoming
-        # The loop may have been held up since the last byte came: its client has waited that long already.
-        incoming.received_at = time.monotonic() - unread_input.data_age_s(self.transport)
+        incoming.received_at = self.data_came_at
         incoming.keep_alive = self.parser.should_keep_alive()
         if not incoming.upload.complete:
             incoming.upload.end([])
--- a/badgergap/web/front.py
+++ b/badgergap/web/front.py
@@ -21,6 +21,7 @@
 from badgergap.ordinary.plan import Limits
 from badgergap.ordinary.turn import Turn
 from badgergap.ordinary.ways import Ways
+from badgergap.proxy import unread_input
 from badgergap.proxy.body_streams import AnswerHead, DownloadSource, Headers
 from badgergap.proxy.downstream.http_connection import (
     AFTER_BEGIN,
@@ -161,8 +162,9 @@
         self.incoming.upload.flow = partial(self.on_upload_flow, self.incoming)
         self.state = AFTER_BEGIN[self.state]
         self.door.idle_connections.pop(self, None)
-        if self.has_requested:
-            self.phase_began_at = self.loop.time()
+        # The loop may have been held up since its first byte came.
+        came_at = self.loop.time() - unread_input.data_age_s(self.transport)
+        self.phase_began_at = came_at if self.has_requested else min(self.phase_began_at, came_at)
 
     def on_upload_flow(self, incoming: Incoming, on: bool) -> None:
         if incoming is self.incoming:
@@ -427,7 +429,7 @@
         elif self.in_tunnel or self.is_closing:
             return
         elif self.is_receiving and not self.incoming.head_complete:
-            if now - self.phase_began_at > limits.head_s:
+            if now - self.phase_began_at > limits.head_s and unread_input.is_quiet(self.transport):
                 self.reject_and_close(plain(408, "the rest of the head has not come"))
                 self.start_next()
         elif self.is_receiving and not self.read_paused:
--- a/tests/faults/test_hold_ups.py
+++ b/tests/faults/test_hold_ups.py
@@ -23,6 +23,7 @@
 CLIENTS = 12
 GRACE_S = 0.5 + 0.05  # of a drain, as settings and protocol give it
 LEAVE_SLACK_S = 0.1
+HALF_REQUEST_S = 3.0
 DEADLINE_SLACK_MS = 150
 WORK_S = 0.02  # so that requests at the same time have connections to endpoints of their own
 
@@ -173,3 +174,39 @@
             assert [status for status, _, _ in answers] == [200] * CLIENTS
 
     run(test())
+
+
+# Guards against time limits that count from when bytes were read: a client that stops in the middle of a
+# request heard its error later than the 3 s that it is owed.
+@pytest.mark.parametrize("kept", [True, False], ids=["kept", "new"])
+def test_half_a_request_read_late_has_its_error_in_time(kept: bool, tmp_path: Path) -> None:
+    async def test() -> None:
+        async with world(tmp_path) as it:
+            clients = await it.warm()
+            it.gateway.stop()
+            client = clients[0] if kept else await it.connect()
+            asked_at = time.monotonic()
+            client.send(ask()[:-20])
+            await asyncio.sleep(1.2)
+            it.gateway.go_on()
+            assert (await client.answer())[0] == 408
+            assert time.monotonic() - asked_at < HALF_REQUEST_S
+
+    run(test())
+
+
+# Guards against a limit that is enforced while what it waits for stands unread.
+def test_the_rest_of_a_request_that_stands_unread_has_come(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with world(tmp_path) as it:
+            client = await it.connect()
+            data = ask()
+            client.send(data[:-20])
+            await asyncio.sleep(2.0)
+            it.gateway.stop()
+            client.send(data[-20:])
+            await asyncio.sleep(0.8)
+            it.gateway.go_on()
+            assert (await client.answer())[0] == 200
+
+    run(test())
