--- a/badgergap/standins/box.py
+++ b/badgergap/standins/box.py
@@ -28,6 +28,7 @@
     klass: str
     method: str
     timeout_ms: int = 0  # the deadline that it was told; 0: none
+    has_run: bool = True  # False: it is turned away unexamined
 
 
 class Box:
@@ -106,7 +107,7 @@
         self.seen.append(seen)
         if self.silent:
             return
-        if len(self.jobs) >= self.queue_limit:
+        if not seen.has_run:
             connection.reply(503, b"full", not_started=True)
             return
         self.jobs.append(Job(connection, seen, connection.turn))
@@ -193,7 +194,8 @@
     def on_message_complete(self) -> None:
         klass = self.url.split(b"?")[0].strip(b"/").decode("latin-1")
         method = self.parser.get_method().decode()
-        seen = Seen(self.began_at, self.id, klass, method, self.timeout_ms)
+        has_room = len(self.box.jobs) < self.box.queue_limit
+        seen = Seen(self.began_at, self.id, klass, method, self.timeout_ms, has_room)
         self.began_at = 0.0
         self.box.take(self, seen)
 
--- a/badgergap/standins/platform.py
+++ b/badgergap/standins/platform.py
@@ -201,7 +201,7 @@
             "seed": "1f",
             "limits": {"sockets": self.sockets},
             "known": {"index": 1, "snapshot": True, "endpoints": entries},
-            "settings": self.settings,
+            "settings": {**self.settings, "index": self.gateways.index(gateway)},
         }
 
     def tell(self, name: str, status: str) -> float:
