Take start times of endpoints by the wall clock of when they are heard of

What callers would see: after the wall clock was stepped back by an hour (or 5 s), an endpoint that starts counts as warm at once and is pushed over; after a step forward it counts as cold for an hour.

Cause: since_ms is a wall-clock time and was compared with the gateway's clock, which keeps the wall clock of the process's start (Clock). Change: StartTimes, one for each source: a start that is heard of for the first time is moved by the step between the two clocks, in whole seconds; told again it is the same start, so that no endpoint counts as restarted. The injector steps CLOCK_REALTIME, the soak's schedule steps it once a run, and what discovery tells goes by the stepped clock.

Rollouts time their stages by the wall clock: open.

--- a/badgergap/proxy/endpoints/directory.py
+++ b/badgergap/proxy/endpoints/directory.py
@@ -12,6 +12,7 @@
 from badgergap.proxy.endpoints.discovery import Discovery
 from badgergap.proxy.endpoints.registry import EndpointRegistry
 from badgergap.proxy.endpoints.sources import PLATFORM, EndpointSource, EndpointUpdate
+from badgergap.proxy.endpoints.start_times import StartTimes
 from badgergap.proxy.lifecycle.config import Config
 from badgergap.proxy.upstream.connection_pool import Upstream
 
@@ -36,6 +37,7 @@
         self.upstream = upstream
         self.feed = feed
         self.registry = EndpointRegistry()
+        self.start_times: dict[str, StartTimes] = {}  # by source
         self.sources: dict[str, EndpointSource] = {}
         self.discovery: Discovery | None = None
         if config.discovery is not None:
@@ -61,6 +63,7 @@
     def add_source(self, source: EndpointSource) -> None:
         """Add a source before the start. It hands its updates to `receive_update`, under its name."""
         self.sources[source.name] = source
+        self.start_times[source.name] = StartTimes(self.now_us)
         self.registry.add_source(source.name, source.rank, source.dynamic, source.fallback)
 
     def start(self) -> None:
@@ -117,6 +120,7 @@
         That another source than the platform fails, or has nothing new, is between it and the registry: the
         balancer's answer to a failure is to ask the platform again.
         """
+        update = self.start_times[source].taken(update)
         update = replace(self.registry.receive(self.now_us(), source, update), is_late=update.is_late)
         if source == PLATFORM or update.entries or update.kind is EndpointListKind.FULL:
             self.publish_update(update)
--- /dev/null
+++ b/badgergap/proxy/endpoints/start_times.py
@@ -0,0 +1,52 @@
+"""Start times of endpoints on the gateway's own clock, whatever is done to the wall clock."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+from badgergap.balancing.interface import EndpointListKind
+from badgergap.proxy.endpoints.sources import EndpointUpdate, Entry
+
+US_PER_S = 1_000_000
+
+
+def wall_clock_us() -> int:
+    """Return the wall clock's time in microseconds since the Unix epoch."""
+    return time.time_ns() // 1000
+
+
+class StartTimes:
+    """Turns the start times that one source names, by the wall clock, into those of the gateway's clock.
+
+    The two clocks agree until the wall clock is stepped. A start that is heard of for the first time is taken
+    by the wall clock of then: by the gateway's own, an endpoint that has just started would count as warm
+    after a step back, and as cold for an hour after a step forward. Whole seconds: slewing is no step.
+    """
+
+    def __init__(self, now_us: Callable[[], int], wall_us: Callable[[], int] = wall_clock_us) -> None:
+        self._now_us = now_us
+        self._wall_us = wall_us
+        # By name: the start as it was listed last, and as it was taken.
+        self._known: dict[str, tuple[int, int]] = {}
+
+    def taken(self, update: EndpointUpdate) -> EndpointUpdate:
+        """Return an update with its start times on the gateway's clock."""
+        step_us = round((self._now_us() - self._wall_us()) / US_PER_S) * US_PER_S
+        entries = tuple(self._taken(entry, step_us) for entry in update.entries)
+        if update.kind is EndpointListKind.FULL:
+            listed = {entry.name for entry in entries}
+            self._known = {name: times for name, times in self._known.items() if name in listed}
+        return replace(update, entries=entries) if entries != update.entries else update
+
+    def _taken(self, entry: Entry, step_us: int) -> Entry:
+        listed_us = entry.listed.started_us
+        if listed_us == 0:
+            return entry
+        known = self._known.get(entry.name)
+        if known is None or known[0] != listed_us:
+            known = self._known[entry.name] = (listed_us, listed_us + step_us)
+        if known[1] == listed_us:
+            return entry
+        return replace(entry, listed=replace(entry.listed, started_us=known[1]))
--- a/badgergap/standins/faults/inject.c
+++ b/badgergap/standins/faults/inject.c
@@ -29,6 +29,7 @@
 struct control {
     uint64_t random;
     struct fault faults[CALLS];
+    int64_t wall_step_us; /* added to CLOCK_REALTIME */
 };
 
 static struct control *control;
@@ -75,6 +76,31 @@
     return 1;
 }
 
+static void add_step(clockid_t clock, struct timespec *now) {
+    if (!control || (clock != CLOCK_REALTIME && clock != CLOCK_REALTIME_COARSE))
+        return;
+    int64_t nanoseconds = now->tv_nsec + control->wall_step_us % 1000000 * 1000;
+    now->tv_sec += control->wall_step_us / 1000000;
+    if (nanoseconds < 0) {
+        nanoseconds += 1000000000;
+        now->tv_sec--;
+    } else if (nanoseconds >= 1000000000) {
+        nanoseconds -= 1000000000;
+        now->tv_sec++;
+    }
+    now->tv_nsec = nanoseconds;
+}
+
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    static int (*real)(clockid_t, struct timespec *);
+    if (!real)
+        real = (int (*)(clockid_t, struct timespec *))dlsym(RTLD_NEXT, "clock_gettime");
+    int result = real(clock, now);
+    if (result == 0)
+        add_step(clock, now);
+    return result;
+}
+
 static int is_network(int descriptor) {
     int domain = 0;
     socklen_t size = sizeof domain;
--- a/badgergap/standins/faults/injector.py
+++ b/badgergap/standins/faults/injector.py
@@ -20,6 +20,7 @@
 SOURCE = Path(__file__).with_name("inject.c")
 RANDOM = struct.Struct("=Q")
 FAULT = struct.Struct("=iIqqq")  # as `struct fault`
+WALL_STEP = struct.Struct("=q")
 UNBOUNDED = -1
 
 
@@ -58,7 +59,8 @@
         """`seed`: of the library's draws."""
         self.library = build(folder)
         self.file = folder / "faults.bin"
-        self.file.write_bytes(RANDOM.pack(2 * seed + 1) + FAULT.pack(0, 0, UNBOUNDED, 0, 0) * len(Call))
+        faults = FAULT.pack(0, 0, UNBOUNDED, 0, 0) * len(Call)
+        self.file.write_bytes(RANDOM.pack(2 * seed + 1) + faults + WALL_STEP.pack(0))
         with self.file.open("r+b") as file:
             self._memory = mmap.mmap(file.fileno(), 0)
 
@@ -85,6 +87,10 @@
         for call in Call:
             self.set(call, 0)
 
+    def step_wall_clock(self, seconds: float) -> None:
+        """From now on the wall clock is so far ahead of the true one; the monotonic one runs on."""
+        WALL_STEP.pack_into(self._memory, RANDOM.size + FAULT.size * len(Call), int(seconds * 1e6))
+
     def injected(self) -> dict[Call, int]:
         """How many calls have failed so far, of those that have."""
         counts = {call: FAULT.unpack_from(self._memory, self._offset(call))[3] for call in Call}
--- a/badgergap/standins/faults/schedule.py
+++ b/badgergap/standins/faults/schedule.py
@@ -35,6 +35,7 @@
     SLOW = "slow"  # a box
     SPOIL = "spoil"  # a box
     WATCH = "watch"  # discovery: watches are reset
+    CLOCK = "clock"  # all machines: the wall clock is stepped
     CROWD = "crowd"  # clients that connect to a gateway and say nothing
 
 
@@ -73,6 +74,7 @@
 )
 # Calls that say that a connection is broken: whose client it was has no answer.
 BREAKING_CALLS = ((Call.READ, "ETIMEDOUT"), (Call.READ, "EHOSTUNREACH"), (Call.WRITE, "ETIMEDOUT"))
+CLOCK_STEPS = ("-3600", "-5", "5", "3600")  # seconds
 SPOILS = ("error", "cut", "garbage", "unframed")
 
 
@@ -156,6 +158,8 @@
 
 
 def _of_discovery(rng: random.Random, seconds: float) -> Iterable[Fault]:
+    """Watches that end, and the clock that it and all others read."""
+    yield Fault(QUIET_S + seconds * rng.random() / 2, FaultKind.CLOCK, detail=rng.choice(CLOCK_STEPS))
     at_s = QUIET_S + 2 * rng.random()
     while at_s < seconds:
         yield Fault(at_s, FaultKind.WATCH)
--- a/badgergap/standins/faults/soak.py
+++ b/badgergap/standins/faults/soak.py
@@ -244,6 +244,11 @@
         self.platform.tell(box.name, "active")
 
     async def _play_on_discovery(self, fault: Fault) -> None:
+        if fault.kind is FaultKind.CLOCK:
+            self.platform.wall_step_s = float(fault.detail)
+            for injector in self.injectors.values():
+                injector.step_wall_clock(float(fault.detail))
+            return
         assert fault.kind is FaultKind.WATCH
         self.platform.registry.cut()
 
--- a/badgergap/standins/platform.py
+++ b/badgergap/standins/platform.py
@@ -162,6 +162,8 @@
         self.settings = dict(settings if settings is not None else settings_of(kinds))
         self.registry = LiveRegistry()
         self.sockets = sockets
+        self.wall_step_s = 0.0  # by which the clock that all machines read is ahead of the true one
+        self.since_ms: dict[str, int] = {}  # of each box, as it was told first
         self.boxes = {
             f"b{n}": Box(f"b{n}", default_work_s=work_s, cores=256, queue=1024) for n in range(boxes)
         }
@@ -207,5 +209,8 @@
     def tell(self, name: str, status: str) -> float:
         """Have discovery tell a box's status; returns when (time.monotonic())."""
         box = self.boxes[name]
-        self.registry.set(name, box.address, status, zone="a", type="m1", since_ms=box.started_ms)
+        if status == "active" and box.started_ms:
+            self.since_ms[name] = box.started_ms + int(self.wall_step_s * 1000)
+        since_ms = self.since_ms.get(name, 0)
+        self.registry.set(name, box.address, status, zone="a", type="m1", since_ms=since_ms)
         return time.monotonic()
