Look for the client's end last before a write, and before a request is decided on

Cause: in connection_made the client's socket was looked at before discovery's messages were read, which takes its time for a large list. After a hold-up the requests of clients that had gone were decided on, one by one, ahead of those who still waited.

Change: the order; ClientConnection.dispatch drops a request whose client has gone. Measured: tests of the proxy and of hold-ups pass.

--- a/badgergap/proxy/downstream/client_connection.py
+++ b/badgergap/proxy/downstream/client_connection.py
@@ -212,6 +212,8 @@
             return
         if self.over_limit:
             raise BadRequestError(503, "too many connections", (b"retry-after", RETRY_AFTER))
+        if self.client_has_left():
+            return  # nobody waits: after a hold-up these would keep those who still do waiting
         if not server.lame_duck.accepts_requests(now):
             self.send_response(incoming, refused("this gateway sends its clients away"))
             return
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -77,9 +77,9 @@
         if exchange is None or exchange.done:
             self.abort()
         elif (
-            not exchange.may_begin()
-            or not self.pool.may_send(self.endpoint)
+            not self.pool.may_send(self.endpoint)
             or not self.pool.is_epoch_current(self.epoch)
+            or not exchange.may_begin()  # last: what was asked before takes its time
         ):
             # Guards against a drain, other rules, or the end of its request (its client has left, another
             # attempt was answered), that came while the connection was being made.
