Hold the slow-start budget over fleets of 1 to 200 balancers in a test

What the test can find: with capacity_fraction always 1 five of 15 cases fail; with the bucket alone taken out none does (the weight by capacity and the silence of a slow endpoint hold the budget in these settings).

--- /dev/null
+++ b/tests/balancing/test_slow_start_fleet.py
@@ -0,0 +1,159 @@
+"""What a cold endpoint gets from a whole fleet of balancers that share nothing, in simulated time."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from badgergap.balancing.balancer import Balancer
+from badgergap.balancing.interface import (
+    Action,
+    AttemptEnded,
+    EndpointList,
+    EndpointListKind,
+    EndpointStatus,
+    Event,
+    Idempotency,
+    ListedEndpoint,
+    Outcome,
+    RequestArrived,
+    RequestClass,
+    Send,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+from badgergap.standins.faults.checker import budget
+
+ENDPOINTS = 8
+COLD = ENDPOINTS
+COLD_AT_S = 6.0
+TOLD_LATE_S = 2.0
+LOAD = 2.0  # overload: the others give way to a cold endpoint
+TIMEOUT_US = 1_200_000
+SPREAD = 0.8  # of the balancers' traffic: some get several times the mean
+
+
+@dataclass(frozen=True)
+class Start:
+    """How cold an endpoint starts, and what pushes it over."""
+
+    capacity: float
+    warm_up_s: float
+    multiple: float
+    window_s: float
+    work_s: float
+
+    def capacity_at(self, at_s: float) -> float:
+        return self.capacity + (1 - self.capacity) * min(1.0, (at_s - COLD_AT_S) / self.warm_up_s)
+
+
+@dataclass
+class Fleet:
+    """Balancers, their traffic, and endpoints that answer after a random time."""
+
+    start: Start
+    size: int
+    seed: int
+    rng: random.Random = field(init=False)
+    calls_at: list[float] = field(default_factory=list)  # to the cold endpoint
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.agenda: list[tuple[float, int, int, Event]] = []
+        self.numbers = itertools.count()
+        self.attempts: dict[tuple[int, str], int] = {}
+        self.balancers = [Balancer(self.settings(index), self.seed + index) for index in range(self.size)]
+        weights = [self.rng.lognormvariate(0, SPREAD) for _ in self.balancers]
+        rate = LOAD * ENDPOINTS / self.start.work_s
+        self.rates = [rate * weight / sum(weights) for weight in weights]
+
+    def settings(self, index: int) -> Settings:
+        return Settings(
+            classes=(RequestClass(500_000, TIMEOUT_US, idempotency=Idempotency.SAFE),),
+            proxy_count=self.size,
+            proxy_index=index,
+            cold_capacity=self.start.capacity,
+            warm_up_us=int(self.start.warm_up_s * 1e6),
+            overload_multiple=self.start.multiple,
+            overload_window_us=int(self.start.window_s * 1e6),
+            max_attempts=4,
+            hedging_allowed=True,
+            may_cancel=True,
+        )
+
+    def at(self, at_s: float, index: int, event: Event) -> None:
+        heapq.heappush(self.agenda, (at_s, next(self.numbers), index, event))
+
+    def arrival(self, now_s: float, index: int) -> None:
+        event = RequestArrived(f"r{next(self.numbers)}", 0, TIMEOUT_US)
+        self.at(now_s + self.rng.expovariate(self.rates[index]), index, event)
+
+    def run(self) -> None:
+        """All endpoints are there; the last one goes, and starts cold. Some are told of it twice."""
+        listed = tuple(ListedEndpoint(number) for number in range(1, ENDPOINTS + 1))
+        gone = EndpointList(EndpointListKind.DELTA, (ListedEndpoint(COLD, status=EndpointStatus.GONE),))
+        cold = ListedEndpoint(COLD, started_us=int(COLD_AT_S * 1e6))
+        back = EndpointList(EndpointListKind.DELTA, (cold,))
+        for index in range(self.size):
+            self.at(0.0, index, EndpointList(EndpointListKind.FULL, listed))
+            self.at(COLD_AT_S - 1.0, index, gone)
+            told_s = COLD_AT_S + self.rng.uniform(0.2, TOLD_LATE_S)
+            self.at(told_s, index, back)
+            if self.rng.random() < 0.5:
+                self.at(told_s + self.rng.uniform(0.1, 3.0), index, back)
+            self.arrival(0.0, index)
+        while self.agenda[0][0] < COLD_AT_S + self.start.warm_up_s:
+            now_s, _, index, event = heapq.heappop(self.agenda)
+            if isinstance(event, RequestArrived):
+                self.arrival(now_s, index)
+            for action in self.balancers[index].handle(int(now_s * 1e6), event):
+                self.carry_out(now_s, index, action)
+
+    def carry_out(self, now_s: float, index: int, action: Action) -> None:
+        if isinstance(action, SetTimer):
+            self.at(max(now_s, action.due_us / 1e6), index, TimerFired(action.token))
+        elif isinstance(action, Send):
+            self.send(now_s, index, action)
+
+    def send(self, now_s: float, index: int, action: Send) -> None:
+        number = self.attempts.get((index, action.request_id), 0)
+        self.attempts[index, action.request_id] = number + 1
+        is_cold = action.endpoint_id == COLD and now_s > COLD_AT_S
+        if is_cold:
+            self.calls_at.append(now_s)
+        capacity = self.start.capacity_at(now_s) if is_cold else 1.0
+        took_s = self.rng.expovariate(1 / self.start.work_s) / capacity
+        served = took_s * 1e6 < action.timeout_us
+        took_s = min(took_s, action.timeout_us / 1e6)
+        outcome = Outcome.SUCCESS if served else Outcome.TIMEOUT
+        latency_us = int(took_s * 1e6)
+        ended = AttemptEnded(action.request_id, number, action.endpoint_id, outcome, latency_us, served)
+        self.at(now_s + took_s, index, ended)
+
+
+STARTS = {
+    "mild": Start(0.14, 20.0, 4.0, 3.0, 0.045),
+    "colder": Start(0.03, 20.0, 3.0, 1.0, 0.1),
+    "short": Start(0.05, 10.0, 2.0, 1.0, 0.05),
+}
+
+
+# Guards against a budget that holds in one size of fleet only: it binds however few or many there are.
+@pytest.mark.parametrize("size", [1, 2, 5, 20, 67, 200])
+@pytest.mark.parametrize("name", STARTS)
+def test_a_cold_endpoint_stays_within_its_budget_of_calls(name: str, size: int) -> None:
+    start = STARTS[name]
+    fleet = Fleet(start, size, seed=41)
+    fleet.run()
+    assert fleet.calls_at  # it is not simply left alone
+    first = 0
+    for last, at_s in enumerate(fleet.calls_at):
+        while fleet.calls_at[first] <= at_s - start.window_s:
+            first += 1
+        calls = start.multiple * start.capacity_at(at_s) * start.window_s / start.work_s
+        assert last - first + 1 <= budget(calls), f"{at_s - COLD_AT_S:.2f} s after its start"
