--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -38,7 +38,8 @@
 )
 from badgergap.proxy.attempt_recorder import AttemptRecorder
 from badgergap.proxy.clock import Clock
-from badgergap.proxy.diagnostics import Diagnostics, EventKind, RequestTrace
+from badgergap.proxy.diagnostics import Diagnostics
+from badgergap.proxy.diagnostics.request_log import RequestLog
 from badgergap.proxy.endpoints.directory import EndpointDirectory
 from badgergap.proxy.gateway_responses import OUT_OF_TOUCH, plain, refused
 from badgergap.proxy.lifecycle.config import Address, Config, needs_restart
@@ -72,7 +73,6 @@
     ) -> None:
         settings = config.settings
         self.diagnostics = diagnostics if diagnostics is not None else Diagnostics(loop)
-        self.event_log = self.diagnostics.events
         self.observer = observer
         self.config = config
         self.settings = settings
@@ -80,6 +80,7 @@
         self.loop = loop
         self.latest_config = config  # as read last: the start of the next reload
         self.clock = clock if clock is not None else Clock()
+        self.request_log = RequestLog(self.diagnostics.events, self.clock.now_us)
         self.balancer = Balancer(settings, config.seed)
         self.upstream = upstream_of(config, loop)
         self.directory = EndpointDirectory(config, loop, self.clock.now_us, self.upstream, self.feed)
@@ -235,7 +236,7 @@
         epoch = self.current_epoch() if self.current_epoch is not None else 0
         if epoch < 0 or not self.has_capacity():
             reply(refused("too many requests" if epoch >= 0 else OUT_OF_TOUCH))
-            self.event_log.count(EventKind.REQUEST_REJECTED, "not_admitted")
+            self.request_log.not_admitted()
             if self.observer is not None:
                 self.observer.on_answered(self.clock.now_us(), spec.request_class, 503, 0, spec.tenant)
             return None
@@ -245,8 +246,8 @@
             0, min(spec.client_timeout_us - spec.waited_us - TRANSIT_US, self.shutdown_us - now_us)
         )
         request = Request(str(self.accepted_count), spec, now_us, now_us + remaining_us, reply, epoch=epoch)
-        request.trace.client_id = spec.client_id
-        request.trace.note(now_us, "class %d read %d us after it came", spec.request_class, spec.waited_us)
+        request.trace.client_id = spec.client_id or request.id
+        self.request_log.arrived(request.trace, spec.request_class, spec.waited_us)
         self.requests[request.id] = request
         self.open_requests += 1
         self.set_deadline(request, now_us, request.deadline_us)
@@ -281,8 +282,7 @@
         """The client has closed its connection."""
         if request.reply is not None:
             self.close_account(request)
-            self.event_log.count(EventKind.CLIENT_LEFT, "with_request_open")
-            request.trace.note(self.clock.now_us(), "client left")
+            self.request_log.client_left(request.trace)
             if self.observer is not None:
                 self.observer.on_client_left(
                     self.clock.now_us(), request.spec.request_class, request.spec.tenant
@@ -352,8 +352,7 @@
                 if exchange is not None and exchange.has_time_out:
                     self.upstream.time_out(exchange)
         if request.reply is not None:
-            request.trace.is_unusual = True
-            log.warning("request %s had no answer at its deadline", request.trace.client_id or request.id)
+            self.request_log.out_of_time(request.trace)
             self.settle(request, plain(504, "out of time"))
             self.feed(ClientDisconnected(request.id))
             self.forget_if_over(request)
@@ -362,9 +361,7 @@
         """Give the balancer's verdict on a request, if an answer is still owed."""
         request = self.requests.get(request_id)
         if request is not None:
-            self.event_log.count(EventKind.REQUEST_REJECTED, reason)
-            request.trace.is_unusual = True
-            request.trace.note(self.clock.now_us(), "rejected: %s", reason)
+            self.request_log.rejected(request.trace, reason)
             # An endpoint's own failure tells the client more than what this gateway could say.
             self.settle(request, answer if request.endpoint_failure is None else request.endpoint_failure)
             self.forget_if_over(request)
@@ -395,8 +392,7 @@
         """Account for the final answer, which is given now, with this status."""
         if request.reply is not None:
             self.close_account(request)
-            self.event_log.count(EventKind.REQUEST_ANSWERED, str(status))
-            request.trace.note(self.clock.now_us(), "answered %d", status)
+            self.request_log.answered(request.trace, status)
             if request.spec.on_answered is not None:
                 request.spec.on_answered()
             if self.observer is not None:
@@ -418,15 +414,10 @@
 
     def forget_if_over(self, request: Request) -> None:
         """Forget a request that is owed no response and has no attempt in flight."""
-        if request.reply is None and request.attempts_in_flight == 0:
-            forgotten = self.requests.pop(request.id, None)
-            if forgotten is not None and request.trace.is_unusual:
-                self.write_trace(request.trace)
-
-    def write_trace(self, trace: RequestTrace) -> None:
-        """Log the story of a request that did not simply succeed, within the bound on such lines."""
-        if self.event_log.may_write(EventKind.REQUEST_ANSWERED):
-            log.info("request %s: %s", trace.client_id, trace.render())
+        if request.reply is not None or request.attempts_in_flight:
+            return
+        if self.requests.pop(request.id, None) is not None:
+            self.request_log.over(request.trace)
 
     # Attempts
 
@@ -451,7 +442,7 @@
             return
 
         request.attempts_in_flight += 1
-        request.trace.note(sent_us, "attempt %d to %d for %d us", number, action.endpoint_id, left_us)
+        self.request_log.attempt_began(request.trace, number, action.endpoint_id, left_us)
         recorder = AttemptRecorder(self, request, number, action.endpoint_id, sent_us)
         exchange = request.spec.launch(self.upstream, action.endpoint_id, left_us / 1e6, recorder)
         request.attempts.append(exchange)
@@ -469,7 +460,7 @@
         request = attempt.request
         request.attempts_in_flight -= 1
         latency_us = self.clock.now_us() - attempt.sent_us
-        self.note_attempt_end(attempt, outcome, latency_us)
+        self.request_log.attempt_ended(request.trace, attempt.attempt_number, outcome)
         if outcome is Outcome.SUCCESS and answer is not None:
             self.settle(request, answer)
         endpoint_id = attempt.endpoint_id
@@ -480,12 +471,3 @@
             AttemptEnded(request.id, attempt.attempt_number, endpoint_id, outcome, latency_us, finished, load)
         )
         self.forget_if_over(request)
-
-    def note_attempt_end(self, attempt: AttemptRecorder, outcome: Outcome, latency_us: int) -> None:
-        """Count an attempt's outcome, and add it to the story of its request."""
-        self.event_log.count(EventKind.ATTEMPT_ENDED, outcome.name.lower())
-        trace = attempt.request.trace
-        if outcome is not Outcome.SUCCESS:
-            trace.is_unusual = True
-        number = attempt.attempt_number
-        trace.note(attempt.sent_us + latency_us, "attempt %d ended: %s", number, outcome.name.lower())
--- a/tests/faults/test_calls.py
+++ b/tests/faults/test_calls.py
@@ -6,6 +6,8 @@
 import errno
 import time
 from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
@@ -47,6 +49,17 @@
     return status
 
 
+@asynccontextmanager
+async def faulty(
+    folder: Path, work_s: float = 0.0
+) -> AsyncIterator[tuple[Injector, Platform, GatewayProcess]]:
+    """One gateway whose calls the injector can make fail."""
+    with Injector(folder, SEED) as injector:
+        settings, environ = settings_of(KINDS), injector.environ()
+        async with Platform(folder, KINDS, settings=settings, environ=environ, work_s=work_s) as platform:
+            yield injector, platform, platform.gateways[0]
+
+
 async def answers(gateway: GatewayProcess, count: int) -> Counter[int | str]:
     """What so many clients hear that come one shortly after the other."""
     tasks = []
@@ -61,17 +74,13 @@
 @pytest.mark.parametrize("error", ACCEPT_ERRORS, ids=errno.errorcode.__getitem__)
 def test_no_client_is_lost_while_accept_fails(error: int, tmp_path: Path) -> None:
     async def test() -> None:
-        with Injector(tmp_path, SEED) as injector:
-            settings = settings_of(KINDS)
-            environ = injector.environ()
-            async with Platform(tmp_path, KINDS, settings=settings, environ=environ) as platform:
-                (gateway,) = platform.gateways
-                assert await answers(gateway, 5) == {200: 5}
-                injector.set(Call.ACCEPT, error, probability=0.5)
-                assert await answers(gateway, REQUESTS) == {200: REQUESTS}
-                injector.clear()
-                assert injector.injected()[Call.ACCEPT] >= REQUESTS // 10
-                assert await answers(gateway, 5) == {200: 5}
+        async with faulty(tmp_path) as (injector, platform, gateway):
+            assert await answers(gateway, 5) == {200: 5}
+            injector.set(Call.ACCEPT, error, probability=0.5)
+            assert await answers(gateway, REQUESTS) == {200: REQUESTS}
+            injector.clear()
+            assert injector.injected()[Call.ACCEPT] >= REQUESTS // 10
+            assert await answers(gateway, 5) == {200: 5}
 
     run(test())
 
@@ -80,16 +89,12 @@
 # connections grew, and answers were 0.5 s late.
 def test_a_passing_shortage_holds_no_queue_up(tmp_path: Path) -> None:
     async def test() -> None:
-        with Injector(tmp_path, SEED) as injector:
-            settings = settings_of(KINDS)
-            environ = injector.environ()
-            async with Platform(tmp_path, KINDS, settings=settings, environ=environ) as platform:
-                (gateway,) = platform.gateways
-                injector.set(Call.ACCEPT, errno.ENFILE, probability=0.6)
-                began_at = time.monotonic()
-                assert await answers(gateway, 4 * REQUESTS) == {200: 4 * REQUESTS}
-                took_s = time.monotonic() - began_at
-                assert took_s < 4 * REQUESTS * ARRIVAL_S + 1.0
+        async with faulty(tmp_path) as (injector, platform, gateway):
+            injector.set(Call.ACCEPT, errno.ENFILE, probability=0.6)
+            began_at = time.monotonic()
+            assert await answers(gateway, 4 * REQUESTS) == {200: 4 * REQUESTS}
+            took_s = time.monotonic() - began_at
+            assert took_s < 4 * REQUESTS * ARRIVAL_S + 1.0
 
     run(test())
 
@@ -125,23 +130,17 @@
 )
 def test_every_client_is_answered_while_calls_fail(call: Call, error: int, tmp_path: Path) -> None:
     async def test() -> None:
-        with Injector(tmp_path, SEED) as injector:
-            settings = settings_of(KINDS)
-            environ = injector.environ()
-            async with Platform(
-                tmp_path, KINDS, settings=settings, environ=environ, work_s=WORK_S
-            ) as platform:
-                (gateway,) = platform.gateways
-                assert await answers(gateway, 5) == {200: 5}
-                injector.set(call, error, probability=0.3)
-                heard = await answers(gateway, REQUESTS)
-                assert injector.injected().get(call, 0) > 0
-                assert set(heard) <= {200, 503}
-                injector.clear()
-                await asyncio.sleep(2.0)
-                assert await answers(gateway, 10) == {200: 10}
-                ids = [each.id for box in platform.boxes.values() for each in box.seen]
-                assert len(ids) == len(set(ids))
+        async with faulty(tmp_path, WORK_S) as (injector, platform, gateway):
+            assert await answers(gateway, 5) == {200: 5}
+            injector.set(call, error, probability=0.3)
+            heard = await answers(gateway, REQUESTS)
+            assert injector.injected().get(call, 0) > 0
+            assert set(heard) <= {200, 503}
+            injector.clear()
+            await asyncio.sleep(2.0)
+            assert await answers(gateway, 10) == {200: 10}
+            ids = [each.id for box in platform.boxes.values() for each in box.seen]
+            assert len(ids) == len(set(ids))
 
     run(test())
 
@@ -159,15 +158,11 @@
 )
 def test_a_lack_on_this_machine_is_not_held_against_endpoints(call: Call, error: int, tmp_path: Path) -> None:
     async def test() -> None:
-        with Injector(tmp_path, SEED) as injector:
-            settings = settings_of(KINDS)
-            environ = injector.environ()
-            async with Platform(tmp_path, KINDS, settings=settings, environ=environ) as platform:
-                (gateway,) = platform.gateways
-                injector.set(call, error)
-                assert await answers(gateway, REQUESTS) == {503: REQUESTS}
-                injector.clear()
-                assert await answers(gateway, 10) == {200: 10}
-                assert "breaker" not in gateway.log()
+        async with faulty(tmp_path) as (injector, platform, gateway):
+            injector.set(call, error)
+            assert await answers(gateway, REQUESTS) == {503: REQUESTS}
+            injector.clear()
+            assert await answers(gateway, 10) == {200: 10}
+            assert "breaker" not in gateway.log()
 
     run(test())
