Read drains by hand again where the disk fails for a moment, and never overwrite them unread

What operators would see: EIO as a process starts, and its endpoints out by hand are back in; the next drain overwrites the file.

Cause: DrainStore.load took an OSError for an empty file. Change: it reads again for half a second; after that the file is left as it is, save says why, and the log has an error.

Seen: test_drains_that_cannot_be_read_for_a_moment_are_not_lost failed before (2 of 2), passes.

--- a/badgergap/proxy/endpoints/manual_drains.py
+++ b/badgergap/proxy/endpoints/manual_drains.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import os
+import time
 import zlib
 from collections.abc import Iterable
 from pathlib import Path
@@ -18,29 +19,29 @@
 FILE = "drains.json"
 FORMAT, VERSION = "badgergap-drains", 1
 SIZE_LIMIT = 1024 * 1024
+READ_TRIES = 10
+READ_AGAIN_S = 0.05
 
 
 class DrainStoreError(BadgergapError, OSError):
-    """The file is of a later version, and is left as it is."""
+    """The file is of a later version or could not be read, and is left as it is."""
 
 
 class DrainStore:
-    """One file. `load` never fails; `save` raises OSError and leaves the file before it as it was."""
+    """One file. `load` never fails, and may block for half a second.
+
+    `save` raises OSError and leaves the file before it as it was.
+    """
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.path = folder / FILE
-        self.untouchable = False  # the file is of a later version: not overwritten
+        self.untouchable = False  # the file is of a later version, or could not be read: not overwritten
 
     def load(self) -> list[ManualDrain]:
         """Return the stored drains, DRAIN_LIMIT at most; none if the file is missing or unusable."""
-        try:
-            with self.path.open("rb") as file:
-                data = file.read(SIZE_LIMIT + 1)
-        except FileNotFoundError:
-            return []
-        except OSError as error:
-            log.warning("drains by hand cannot be read from %s: %s", self.path, error.strerror)
+        data = self._read()
+        if data is None:
             return []
         try:
             raw = json.loads(data)
@@ -57,6 +58,26 @@
             self._set_aside(error)
             return []
 
+    def _read(self) -> bytes | None:
+        """Return the file's bytes, or None if there are none to be had.
+
+        Guards against a disk that fails for a moment: the drains there would not be in force, and the next
+        save would overwrite them. What cannot be read after READ_TRIES is left as it is.
+        """
+        for tries_left in reversed(range(READ_TRIES)):
+            try:
+                with self.path.open("rb") as file:
+                    return file.read(SIZE_LIMIT + 1)
+            except FileNotFoundError:
+                return None
+            except OSError as error:
+                log.warning("drains by hand cannot be read from %s: %s", self.path, error.strerror)
+                if tries_left:
+                    time.sleep(READ_AGAIN_S)
+        self.untouchable = True
+        log.error("%s could not be read: left as it is, and nothing is kept", self.path)
+        return None
+
     def _set_aside(self, error: Exception) -> None:
         aside = self.path.with_suffix(".damaged")
         log.warning("%s is damaged (%s): set aside as %s", self.path, error, aside.name)
@@ -68,7 +89,7 @@
     def save(self, drains: Iterable[ManualDrain]) -> None:
         """Blocks for as long as the disk takes: not for the event loop. Raises OSError."""
         if self.untouchable:
-            raise DrainStoreError(None, "the file there is of a later version")
+            raise DrainStoreError(None, "the file there is of a later version, or could not be read")
         items = [{"box": d.name, "by": d.by, "at_us": d.at_us, "action": d.action} for d in drains]
         raw = {"format": FORMAT, "version": VERSION, "drains": items, "sum": _sum(items)}
         self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
--- a/benchmarks/fault_soak.py
+++ b/benchmarks/fault_soak.py
@@ -37,7 +37,7 @@
             print(*lines, sep="\n", end="\n" if lines else "", flush=True)
             total["requests"] += report.requests
             total["violations"] += len(report.violations)
-            total.update({f"fault {fault.kind}": 1 for fault in report.faults})
+            total.update(f"fault {fault.kind}" for fault in report.faults)
             total.update({f"failed {call}": count for call, count in report.injected.items()})
             if report.violations:
                 failed.append(report.seed)
--- a/tests/site/test_drains.py
+++ b/tests/site/test_drains.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import tempfile
 from pathlib import Path
+from typing import IO, Any
 
 import pytest
 
+from badgergap.proxy.endpoints import manual_drains
 from badgergap.proxy.endpoints.registry import ManualDrain
 from badgergap.site import DrainStore
 
@@ -95,3 +98,33 @@
     assert store.load() == []
     with pytest.raises(OSError):
         store.save(DRAINS)
+
+
+# Guards against a disk that fails for a moment as a process starts: the drains there were not in force, and
+# the next save overwrote them.
+@pytest.mark.parametrize(("failures", "is_read"), [(3, True), (10**6, False)])
+def test_drains_that_cannot_be_read_for_a_moment_are_not_lost(
+    failures: int, is_read: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    DrainStore(tmp_path).save(DRAINS)
+    stored = (tmp_path / "drains.json").read_bytes()
+    monkeypatch.setattr(manual_drains, "READ_AGAIN_S", 0.0)
+    left, opened = failures, Path.open
+
+    def failing(path: Path, mode: str = "r") -> IO[Any]:
+        nonlocal left
+        if mode == "rb" and left > 0:
+            left -= 1
+            raise OSError(errno.EIO, "Input/output error")
+        return opened(path, mode)
+
+    store = DrainStore(tmp_path)
+    with monkeypatch.context() as faulty:
+        faulty.setattr(Path, "open", failing)
+        assert store.load() == (DRAINS if is_read else [])
+    if is_read:
+        store.save([])
+    else:
+        with pytest.raises(OSError, match="could not be read"):
+            store.save([])
+        assert (tmp_path / "drains.json").read_bytes() == stored
