Count the wait before a request arrives against its objective for the platform's clients alone

Cause: handed waited_us of every transport to the balancer, which takes it off the latency objective. For ordinary HTTP that is the gateway's own wait, and the objective counts from the arrival at its pool, as before. Change: RequestSpec.objective_from_send, set for the platform.

--- a/badgergap/proxy/downstream/request_validation.py
+++ b/badgergap/proxy/downstream/request_validation.py
@@ -166,6 +166,7 @@
             is_retry=headers.get(b"client-retry") == b"1",
             tenant=tenant,
             is_write=b"isWrite=1" in headers.get(b"request-info", b"").split(b","),
+            objective_from_send=True,
             client_id=request_id.decode("latin-1"),
         )
 
--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -263,7 +263,7 @@
                 spec.tenant,
                 spec.is_write,
                 spec.allowed_endpoints,
-                spec.waited_us,
+                spec.waited_us if spec.objective_from_send else 0,
             )
         )
         return request
--- a/badgergap/proxy/requests.py
+++ b/badgergap/proxy/requests.py
@@ -83,6 +83,7 @@
     offer_elsewhere: OfferElsewhere | None = None
     on_answered: Callable[[], None] | None = None  # called just before the final answer is given
     passes_failures: bool = True  # an endpoint's own failure is the answer where nothing better came of it
+    objective_from_send: bool = False  # the latency objective counts from when its client sent it
     client_id: str = ""  # the Request-Id that client and endpoints know it by; for the log
 
 
