Ask in one place whether a first byte may be written; name a planned end where it closes

Whether an attempt may begin was asked in three places and two orders: over HTTP/3 the client was looked at before discovery's messages, which had turned round for HTTP/1.1. Upstream.may_begin serves all three, the client last. finish_requests noted 'shutdown' on connections that it did not close yet: their clients' own closes were counted as this side's, and a client that reset its connection with a request open could be logged as a request that the gateway lost. dispatch asked the clock twice.

--- a/badgergap/h3/back.py
+++ b/badgergap/h3/back.py
@@ -257,7 +257,7 @@
         """Begin what may begin: the handshake is over, the box has room, and the host may be sent to."""
         while self.shaken and not self.gone and self.waiting and self.quic.streams_left > 0:
             each = self.waiting.pop(0)
-            if not each.may_begin() or not self.boxes.upstream.may_send(self.endpoint):
+            if not self.boxes.upstream.may_begin(self.endpoint, each):
                 each.link = None
                 # Guards against a drain, or the end of its request, that came while it waited.
                 each.never_sent()
--- a/badgergap/proxy/downstream/client_connection.py
+++ b/badgergap/proxy/downstream/client_connection.py
@@ -213,13 +213,14 @@
             return
         if self.over_limit:
             raise BadRequestError(503, "too many connections", (b"retry-after", RETRY_AFTER))
-        if incoming.waited_s() > READ_LATE_S and self.client_has_left():
+        waited_s = incoming.waited_s()
+        if waited_s > READ_LATE_S and self.client_has_left():
             return  # nobody waits: after a hold-up these would keep those who still do waiting
         if not server.lame_duck.accepts_requests(now):
             self.send_response(incoming, refused("this gateway sends its clients away"))
             return
         launch = partial(self.start_attempt, incoming)
-        spec = server.validator.validate(incoming, launch, incoming.waited_s())
+        spec = server.validator.validate(incoming, launch, waited_s)
         incoming.forwarded_head = b"%b %b HTTP/1.1\r\n%b" % (spec.method, spec.target, spec.headers)
         self.requests_read += 1
         incoming.request_id = server.validator.reserve_id(incoming)
--- a/badgergap/proxy/downstream/listener.py
+++ b/badgergap/proxy/downstream/listener.py
@@ -198,13 +198,14 @@
             for connection in [c for c in self.connections if not c.has_open_requests]:
                 if self.try_to_migrate(connection) or (self.migrate is not None and waited_s < MIGRATION_S):
                     continue
-                connection.note_close(CloseReason.SHUTDOWN)
                 priority = connection.eviction_priority(self.loop.time())
                 if (
                     priority < eviction.EvictionPriority.NEW and connection.may_close
                 ) or waited_s > self.partial_request_s:
+                    connection.note_close(CloseReason.SHUTDOWN)
                     connection.close()
                 if waited_s > UNREAD_DRAIN_S:
+                    connection.note_close(CloseReason.SHUTDOWN)
                     connection.abort()
             await asyncio.sleep(FINISH_POLL_S)
 
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -76,11 +76,7 @@
         exchange = self.exchange
         if exchange is None or exchange.done:
             self.abort()
-        elif (
-            not self.pool.may_send(self.endpoint)
-            or not self.pool.is_epoch_current(self.epoch)
-            or not exchange.may_begin()  # last: what was asked before takes its time
-        ):
+        elif not self.pool.is_epoch_current(self.epoch) or not self.pool.may_begin(self.endpoint, exchange):
             # Guards against a drain, other rules, or the end of its request (its client has left, another
             # attempt was answered), that came while the connection was being made.
             exchange.never_sent()
@@ -224,6 +220,13 @@
         self.catch_up()
         return endpoint.stop_at is None or self.now() < endpoint.stop_at
 
+    def may_begin(self, endpoint: Endpoint, exchange: Exchange) -> bool:
+        """Whether the exchange's first byte may be written to the endpoint now.
+
+        Its client is looked at last: reading what is known of endpoints takes its time.
+        """
+        return self.may_send(endpoint) and exchange.may_begin()
+
     def is_epoch_current(self, epoch: int) -> bool:
         """Whether what was begun in this epoch may still be sent."""
         return self.current_epoch is None or 0 <= self.current_epoch() == epoch
@@ -248,7 +251,7 @@
         """
         endpoint = self.endpoints.get(endpoint_id)
         exchange.deadline_at = self.now() + timeout_s
-        if endpoint is None or not self.may_send(endpoint) or not exchange.may_begin():
+        if endpoint is None or not self.may_begin(endpoint, exchange):
             self.loop.call_soon(exchange.never_sent)
             return
         exchange.timer = self.loop.call_later(timeout_s, self.time_out, exchange)
