Carry plain connections by a transport that outlasts a lack of buffers or memory

Callers saw: a connection whose answer met ENOBUFS was closed with no answer; the same at ENOMEM, reading or writing. An endpoint's answer that had come was lost alike: the request ran again, or was answered 502. Cause: uvloop's UVStream._try_write ends the connection at any error but EAGAIN and EINTR, libuv does so at ENOMEM. Change: TcpTransport (clients, adopted clients, endpoints, discovery) makes the call again after 5 ms and keeps the order. Tests: three held connects by patching the loop's create_connection, which plain connections no longer use; they hold connect_socket now, with the same assertions.

--- a/badgergap/hot_restart/coordinator.py
+++ b/badgergap/hot_restart/coordinator.py
@@ -56,6 +56,7 @@
 from badgergap.proxy.lifecycle.config import Config
 from badgergap.proxy.pools import MAIN, proxy_of
 from badgergap.proxy.proxy import Proxy
+from badgergap.proxy.tcp_transport import TcpTransport
 
 log = logging.getLogger(__name__)
 
@@ -266,15 +267,7 @@
         if component is not None:
             component.adopt_client(sock)
             return
-        make = partial(ClientConnection, self.downstream, adopted=True)
-        task = self.loop.create_task(self.loop.connect_accepted_socket(make, sock))
-        self.tasks.add(task)
-        task.add_done_callback(self._on_client_adopted)
-
-    def _on_client_adopted(self, task: asyncio.Task[Any]) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.info("a connection that was given over has gone: %s", task.exception())
+        TcpTransport(self.loop, sock, ClientConnection(self.downstream, adopted=True)).start()
 
     def update_counts(self, counts: messages.ConnectionCounts) -> None:
         """What the processes before this one hold, which the limits here must leave room for."""
--- a/badgergap/proxy/downstream/acceptor.py
+++ b/badgergap/proxy/downstream/acceptor.py
@@ -8,13 +8,11 @@
 
 import asyncio
 import errno
-import logging
 import socket
 from collections.abc import Callable
 
 from badgergap.proxy.diagnostics import EventKind, EventLog
-
-log = logging.getLogger(__name__)
+from badgergap.proxy.tcp_transport import TcpTransport
 
 ACCEPTED_MOST = 64  # in one turn of the loop
 SHORTAGES_MOST = 8  # in one turn: a shortage may be over in a moment, and others wait behind this connection
@@ -42,7 +40,6 @@
         self._on_shortage = on_shortage
         self._retry: asyncio.TimerHandle | None = None
         self._is_listening = False
-        self.opening: set[asyncio.Task[None]] = set()  # accepted, and not yet with their protocol
 
     def start(self) -> None:
         """Accept from now on."""
@@ -50,7 +47,7 @@
         self._loop.add_reader(self._listener.fileno(), self.accept)
 
     def stop(self) -> None:
-        """Accept nothing more; what is being opened goes on."""
+        """Accept nothing more."""
         if self._retry is not None:
             self._retry.cancel()
             self._retry = None
@@ -94,13 +91,4 @@
 
     def _open(self, sock: socket.socket) -> None:
         sock.setblocking(False)
-        task = self._loop.create_task(self._connect(sock))
-        self.opening.add(task)
-        task.add_done_callback(self.opening.discard)
-
-    async def _connect(self, sock: socket.socket) -> None:
-        try:
-            await self._loop.connect_accepted_socket(self._make_protocol, sock)
-        except OSError as error:
-            sock.close()  # its client has gone meanwhile
-            log.info("an accepted connection could not be used: %s", error.strerror)
+        TcpTransport(self._loop, sock, self._make_protocol()).start()
--- a/badgergap/proxy/downstream/listener.py
+++ b/badgergap/proxy/downstream/listener.py
@@ -183,7 +183,6 @@
             await asyncio.sleep(ACCEPT_AGAIN_S)
         self.socket.close()
         self.socket = None
-        await asyncio.gather(*acceptor.opening)
 
     def stop_listening(self) -> None:
         """Accept no connections here; the socket itself stays as it is."""
@@ -193,7 +192,7 @@
     async def finish_requests(self) -> None:
         """Wait for the last responses, and close each connection once it has none open."""
         began = self.loop.time()
-        while self.connections or (self.acceptor is not None and self.acceptor.opening):
+        while self.connections:
             waited_s = self.loop.time() - began
             for connection in [c for c in self.connections if not c.has_open_requests]:
                 if self.try_to_migrate(connection) or (self.migrate is not None and waited_s < MIGRATION_S):
--- a/badgergap/proxy/endpoints/discovery_call.py
+++ b/badgergap/proxy/endpoints/discovery_call.py
@@ -11,6 +11,7 @@
 
 from badgergap.proxy import unread_input
 from badgergap.proxy.endpoints.message_splitter import MessageSplitter
+from badgergap.proxy.tcp_transport import connect_tcp
 
 if TYPE_CHECKING:
     from badgergap.proxy.endpoints.discovery import Discovery
@@ -56,7 +57,7 @@
         """Connect; `connection_made` sends the request."""
         try:
             async with asyncio.timeout(CONNECT_S):
-                await self.discovery.loop.create_connection(lambda: self, *self.address)
+                await connect_tcp(self.discovery.loop, self, *self.address)
         except (OSError, TimeoutError) as error:
             self.fail(f"no connection: {error}")
 
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -18,6 +18,7 @@
 from badgergap.proxy import unread_input
 from badgergap.proxy.lifecycle.config import Address
 from badgergap.proxy.limits.memory import Budget, ReadBuffer
+from badgergap.proxy.tcp_transport import connect_tcp
 from badgergap.proxy.upstream.exchange import Exchange
 
 log = logging.getLogger(__name__)
@@ -307,12 +308,7 @@
         began_at = self.now()
         try:
             async with asyncio.timeout(self.connect_timeout_s):
-                await self.loop.create_connection(
-                    lambda: connection,
-                    *connection.endpoint.address,
-                    ssl=self.tls,
-                    server_hostname=self.tls_name if self.tls is not None else None,
-                )
+                await self.connect_transport(connection)
         except (OSError, TimeoutError, ValueError) as error:  # the last from an address that is none
             self.forget(connection)
             was_held_up = self.now() - began_at > self.connect_timeout_s + HOLD_UP_S
@@ -323,6 +319,16 @@
         finally:
             connection.connecting = None
 
+    async def connect_transport(self, connection: PooledConnection) -> None:
+        """Connect to the endpoint, with TLS where the pool has it. Raises OSError or ValueError."""
+        host, port = connection.endpoint.address
+        if self.tls is None:
+            await connect_tcp(self.loop, connection, host, port)
+        else:
+            await self.loop.create_connection(
+                lambda: connection, host, port, ssl=self.tls, server_hostname=self.tls_name
+            )
+
     # The pool
 
     def return_idle(self, connection: PooledConnection) -> None:
--- a/badgergap/web/door.py
+++ b/badgergap/web/door.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import socket
 import ssl
@@ -17,6 +16,7 @@
 from badgergap.proxy.diagnostics import EventLog
 from badgergap.proxy.downstream.acceptor import Acceptor
 from badgergap.proxy.lifecycle.config import Address
+from badgergap.proxy.tcp_transport import TcpTransport
 from badgergap.web.front import Front
 
 log = logging.getLogger(__name__)
@@ -199,16 +199,10 @@
             front.abort()
 
     def adopt(self, sock: socket.socket) -> None:
-        self.spawn(self._adopt(sock))
-
-    async def _adopt(self, sock: socket.socket) -> None:
-        def made() -> Front:
-            front = Front(self)
-            front.has_requested = True
-            return front
-
-        with contextlib.suppress(OSError):  # it has gone meanwhile
-            await self.loop.connect_accepted_socket(made, sock)
+        """Take over an idle connection of the process before this one."""
+        front = Front(self)
+        front.has_requested = True
+        TcpTransport(self.loop, sock, front).start()
 
     def resume_accepting(self) -> None:
         self.migrate = None
@@ -234,7 +228,7 @@
                 self.acceptor.accept()  # what stands in the queue would be reset
         self.stop_listening()
         until = self.loop.time() + self.plan.limits.end_s
-        while self.connections or (self.acceptor is not None and self.acceptor.opening):
+        while self.connections:
             late = self.loop.time() > until
             for connection in list(self.connections):
                 # After a hand-over nobody waits for this process: idle clients over TLS may ask once more.
--- a/tests/proxy/commands/test_commands.py
+++ b/tests/proxy/commands/test_commands.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -12,6 +13,7 @@
 from hypothesis import strategies as st
 
 from badgergap.balancing.interface import AttemptEnded, EndpointStatus, Outcome
+from badgergap.proxy import tcp_transport
 from badgergap.proxy.commands import listener
 from badgergap.proxy.commands.listener import MAX_CONNECTIONS, CommandHandler, CommandListener
 from badgergap.proxy.commands.parsing import (
@@ -128,18 +130,22 @@
     run(test())
 
 
-def test_what_waits_for_a_connection_is_not_sent_once_its_host_is_out() -> None:
+def test_what_waits_for_a_connection_is_not_sent_once_its_host_is_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def test() -> None:
         async with gateway() as it, opened(it) as address:
             client = await it.client()
-            opening = it.proxy.loop.create_connection
+            opening, connect = it.proxy.loop.create_connection, tcp_transport.connect_socket
             go = asyncio.Event()
 
-            async def later(*args: object, **named: object) -> object:
+            async def later(
+                loop: asyncio.AbstractEventLoop, sock: socket.socket, where: tuple[str, int]
+            ) -> None:
                 await go.wait()
-                return await opening(*args, **named)  # type: ignore[call-overload]
+                await connect(loop, sock, where)
 
-            it.proxy.loop.create_connection = later  # type: ignore[assignment, method-assign]
+            monkeypatch.setattr(tcp_transport, "connect_socket", later)
             client.send(ask())
             while not it.proxy.upstream.connections:
                 await asyncio.sleep(0.001)
--- a/tests/proxy/test_gateway.py
+++ b/tests/proxy/test_gateway.py
@@ -23,6 +23,7 @@
     RequestArrived,
     Send,
 )
+from badgergap.proxy import tcp_transport
 from badgergap.proxy.body_streams import HOLD
 from badgergap.proxy.downstream import client_connection, http_connection, request_reader
 from badgergap.proxy.downstream.request_validation import BODY_LIMIT, HEAD_LIMIT
@@ -360,15 +361,15 @@
 
 def hold_connects(it: Gateway, monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
     """Connections to hosts come up only once the event is set."""
-    loop, free = it.proxy.loop, asyncio.Event()
-    connect = loop.create_connection
+    free = asyncio.Event()
+    connect = tcp_transport.connect_socket
 
-    async def held(protocol: Any, host: str, port: int, **kwargs: Any) -> Any:
-        if f"{host}:{port}" == it.host.address:
+    async def held(loop: asyncio.AbstractEventLoop, sock: socket.socket, address: tuple[str, int]) -> None:
+        if f"{address[0]}:{address[1]}" == it.host.address:
             await free.wait()
-        return await connect(protocol, host, port, **kwargs)
+        await connect(loop, sock, address)
 
-    monkeypatch.setattr(loop, "create_connection", held)
+    monkeypatch.setattr(tcp_transport, "connect_socket", held)
     return free
 
 
@@ -699,7 +700,7 @@
     async def test() -> None:
         async with gateway() as it:
             client = await it.client()
-            monkeypatch.setattr(it.proxy.loop, "create_connection", none_left)
+            monkeypatch.setattr(tcp_transport, "connect_socket", none_left)
             assert (await client.ask(ask("buy")))[0] == 503
             assert (await it.event(AttemptEnded)).outcome is Outcome.NEVER_SENT
 
--- a/tests/web/test_endings.py
+++ b/tests/web/test_endings.py
@@ -5,11 +5,10 @@
 import asyncio
 import socket
 from pathlib import Path
-from typing import Any
 
 import pytest
 
-from badgergap.proxy import unread_input
+from badgergap.proxy import tcp_transport, unread_input
 from badgergap.proxy.body_streams import HOLD
 from badgergap.web.front import Front
 from tests.proxy.test_endings import until
@@ -19,16 +18,16 @@
 
 def hold_connects(it: Site, monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
     """Connections to boxes come up only once the event is set."""
-    loop, free = asyncio.get_running_loop(), asyncio.Event()
-    connect = loop.create_connection
+    free = asyncio.Event()
+    connect = tcp_transport.connect_socket
     boxes = [app.address for app in it.apps]
 
-    async def held(protocol: Any, host: str, port: int, **kwargs: Any) -> Any:
-        if f"{host}:{port}" in boxes:
+    async def held(loop: asyncio.AbstractEventLoop, sock: socket.socket, address: tuple[str, int]) -> None:
+        if f"{address[0]}:{address[1]}" in boxes:
             await free.wait()
-        return await connect(protocol, host, port, **kwargs)
+        await connect(loop, sock, address)
 
-    monkeypatch.setattr(loop, "create_connection", held)
+    monkeypatch.setattr(tcp_transport, "connect_socket", held)
     return free
 
 
