Carry TLS by the transport that outlasts a lack of buffers or memory

Cause: uvloop puts the protocol of TLS on its own TCP transport, which ends at any such error. Change: proxy/tls_transport.py puts uvloop's TLS protocol on TcpTransport, for clients and endpoints. It supports other transports than uvloop's by itself.

--- a/badgergap/proxy/tcp_transport.py
+++ b/badgergap/proxy/tcp_transport.py
@@ -19,7 +19,7 @@
 # What a read or write fails with for want of something on this machine, while its connection is whole.
 SHORTAGES = frozenset((errno.ENOBUFS, errno.ENOMEM))
 SHORTAGE_RETRY_S = 0.005
-READ_SIZE = 64 * 1024  # for a protocol that brings no buffer of its own
+READ_SIZE = 64 * 1024  # of one read, where the protocol's own buffer is not smaller
 DEFAULT_HIGH_WATER = 64 * 1024  # as asyncio's transports
 
 
@@ -61,7 +61,8 @@
     def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
         """Use `protocol` from now on."""
         self._protocol = protocol
-        self._buffered = protocol if isinstance(protocol, asyncio.BufferedProtocol) else None
+        # By its methods, as the loop does: the protocol of TLS is no BufferedProtocol by inheritance.
+        self._buffered: Any = protocol if hasattr(protocol, "get_buffer") else None
 
     def get_protocol(self) -> asyncio.BaseProtocol:
         """Return the current protocol."""
@@ -111,7 +112,7 @@
     def _on_readable(self) -> None:
         try:
             if self._buffered is not None:
-                count = self._socket.recv_into(self._buffered.get_buffer(-1))
+                count = self._socket.recv_into(self._buffered.get_buffer(READ_SIZE))
             else:
                 data = self._socket.recv(READ_SIZE)
                 count = len(data)
@@ -269,12 +270,16 @@
         """Close at once; what is unsent is dropped."""
         self._lose(None)
 
+    def _force_close(self, error: Exception | None) -> None:
+        """Close at once for this error; asyncio's and uvloop's protocols of TLS call it."""
+        self._lose(error)
+
     def _fail(self, error: OSError) -> None:
         """The connection is broken."""
         log.debug("a connection has failed: %s", error.strerror)
         self._lose(error)
 
-    def _lose(self, error: OSError | None) -> None:
+    def _lose(self, error: Exception | None) -> None:
         if self._is_lost:
             return
         self._is_lost = True
@@ -286,7 +291,7 @@
         self._unsent.clear()
         self._loop.call_soon(self._connection_lost, error)
 
-    def _connection_lost(self, error: OSError | None) -> None:
+    def _connection_lost(self, error: Exception | None) -> None:
         try:
             self._protocol.connection_lost(error)
         finally:
@@ -295,7 +300,7 @@
 
 async def connect_tcp(
     loop: asyncio.AbstractEventLoop, protocol: asyncio.BaseProtocol, host: str, port: int
-) -> None:
+) -> TcpTransport:
     """Connect `protocol` to the first address of `host` that accepts. Raises OSError of the last one."""
     failed = OSError(errno.EADDRNOTAVAIL, f"{host} has no address")
     for family, where in await _resolve(loop, host, port):
@@ -310,8 +315,9 @@
             sock.close()
             raise
         else:
-            TcpTransport(loop, sock, protocol).start()
-            return
+            transport = TcpTransport(loop, sock, protocol)
+            transport.start()
+            return transport
     raise failed
 
 
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -19,6 +19,7 @@
 from badgergap.proxy.lifecycle.config import Address
 from badgergap.proxy.limits.memory import Budget, ReadBuffer
 from badgergap.proxy.tcp_transport import connect_tcp
+from badgergap.proxy.tls_transport import connect_tls
 from badgergap.proxy.upstream.exchange import Exchange
 
 log = logging.getLogger(__name__)
@@ -325,9 +326,7 @@
         if self.tls is None:
             await connect_tcp(self.loop, connection, host, port)
         else:
-            await self.loop.create_connection(
-                lambda: connection, host, port, ssl=self.tls, server_hostname=self.tls_name
-            )
+            await connect_tls(self.loop, connection, host, port, self.tls, self.tls_name)
 
     # The pool
 
--- a/badgergap/web/door.py
+++ b/badgergap/web/door.py
@@ -17,6 +17,7 @@
 from badgergap.proxy.downstream.acceptor import Acceptor
 from badgergap.proxy.lifecycle.config import Address
 from badgergap.proxy.tcp_transport import TcpTransport
+from badgergap.proxy.tls_transport import accept_tls
 from badgergap.web.front import Front
 
 log = logging.getLogger(__name__)
@@ -291,12 +292,13 @@
         assert door.context is not None
         try:
             # The protocol is told of the connection once the handshake is done, and of nothing before.
-            await door.loop.connect_accepted_socket(
-                lambda: Front(door),
+            await accept_tls(
+                door.loop,
                 self.sock,
-                ssl=door.context,
-                ssl_handshake_timeout=door.plan.limits.handshake_s,
-                ssl_shutdown_timeout=SHUTDOWN_S,
+                Front(door),
+                door.context,
+                handshake_s=door.plan.limits.handshake_s,
+                shutdown_s=SHUTDOWN_S,
             )
         except OSError:  # rejected, closed or too slow: the client's own affair
             pass
