Notice a reset behind data that was read, on the new transport

Cause: at POLLERR uvloop calls a socket's reader once and closes its watch. Change: after each read the socket's pending error is asked for; what is unread in front of it is read by a new watch, then the connection fails.

--- a/badgergap/proxy/tcp_transport.py
+++ b/badgergap/proxy/tcp_transport.py
@@ -41,6 +41,7 @@
         self._low_water = DEFAULT_HIGH_WATER // 4
         self._write_retry: asyncio.TimerHandle | None = None
         self._read_retry: asyncio.TimerHandle | None = None
+        self._pending_error: OSError | None = None  # that has broken the connection behind what is unread
         self._is_reading = False
         self._is_waiting_to_write = False
         self._is_protocol_paused = False
@@ -123,10 +124,31 @@
             return
         if not count:
             self._on_eof()
-        elif self._buffered is not None:
+            return
+        if self._buffered is not None:
             self._buffered.buffer_updated(count)
         else:
             cast(asyncio.Protocol, self._protocol).data_received(data)
+        self._look_for_error()
+
+    def _look_for_error(self) -> None:
+        """Look whether the connection was broken behind what was read.
+
+        Guards against a reset that is never noticed: the loop calls a reader of a socket with an error once,
+        and watches it no more.
+        """
+        if not self._is_reading:
+            return
+        code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._pending_error = OSError(code, os.strerror(code))
+            self._loop.call_soon(self._watch_again)
+
+    def _watch_again(self) -> None:
+        """Read what is left in front of an error."""
+        if self._is_reading:
+            self._loop.remove_reader(self._descriptor)
+            self._loop.add_reader(self._descriptor, self._on_readable)
 
     def _on_read_error(self, error: OSError) -> None:
         if error.errno not in SHORTAGES:
@@ -141,6 +163,9 @@
         self._loop.add_reader(self._descriptor, self._on_readable)
 
     def _on_eof(self) -> None:
+        if self._pending_error is not None:
+            self._fail(self._pending_error)
+            return
         if cast(asyncio.Protocol, self._protocol).eof_received():
             self._stop_reading()
         else:
--- /dev/null
+++ b/tests/proxy/test_tcp_transport.py
@@ -0,0 +1,107 @@
+"""The transport of plain connections on real sockets: resets, pauses, and what is unsent at the end."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from badgergap.proxy import tcp_transport
+from badgergap.proxy.tcp_transport import TcpTransport
+from tests.sockets import run
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Recorder(asyncio.Protocol):
+    """Keeps what came and how the connection ended."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.end: asyncio.Future[Exception | None] = asyncio.get_running_loop().create_future()
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.end.set_result(exc)
+
+
+@asynccontextmanager
+async def connected() -> AsyncIterator[tuple[TcpTransport, Recorder, socket.socket]]:
+    """A transport, its protocol and the other side's socket."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        socket.create_connection(listener.getsockname()) as peer,
+    ):
+        ours, _ = listener.accept()
+        ours.setblocking(False)
+        recorder = Recorder()
+        transport = TcpTransport(asyncio.get_running_loop(), ours, recorder)
+        transport.start()
+        yield transport, recorder, peer
+        transport.abort()
+        await recorder.end
+
+
+def reset(peer: socket.socket) -> None:
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    peer.close()
+
+
+# Guards against a reset that nobody notices: uvloop calls the reader of a broken socket once, and no more.
+@pytest.mark.parametrize("size", [0, 1, 60_000])  # the last in sixty reads
+@pytest.mark.parametrize("paused", [False, True])
+def test_a_reset_is_noticed_behind_all_that_came_before_it(
+    size: int, paused: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(tcp_transport, "READ_SIZE", 1000)
+
+    async def test() -> None:
+        async with connected() as (transport, recorder, peer):
+            if paused:
+                transport.pause_reading()
+            peer.sendall(bytes(size))
+            reset(peer)
+            if paused:
+                await asyncio.sleep(0.01)
+                transport.resume_reading()
+            error = await asyncio.wait_for(asyncio.shield(recorder.end), 2.0)
+            assert isinstance(error, ConnectionResetError) and len(recorder.data) == size
+
+    run(test())
+
+
+def test_a_reset_is_noticed_while_the_other_side_takes_nothing() -> None:
+    async def test() -> None:
+        async with connected() as (transport, recorder, peer):
+            transport.pause_reading()
+            transport.write(bytes(20_000_000))
+            assert transport.get_write_buffer_size()
+            reset(peer)
+            assert isinstance(await asyncio.wait_for(asyncio.shield(recorder.end), 2.0), OSError)
+
+    run(test())
+
+
+def test_a_close_sends_the_rest_first_and_an_end_of_the_other_side_is_no_error() -> None:
+    async def test() -> None:
+        async with connected() as (transport, recorder, peer):
+            loop = asyncio.get_running_loop()
+            peer.setblocking(False)
+            transport.write(bytes(3_000_000))
+            transport.close()
+            received = 0
+            while data := await loop.sock_recv(peer, 1_000_000):
+                received += len(data)
+            assert received == 3_000_000 and await recorder.end is None
+        async with connected() as (transport, recorder, peer):
+            peer.sendall(b"last")
+            peer.close()
+            assert await recorder.end is None and recorder.data == b"last"
+
+    run(test())
