Complete handshakes that are under way at a planned end, and answer their first request

Callers saw: over TLS a connection that was closed with no byte of an answer as a process ended, at a planned end or after a hand-over. Cause: Door.drain waited for connections, not for handshakes; close() aborted them. A TLS 1.3 client counts as connected, and has sent its request, before the server has read its last flight. The queue of the TLS listener was dropped too, and a connection that had just shaken hands could be closed before its first request was read.

Measured: the new test fails both ways before (closed without an answer) and passes; test_tls, test_endings, test_clients of web pass.

--- a/badgergap/web/door.py
+++ b/badgergap/web/door.py
@@ -33,6 +33,7 @@
 ACCEPT_AGAIN_S = 0.1
 SHUTDOWN_S = 5.0  # for the client's part in the end of TLS
 LAST_ACCEPT_S = 0.5  # new connections go on coming for a moment after an end has begun
+LAST_HANDSHAKE_S = 2.0  # for handshakes that are under way then
 
 
 class Door:
@@ -225,27 +226,39 @@
         self.draining = True
         if self.migrate is None:
             await asyncio.sleep(LAST_ACCEPT_S)
+            # What stands in the queues would be reset.
             if self.acceptor is not None:
-                self.acceptor.accept()  # what stands in the queue would be reset
+                self.acceptor.accept()
+            if self.tls_socket is not None:
+                self.accept(self.tls_socket)
         self.stop_listening()
-        until = self.loop.time() + self.plan.limits.end_s
-        while self.connections:
-            late = self.loop.time() > until
+        began_at = self.loop.time()
+        while self.connections or self.handshakes:
+            waited_s = self.loop.time() - began_at
+            if waited_s > LAST_HANDSHAKE_S:
+                self.abort_handshakes()
             for connection in list(self.connections):
-                # After a hand-over nobody waits for this process: idle clients over TLS may ask once more.
-                rests = connection.may_close and self.migrate is None
-                if connection.is_idle and (rests or late):
-                    connection.close()
-                elif late:
-                    connection.reset()
+                self.end_connection(connection, waited_s > self.plan.limits.end_s)
             await asyncio.sleep(DRAIN_POLL_S)
 
+    def end_connection(self, connection: Front, is_late: bool) -> None:
+        """Close a connection at a planned end, if it rests; `is_late`: whatever it does."""
+        # After a hand-over nobody waits for this process: idle clients over TLS may ask once more.
+        rests = self.migrate is None and connection.may_close and not connection.awaits_first_request
+        if connection.is_idle and (rests or is_late):
+            connection.close()
+        elif is_late:
+            connection.reset()
+
+    def abort_handshakes(self) -> None:
+        for handshake in list(self.handshakes):
+            handshake.abort()
+
     def close(self) -> None:
         if self.cleanup_timer is not None:
             self.cleanup_timer.cancel()
         self.stop_listening()
-        for handshake in list(self.handshakes):
-            handshake.abort()
+        self.abort_handshakes()
         for connection in list(self.connections):
             connection.abort()
 
--- a/badgergap/web/front.py
+++ b/badgergap/web/front.py
@@ -41,6 +41,7 @@
 
 TARGET_LIMIT = 8 * 1024
 PIPELINE_LIMIT = 64  # requests of one read that are answered in turn
+FIRST_REQUEST_S = 0.5  # for the first request of a connection, at a planned end
 UNSENT_LIMIT = 64 * 1024  # bytes written to a client and not taken, beyond which the endpoint is not read
 
 
@@ -85,6 +86,7 @@
         self.door = door
         self.peer = Peer("")
         self.has_requested = False
+        self.made_at = 0.0  # loop time; over TLS once the handshake was done
         self.unparsed = b""  # input behind a request that may switch to a tunnel
         self.body_left = 0  # bytes of a body of known length, which is read without the parser
         self.in_tunnel = False
@@ -94,6 +96,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's are none by inheritance
         self.transport.set_write_buffer_limits(high=UNSENT_LIMIT)
+        self.made_at = self.loop.time()
         self.peer = self.door.peer_of(self.transport)
         self.door.add(self)
 
@@ -387,6 +390,11 @@
         here = self.is_closing or self.over_limit or self.in_tunnel or self.body_left or self.unparsed
         return self.is_idle and not here and not transport.get_write_buffer_size()
 
+    @property
+    def awaits_first_request(self) -> bool:
+        """Whether the connection is so new that its first request may well be on its way."""
+        return not self.has_requested and self.loop.time() - self.made_at < FIRST_REQUEST_S
+
     @property
     def may_evict(self) -> bool:
         """Whether an idle connection can be closed without loss of a request or a response."""
--- a/tests/web/test_tls.py
+++ b/tests/web/test_tls.py
@@ -191,3 +191,56 @@
     assert store.problems() == []
     assert "ends in 9." in store.problems(now + 20.5 * 86_400)[0]
     assert "has ended" in store.problems(now + 31 * 86_400)[0]
+
+
+async def half_shaken(it: Site, authority: Authority, name: str) -> tuple[ssl.SSLObject, ssl.MemoryBIO, Raw]:
+    """A client whose last flight of the handshake is not sent yet, what it holds to send, its connection."""
+    assert it.web.listens_tls is not None
+    client = Raw(*await asyncio.open_connection("127.0.0.1", it.web.listens_tls[1]))
+    context = ssl.create_default_context(cafile=str(authority.path))
+    incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+    tls = context.wrap_bio(incoming, outgoing, server_hostname=name)
+    while True:
+        try:
+            tls.do_handshake()
+        except ssl.SSLWantReadError:
+            client.send(outgoing.read())
+            incoming.write(await client.reader.read(16_384))
+        else:
+            return tls, outgoing, client
+
+
+# Guards against a process that ends while a client's handshake is under way: its request had no answer.
+@pytest.mark.parametrize("handed_over", [False, True])
+def test_a_handshake_under_way_at_a_planned_end_is_completed_and_its_request_answered(
+    handed_over: bool, tmp_path: Path
+) -> None:
+    authority = Authority(tmp_path)
+    authority.pair("one", hosts=["one.example"])
+
+    async def test() -> None:
+        async with site(tmp_path, routes=https(tmp_path, ("one",)) + ROUTE) as it:
+            door = it.web.door
+            assert door is not None
+            tls, outgoing, client = await half_shaken(it, authority, "one.example")
+
+            async def end() -> None:
+                await door.drain()
+                door.close()
+
+            if handed_over:
+                door.hand_over(lambda _: False)
+            ending = asyncio.create_task(end())
+            await asyncio.sleep(0.8)
+            client.send(outgoing.read())
+            await asyncio.sleep(0.1)  # a request may come a little after the handshake
+            tls.write(request("GET", "/"))
+            client.send(outgoing.read())
+            received = b""
+            while len(received) < 100:
+                received += (data := await client.reader.read(16_384))
+                assert data, "closed without an answer"
+            await ending
+            assert it.runs() == 1
+
+    run(test())
