Hold answers until all have asked, in the test of an answer that varies

Cause, from a trace of a failing run (14 at once, one in some 170 and one in 420): the loop of the test, with its clients, gateway and boxes in one process, was held up for 152 ms between two clients. The answer, due after 0.1 s, had begun when the third of "a" asked. A read is joined to one in flight whose answer has not begun, so it led a request of its own: 4 runs and not 3. With 24 ms between two clients the old test fails 3 of 4 times, with 50 ms always. Change: answers wait for a gate of the boxes, opened once all five have asked. The requests, counts and assertions are as they were.

--- a/badgergap/standins/app.py
+++ b/badgergap/standins/app.py
@@ -74,6 +74,7 @@
     fault: str = ""
     silent: bool = False
     delay_s: float = 0.0  # before every answer
+    gate: asyncio.Event | None = None  # every answer waits for it
     further: Fields = field(default_factory=list)  # header fields of every answer
     tls: ssl.SSLContext | None = None
     port: int = 0
@@ -185,6 +186,8 @@
         trailers: Fields | None = None,
     ) -> None:
         await asyncio.sleep(self.app.delay_s)
+        if self.app.gate is not None:
+            await self.app.gate.wait()
         await self._send(h11.Response(status_code=status, headers=[*headers, *self.app.further]))
         sent = 0
         async for piece in pieces:
--- a/tests/joining/test_joins.py
+++ b/tests/joining/test_joins.py
@@ -259,13 +259,18 @@
     """And from then on it is compared."""
 
     async def test() -> None:
-        async with joined(tmp_path) as it:
+        async with joined(tmp_path, delay_s=0.0) as it:
             for app in it.apps:
                 app.further = [("vary", "User-Agent")]
             agents = ["a", "a", "b", "a", "c"]
             for count in (3, 3):  # the first of "a", and each other one; then one of each
+                # No answer begins before all have asked: one that begins is joined no more.
+                gate = asyncio.Event()
+                for app in it.apps:
+                    app.gate = gate
                 before = it.runs()
                 clients = [await asked(it, User_Agent=agent) for agent in agents]
+                gate.set()
                 for client in clients:
                     assert (await client.answer())[2] == content(SIZE)
                 assert it.runs() - before == count
