Close no connection behind an answer that did not say so

Callers saw: at a hand-over over TLS, and at a planned end of ordinary HTTP, the request behind an answer that was on its way then was lost. Cause: Front.response_finished asked is_last anew; migrate or draining may be set since the head was written. Traced: 59 answers on the connection, the 60th request lost 14 ms after "takes its clients", the moment it was sent. Change: what the head said holds (ends_with). Evidence: test_an_answer_begun_before_a_hand_over... fails before with the entry's own error (0 bytes read), passes now.

--- a/badgergap/web/front.py
+++ b/badgergap/web/front.py
@@ -328,6 +328,15 @@
         leaves = self.door.draining or (self.door.migrate is not None and self.peer.scheme == b"https")
         return (self.is_closing or self.over_limit or leaves) and not self.pipeline
 
+    def ends_with(self, incoming: Incoming) -> bool:
+        """Whether the connection ends now that this response is complete.
+
+        A planned end or a hand-over that began after its head does not count: the client was not told.
+        """
+        if incoming.is_last or not incoming.upload.complete:
+            return True
+        return self.is_closing and not self.pipeline
+
     def head_lines(self, incoming: RespondedRequest, head: AnswerHead) -> bytes:
         assert isinstance(incoming, Incoming)
         incoming.is_last = self.is_last(incoming)
@@ -346,7 +355,7 @@
     def response_finished(self, incoming: RespondedRequest) -> None:
         """Go on once the response is written: close, start the next request, or become idle."""
         assert isinstance(incoming, Incoming)
-        last = self.in_tunnel or self.is_last(incoming)
+        last = self.in_tunnel or self.ends_with(incoming)
         self.current = None
         incoming.source = None
         self.phase_began_at = self.progress_at = self.loop.time()
--- a/tests/web/test_tls.py
+++ b/tests/web/test_tls.py
@@ -244,3 +244,25 @@
             assert it.runs() == 1
 
     run(test())
+
+
+# Guards against a connection that is closed behind an answer that did not say so: the next request was lost.
+def test_an_answer_begun_before_a_hand_over_does_not_end_its_connection(tmp_path: Path) -> None:
+    authority = Authority(tmp_path)
+    authority.pair("one", hosts=["one.example"])
+
+    async def test() -> None:
+        async with site(tmp_path, routes=https(tmp_path, ("one",)) + ROUTE) as it:
+            door = it.web.door
+            assert door is not None
+            client = await secure(it, authority, "one.example")
+            client.send(request("GET", "/file?n=3000000"))
+            status, head = await client.head()
+            assert status == 200 and "connection" not in head
+            door.hand_over(lambda _: False)
+            assert len(await client.body(status, head)) == 3_000_000
+            await asyncio.sleep(0.1)
+            status, head, _ = await client.ask(request("GET", "/"))
+            assert status == 200 and head["connection"] == "close"
+
+    run(test())
