Repeat a bound keyed request only within its deduplication scope and window

Callers could see: an effect twice. A request whose record is in doubt is bound to the endpoints that an attempt was launched for; one of them may never have got it (its connection failed), and may belong to another zone or group, which does not drop the other's repeats. Cause: _candidates returned any bound endpoint; scope and window were asked only for requests that are not bound. Change: nothing is sent where bound endpoints do not all drop each other's repeats, or one of them is not listed (its zone and group are not known then). Repeats keep to the window. What becomes of the key stays in doubt, as its client is told.

--- a/badgergap/balancing/endpoint_selection.py
+++ b/badgergap/balancing/endpoint_selection.py
@@ -16,7 +16,7 @@
 from badgergap.balancing.ranking import locality_factor, rendezvous_rank
 from badgergap.balancing.records import Endpoint, Request
 from badgergap.balancing.retry_policy import deduplicates, is_repeatable
-from badgergap.balancing.settings import Idempotency, RequestClass, Settings
+from badgergap.balancing.settings import DeduplicationScope, Idempotency, RequestClass, Settings
 from badgergap.balancing.slow_start import SlowStart
 
 MIN_SUBSET_SIZE = 3  # few endpoints fill their breakers' rings, and enough outlive a third that fails
@@ -113,25 +113,49 @@
         # The subset is visited for named endpoints too: breakers become half-open when they are visited.
         request_class = request.request_class
         candidates = self.subset(request_class, now_us)
+        if request.allowed_endpoints:
+            return self._bound_candidates(request, now_us)
         if request.attempts:
-            candidates = self._retry_candidates(request, candidates, now_us)
-        if not request.allowed_endpoints:
-            return candidates
+            return self._retry_candidates(request, candidates, now_us)
+        return candidates
+
+    def _bound_candidates(self, request: Request, now_us: int) -> list[Endpoint]:
+        """Return the endpoints that a request may go to which is bound to some: it may have run at each.
+
+        None where they do not all drop each other's repeats, or it is not known whether they do: it would be
+        run anew at one that has not seen it.
+        """
+        rules, allowed = request.rules, request.allowed_endpoints
+        bound = [e for e in self._table.ranked if e.entry.endpoint_id in allowed]
+        is_keyed = rules.idempotency is Idempotency.KEYED
+        if is_keyed and rules.deduplication_scope is not DeduplicationScope.ALL and len(bound) < len(allowed):
+            return []
+        if is_keyed and not all(deduplicates(rules, bound, endpoint) for endpoint in bound):
+            return []
+        if not self._may_repeat(request, now_us):
+            return []
         attempted = [attempt.endpoint for attempt in request.attempts]
-        allowed = request.allowed_endpoints
-        named = [e for e in self._table.ranked if e.entry.endpoint_id in allowed and e not in attempted]
-        return [e for e in named if self._eligibility.is_eligible(e, request_class, now_us)]
+        is_eligible, request_class = self._eligibility.is_eligible, request.request_class
+        return [e for e in bound if e not in attempted and is_eligible(e, request_class, now_us)]
+
+    def _may_repeat(self, request: Request, now_us: int) -> bool:
+        """Whether the request may be sent again now, somewhere, after its attempts so far."""
+        may_have_run = [attempt for attempt in request.attempts if attempt.may_have_run]
+        rules = request.rules
+        if not may_have_run or rules.idempotency is Idempotency.SAFE:
+            return True
+        if rules.idempotency is Idempotency.UNSAFE:
+            return False
+        return now_us - may_have_run[0].sent_us < rules.deduplication_window_us
 
     def _retry_candidates(self, request: Request, subset: list[Endpoint], now_us: int) -> list[Endpoint]:
         """Return the endpoints that a further attempt may go to."""
         attempted = [attempt.endpoint for attempt in request.attempts]
-        may_have_run = [attempt for attempt in request.attempts if attempt.may_have_run]
+        may_have_run = [attempt.endpoint for attempt in request.attempts if attempt.may_have_run]
         rules = request.rules
         if not may_have_run or rules.idempotency is Idempotency.SAFE:
             return [endpoint for endpoint in subset if endpoint not in attempted]
-        if rules.idempotency is Idempotency.UNSAFE:
-            return []
-        if now_us - may_have_run[0].sent_us >= rules.deduplication_window_us:
+        if not self._may_repeat(request, now_us):
             return []
         is_eligible, request_class = self._eligibility.is_eligible, request.request_class
         remaining = (e for e in self._table.ranked if e not in attempted)
--- a/badgergap/balancing/retry_policy.py
+++ b/badgergap/balancing/retry_policy.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from badgergap.balancing.events import NEVER_RAN, Outcome
-from badgergap.balancing.records import Attempt, Endpoint, Request
+from badgergap.balancing.records import Endpoint, Request
 from badgergap.balancing.settings import DeduplicationScope, Idempotency, RequestClass, Settings
 
 RETRIES_PER_FIRST_TRY = 0.2  # tokens that a first try earns
@@ -83,13 +83,13 @@
     return outcome in (Outcome.ERROR, Outcome.RESET)
 
 
-def deduplicates(rules: RequestClass, earlier: Sequence[Attempt], endpoint: Endpoint) -> bool:
-    """Whether an endpoint drops a repeat of these earlier attempts of a keyed request."""
+def deduplicates(rules: RequestClass, earlier: Iterable[Endpoint], endpoint: Endpoint) -> bool:
+    """Whether an endpoint drops a repeat of a keyed request that may have run at these."""
     entry = endpoint.entry
     if rules.deduplication_scope is DeduplicationScope.ZONE:
-        return all(entry.zone == attempt.endpoint.entry.zone for attempt in earlier)
+        return all(entry.zone == other.entry.zone for other in earlier)
     if rules.deduplication_scope is DeduplicationScope.GROUP:
-        return all(entry.group == attempt.endpoint.entry.group for attempt in earlier)
+        return all(entry.group == other.entry.group for other in earlier)
     return True
 
 
--- a/tests/balancing/test_pure_rules.py
+++ b/tests/balancing/test_pure_rules.py
@@ -20,7 +20,7 @@
 from badgergap.balancing.latency_model import BASELINE_FALL, BASELINE_RISE, baseline_change_us
 from badgergap.balancing.list_polling import backoff_us
 from badgergap.balancing.ranking import CROSS_ZONE_AVERSION, locality_factor, rendezvous_rank
-from badgergap.balancing.records import Attempt, Endpoint, KeyQueue, Request
+from badgergap.balancing.records import Endpoint, KeyQueue, Request
 from badgergap.balancing.request_ordering import earliest_start_us, may_start
 from badgergap.balancing.retry_policy import (
     MAX_RETRY_TOKENS,
@@ -134,7 +134,7 @@
 )
 def test_repeats_are_dropped_within_their_scope(scope: DeduplicationScope, dropped: bool) -> None:
     rules = replace(KEYED, deduplication_scope=scope)
-    earlier = [Attempt(endpoint(1, zone=1, group=4), 0, (0, 0))]
+    earlier = [endpoint(1, zone=1, group=4)]
     assert deduplicates(rules, earlier, endpoint(2, zone=2, group=4)) is dropped
 
 
--- a/tests/balancing/test_requests.py
+++ b/tests/balancing/test_requests.py
@@ -62,6 +62,33 @@
     assert finals(driver.end(name, sends(actions)[0].endpoint_id, Outcome.RESET)) == [Fail(name)]
 
 
+# Guards against an effect twice: a request bound to where it may have run was sent to any of these, whatever
+# its scope and window.
+@pytest.mark.parametrize(
+    ("bound", "waited_us", "attempts"),
+    [
+        ((2, 4), 0, [{2, 4}, {2, 4}]),
+        ((2, 4), KEYED.deduplication_window_us, [{2, 4}]),
+        ((2, 3), 0, []),  # of two groups: one of them has not seen it
+        ((2, 99), 0, []),  # 99 is not listed: its group is not known
+        ((3,), 0, [{3}]),
+    ],
+)
+def test_a_bound_keyed_request_stays_in_its_group_and_window(
+    bound: tuple[int, ...], waited_us: int, attempts: list[set[int]]
+) -> None:
+    driver = Driver(servers=6)
+    name, actions = driver.arrive(klass=1, allowed_endpoints=bound)  # type: ignore[arg-type]
+    sent: list[int] = []
+    while sends(actions):
+        (send,) = sends(actions)
+        assert send.endpoint_id in attempts[len(sent)] - set(sent)
+        sent.append(send.endpoint_id)
+        driver.now_us += waited_us
+        actions = driver.end(name, send.endpoint_id, Outcome.RESET, attempt=len(sent) - 1)
+    assert len(sent) == len(attempts) and len(finals(actions)) == 1
+
+
 def test_a_keyed_request_dropped_everywhere_may_be_refused() -> None:
     anywhere = replace(KEYED, deduplication_scope=DeduplicationScope.ALL)
     driver = Driver(replace(SETTINGS, classes=(anywhere,), max_attempts=1))
