Try again to set a damaged log aside where the disk fails for a moment

An operator could see: a member of a group that is out until its process is started again. Cause: LogSession.reopen raised the OSError of set_aside; the task that begins the member anew ended with it. Change: it is told and tried again, as the opening is.

Measured: the new test (EIO twice) fails before and passes; tests of storage pass.

--- a/badgergap/storage/log_session.py
+++ b/badgergap/storage/log_session.py
@@ -93,8 +93,9 @@
         self._on_durable(token)
 
     def _write_failed(self, generation: int, reason: str) -> None:
-        if generation == self._generation:
-            self._on_failed(reason)
+        if generation != self._generation:
+            return
+        self._on_failed(reason)
 
     async def reopen(
         self,
@@ -107,13 +108,18 @@
     ) -> Opened:
         """Close the log and open it again with `open_again`, which calls `open`, until that succeeds.
 
-        `set_aside`: begin with an empty log of another identity. Raises OSError if that cannot be done.
+        `set_aside`: begin with an empty log of another identity. Errors go to `on_error`.
         """
         assert self.log is not None
         self._generation += 1
         await self._close_writer()
-        if set_aside:
-            self.log.set_aside()
+        while set_aside:
+            try:
+                self.log.set_aside()
+                break
+            except OSError as error:
+                on_error(error)
+                await asyncio.sleep(retry_s)
         self.log.close()
         while True:
             await asyncio.sleep(delay_s)
--- a/tests/storage/test_log_session.py
+++ b/tests/storage/test_log_session.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from pathlib import Path
 
+import pytest
+
 from badgergap.storage.log_session import LogSession
 from badgergap.storage.record_log import RecordLog
 
@@ -139,3 +142,32 @@
         await driver.session.close()
 
     asyncio.run(play())
+
+
+# Guards against a member that never comes back: its folder could not be set aside for a moment.
+def test_a_log_that_cannot_be_set_aside_for_a_moment_is_set_aside_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    set_aside, failures = RecordLog.set_aside, iter([True, True, False])
+
+    def failing(log: RecordLog) -> None:
+        if next(failures):
+            raise OSError(errno.EIO, "input/output error")
+        set_aside(log)
+
+    monkeypatch.setattr(RecordLog, "set_aside", failing)
+
+    async def play() -> None:
+        driver = Driver(tmp_path)
+        driver.open()
+        identity = driver.session.identity
+        driver.begin()
+        retries: list[OSError] = []
+        records = await driver.session.reopen(
+            driver.open, delay_s=0.0, retry_s=0.0, set_aside=True, on_error=retries.append
+        )
+        assert records == [] and driver.session.identity not in ("", identity)
+        assert [error.errno for error in retries] == [errno.EIO] * 2
+        await driver.session.close()
+
+    asyncio.run(play())
