Report one failure of a log's writer, and not a second of the disk behind it

What could happen: two tasks reopened one folder, and two writers wrote one log. Cause: a writer that is too far behind reports a failure and goes on with what is queued; a failing disk was then reported again, and each report began a reopening. Change: the first failure ends the generation of the session; nothing that its writer reports counts any more.

Measured: the new test fails before (2 reports) and passes; tests of storage pass.

--- a/badgergap/storage/log_session.py
+++ b/badgergap/storage/log_session.py
@@ -95,6 +95,7 @@
     def _write_failed(self, generation: int, reason: str) -> None:
         if generation != self._generation:
             return
+        self._generation += 1  # a writer that is too far behind goes on, and may fail once more
         self._on_failed(reason)
 
     async def reopen(
--- a/tests/storage/test_log_session.py
+++ b/tests/storage/test_log_session.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import errno
+import threading
+from collections.abc import Sequence
 from pathlib import Path
 
 import pytest
 
+from badgergap.storage import background_writer
 from badgergap.storage.log_session import LogSession
 from badgergap.storage.record_log import RecordLog
 
@@ -171,3 +174,31 @@
         await driver.session.close()
 
     asyncio.run(play())
+
+
+# Guards against two reopenings of one log: its writer is too far behind, and then its disk fails.
+def test_a_log_that_fails_twice_is_reported_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(background_writer, "PENDING_LIMIT_BYTES", 10)
+    begun, go_on = threading.Event(), threading.Event()
+
+    def failing(log: RecordLog, records: Sequence[bytes]) -> None:
+        begun.set()
+        go_on.wait(TIMEOUT_S)
+        raise OSError(errno.EIO, "input/output error")
+
+    monkeypatch.setattr(RecordLog, "append", failing)
+
+    async def play() -> None:
+        driver = Driver(tmp_path)
+        driver.open()
+        driver.begin()
+        driver.write(1, b"small")
+        await asyncio.to_thread(begun.wait, TIMEOUT_S)
+        driver.write(2, b"too large to be queued")
+        await driver.wait()
+        go_on.set()
+        await driver.session.close()
+        await asyncio.sleep(0.05)
+        assert len(driver.failures) == 1 and driver.durable == []
+
+    asyncio.run(play())
