Count only endpoints that take requests for Retry-After

Callers saw: Retry-After 0 while the breakers of all endpoints that could serve them were open, since one that drains was healthy. Cause: _retry_after_us went through all endpoints of the table. Change: through those that are ready.

Measured: two of three cases of the new test fail before, all pass; tests of balancing and simulator pass.

--- a/badgergap/balancing/request_lifecycle.py
+++ b/badgergap/balancing/request_lifecycle.py
@@ -15,6 +15,7 @@
     MAY_STILL_RUN,
     AttemptEnded,
     ClientDisconnected,
+    EndpointStatus,
     Outcome,
     RequestArrived,
     RequestCoalesced,
@@ -330,8 +331,9 @@
         self._finish(request)
 
     def _retry_after_us(self) -> int:
-        """The shortest cooldown left where the breakers of all endpoints are open, else 0."""
-        breakers = [endpoint.breakers[0] for endpoint in self._table.by_id.values()]
+        """The shortest cooldown left where the breakers of all ready endpoints are open, else 0."""
+        ready = (e for e in self._table.by_id.values() if e.entry.status is EndpointStatus.READY)
+        breakers = [endpoint.breakers[0] for endpoint in ready]
         if not breakers or any(breaker.state is not BreakerState.OPEN for breaker in breakers):
             return 0
         wait_us = min(breaker.open_until_us for breaker in breakers) - self._context.now_us
--- a/tests/balancing/test_requests.py
+++ b/tests/balancing/test_requests.py
@@ -765,3 +765,17 @@
     assert finals(answer) == [Reject(second)]
     assert finals(driver.end(first, sends(actions)[0].endpoint_id, Outcome.RESET)) == [Fail(first)]
     assert not driver.balancer.requests and driver.balancer.in_flight == 0
+
+
+# Guards against clients that are told to come back at once while every endpoint that could serve them is open.
+@pytest.mark.parametrize("status", [EndpointStatus.READY, EndpointStatus.DRAINING, EndpointStatus.OUT])
+def test_retry_after_counts_only_endpoints_that_take_requests(status: EndpointStatus) -> None:
+    driver = Driver(replace(SETTINGS, max_retry_after_us=30_000_000))
+    driver.list_servers(ListedEndpoint(0, status=status), kind=EndpointListKind.DELTA)
+    for number in (1, 2):
+        trip(driver.balancer.endpoints[number].breakers[0], driver.now_us)
+    if status is EndpointStatus.READY:
+        trip(driver.balancer.endpoints[0].breakers[0], driver.now_us)
+    _, actions = driver.arrive()
+    (answer,) = finals(actions)
+    assert isinstance(answer, Reject) and answer.retry_after_us > 0
