--- a/tests/balancing/test_requests.py
+++ b/tests/balancing/test_requests.py
@@ -767,7 +767,7 @@
     assert not driver.balancer.requests and driver.balancer.in_flight == 0
 
 
-# Guards against clients that are told to come back at once while every endpoint that could serve them is open.
+# Guards against clients that are told to come back at once while nothing that could serve them is up.
 @pytest.mark.parametrize("status", [EndpointStatus.READY, EndpointStatus.DRAINING, EndpointStatus.OUT])
 def test_retry_after_counts_only_endpoints_that_take_requests(status: EndpointStatus) -> None:
     driver = Driver(replace(SETTINGS, max_retry_after_us=30_000_000))
