Ask fewer system calls of the transport: one look a read, and none at rest

Cause: the transport asked for a socket's error after each read, besides the look at how old what was read is; TCP_NODELAY was set on each connection. Change: the look at the age (TCP_INFO) also tells whether the connection is over, so the error is asked for only where nobody looked; not for an endpoint's connection at rest, which is looked at before its next use. Listening sockets hand TCP_NODELAY down. No look is taken away.

Tests of proxy, web, hot_restart, joining, faults pass.

--- a/badgergap/proxy/tcp_transport.py
+++ b/badgergap/proxy/tcp_transport.py
@@ -12,6 +12,7 @@
 import logging
 import os
 import socket
+import struct
 from typing import Any, cast
 
 log = logging.getLogger(__name__)
@@ -19,6 +20,9 @@
 # What a read or write fails with for want of something on this machine, while its connection is whole.
 SHORTAGES = frozenset((errno.ENOBUFS, errno.ENOMEM))
 SHORTAGE_RETRY_S = 0.005
+# `struct tcp_info` of Linux: the state first, and milliseconds since the last data came.
+TCP_INFO = struct.Struct("=B51xI")
+TCP_CLOSE = 7  # a state: the connection is over
 READ_SIZE = 64 * 1024  # of one read, where the protocol's own buffer is not smaller
 DEFAULT_HIGH_WATER = 64 * 1024  # as asyncio's transports
 
@@ -34,14 +38,13 @@
         self._loop = loop
         self._socket = sock
         self._descriptor = sock.fileno()
-        with contextlib.suppress(OSError):  # the first read tells what is wrong with it
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._unsent = bytearray()
         self._high_water = DEFAULT_HIGH_WATER
         self._low_water = DEFAULT_HIGH_WATER // 4
         self._write_retry: asyncio.TimerHandle | None = None
         self._read_retry: asyncio.TimerHandle | None = None
         self._pending_error: OSError | None = None  # that has broken the connection behind what is unread
+        self._is_seen_open = False  # since the last read
         self._is_reading = False
         self._is_waiting_to_write = False
         self._is_protocol_paused = False
@@ -131,13 +134,27 @@
             cast(asyncio.Protocol, self._protocol).data_received(data)
         self._look_for_error()
 
+    def data_age_s(self) -> float:
+        """Seconds since the last data came to the socket, read or not; 0 where the system does not tell."""
+        try:
+            info = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
+            state, age_ms = TCP_INFO.unpack(info)
+        except (OSError, struct.error):
+            return 0.0
+        self._is_seen_open = state != TCP_CLOSE
+        return float(age_ms) / 1000.0
+
     def _look_for_error(self) -> None:
         """Look whether the connection was broken behind what was read.
 
         Guards against a reset that is never noticed: the loop calls a reader of a socket with an error once,
-        and watches it no more.
+        and watches it no more. Not looked for where `data_age_s` has just seen the connection open, nor for a
+        protocol that is at rest and looks itself before its next use.
         """
-        if not self._is_reading:
+        if self._is_seen_open:
+            self._is_seen_open = False
+            return
+        if not self._is_reading or getattr(self._protocol, "is_at_rest", False):
             return
         code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
@@ -323,6 +340,11 @@
             self._socket.close()
 
 
+def send_at_once(sock: socket.socket) -> None:
+    """Have small writes sent at once; connections that a listening socket accepts have that from it."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 async def connect_tcp(
     loop: asyncio.AbstractEventLoop, protocol: asyncio.BaseProtocol, host: str, port: int
 ) -> TcpTransport:
@@ -332,6 +354,7 @@
         sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
+            send_at_once(sock)
             await connect_socket(loop, sock, where)
         except OSError as error:
             sock.close()
--- a/badgergap/proxy/unread_input.py
+++ b/badgergap/proxy/unread_input.py
@@ -10,12 +10,11 @@
 import struct
 from collections.abc import Iterator
 
+from badgergap.proxy.tcp_transport import TCP_INFO, TcpTransport
+
 # Linux reports a peer's close apart from its data; elsewhere only a reset is seen.
 CLOSE_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
 READ_SIZE = 64 * 1024
-# `struct tcp_info` of Linux: milliseconds since the last data came.
-TCP_INFO_SIZE = 56
-LAST_DATA_RECEIVED = struct.Struct("=52xI")
 
 
 def is_quiet(transport: asyncio.BaseTransport | None) -> bool:
@@ -56,10 +55,12 @@
     """Seconds since the last data came to a TCP socket, read or not; 0 where the system does not tell."""
     if transport is None or transport.is_closing():
         return 0.0
+    if isinstance(transport, TcpTransport):
+        return transport.data_age_s()
     sock = transport.get_extra_info("socket")
     try:
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
-        (milliseconds,) = LAST_DATA_RECEIVED.unpack(info)
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
+        _, milliseconds = TCP_INFO.unpack(info)
     except (OSError, struct.error):
         return 0.0
     return float(milliseconds) / 1000.0
@@ -81,4 +82,5 @@
         return events
     poll = select.poll()
     poll.register(transport.get_extra_info("socket").fileno(), events)
-    return sum(found for _, found in poll.poll(0))
+    found = poll.poll(0)
+    return found[0][1] if found else 0
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -115,6 +115,11 @@
         if exchange is not None:
             exchange.lost()
 
+    @property
+    def is_at_rest(self) -> bool:
+        """Whether no exchange is on it: it is looked at before its next one (`is_quiet`)."""
+        return self.exchange is None
+
     def is_quiet(self) -> bool:
         """Whether nothing waits to be read, neither data nor an end.
 
