Answer operators' calls while accept, reads or writes fail for a moment

Operators saw: a call closed without an answer. Cause: the second address still had the loop's listener, which closes what it cannot accept, and the loop's transport. Change: it is served by Acceptor and TcpTransport, as clients are; at a shortage its oldest connection gives way.

--- a/badgergap/proxy/commands/listener.py
+++ b/badgergap/proxy/commands/listener.py
@@ -10,11 +10,14 @@
 import asyncio
 import logging
 import os
+import socket
 from collections.abc import Callable, Sequence
 from typing import cast
 
 from badgergap.proxy.commands.parsing import LINE_LIMIT, Command, CommandError, respond
-from badgergap.proxy.downstream.listener import Downstream
+from badgergap.proxy.diagnostics import EventLog
+from badgergap.proxy.downstream.acceptor import Acceptor
+from badgergap.proxy.downstream.listener import Downstream, bind_socket
 from badgergap.proxy.endpoints.registry import EndpointRegistryError
 from badgergap.proxy.lifecycle.config import Address
 from badgergap.proxy.pools import proxy_of
@@ -96,27 +99,42 @@
         loop: asyncio.AbstractEventLoop,
         execute: Callable[[Command], str],
         max_connections: int = MAX_CONNECTIONS,
+        events: EventLog | None = None,
     ) -> None:
-        """`execute` returns what was done, or raises CommandError. `max_connections`: at a time."""
+        """`execute` returns what was done, or raises CommandError. `max_connections`: at a time.
+
+        `events`: where calls of the system that fail are counted.
+        """
         self.address, self.loop, self.execute = address, loop, execute
         self.connections: dict[CommandConnection, None] = {}  # oldest first
         self.max_connections = max_connections
-        self.server: asyncio.Server | None = None
+        self.events = events if events is not None else EventLog()
+        self.socket: socket.socket | None = None
+        self.acceptor: Acceptor | None = None
 
     async def start(self) -> Address:
         """Listen; returns where. Raises OSError."""
-        self.server = await self.loop.create_server(
-            lambda: CommandConnection(self), *self.address, backlog=BACKLOG, reuse_address=True
+        self.socket = bind_socket(self.address, shared=False)
+        self.socket.listen(BACKLOG)
+        self.acceptor = Acceptor(
+            self.loop, self.socket, lambda: CommandConnection(self), self.events, self.close_oldest
         )
-        bound: Address = self.server.sockets[0].getsockname()[:2]
+        self.acceptor.start()
+        bound: Address = self.socket.getsockname()[:2]
         return bound
 
     def add(self, connection: CommandConnection) -> None:
         """Take a new connection, and close the oldest if there are too many."""
         self.connections[connection] = None
         if len(self.connections) > self.max_connections:
-            # Those that have their response only wait to be read.
-            oldest = next((c for c in self.connections if c.is_answered), next(iter(self.connections)))
+            self.close_oldest()
+
+    def close_oldest(self) -> None:
+        """Close the oldest connection that has its response, or else the oldest; does nothing without any."""
+        # Those that have their response only wait to be read.
+        answered = next((each for each in self.connections if each.is_answered), None)
+        oldest = answered or next(iter(self.connections), None)
+        if oldest is not None:
             del self.connections[oldest]
             oldest.abort()
 
@@ -132,8 +150,10 @@
 
     def close(self) -> None:
         """Stop listening and end all connections."""
-        if self.server is not None:
-            self.server.close()
+        if self.acceptor is not None:
+            self.acceptor.stop()
+        if self.socket is not None:
+            self.socket.close()
         for connection in list(self.connections):
             connection.abort()
 
--- a/badgergap/proxy/lifecycle/process.py
+++ b/badgergap/proxy/lifecycle/process.py
@@ -159,7 +159,9 @@
 
     max_connections = min(MAX_CONNECTIONS, eviction.reserve(config.sockets) // 3)
     handler = CommandHandler(proxies, downstream)
-    listener = CommandListener(config.console, proxy.loop, handler.execute, max_connections)
+    listener = CommandListener(
+        config.console, proxy.loop, handler.execute, max_connections, proxy.diagnostics.events
+    )
     log.info("operators call at %s:%d", *await listener.start())
     return listener
 
--- a/tests/faults/test_calls.py
+++ b/tests/faults/test_calls.py
@@ -15,6 +15,7 @@
 from badgergap.standins.faults.injector import Call, Injector
 from badgergap.standins.load import Kind
 from badgergap.standins.platform import GatewayProcess, Platform, settings_of
+from badgergap.standins.rig import free_port
 from tests.sockets import Client, ask, run
 
 KINDS = (Kind("look", "safe", 20.0, 20.0),)
@@ -22,6 +23,7 @@
 REQUESTS = 60
 ARRIVAL_S = 0.002  # between two clients
 LOST = "no answer"
+CALL_S = 1.0  # for an operator's call
 WORK_S = 0.05  # so that requests at the same time need connections of their own
 # accept(2): what it may fail with for a moment, the new connection's own network errors among it.
 ACCEPT_ERRORS = [
@@ -168,3 +170,43 @@
             assert "breaker" not in gateway.log()
 
     run(test())
+
+
+async def called(port: int) -> str:
+    """One operator's call: the first word of its answer, or LOST."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"PING\n")
+        answer = await asyncio.wait_for(reader.read(), CALL_S)
+        writer.close()
+    except (OSError, TimeoutError):
+        return LOST
+    return answer.decode().partition(" ")[0] or LOST
+
+
+# Guards against an operator's call that is closed without an answer for a passing lack on this machine.
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        (Call.ACCEPT, errno.ENFILE),
+        (Call.ACCEPT, errno.ENOBUFS),
+        (Call.WRITE, errno.ENOBUFS),
+        (Call.READ, errno.ENOMEM),
+    ],
+    ids=["ACCEPT-ENFILE", "ACCEPT-ENOBUFS", "WRITE-ENOBUFS", "READ-ENOMEM"],
+)
+def test_every_operator_is_answered_while_calls_fail(call: Call, error: int, tmp_path: Path) -> None:
+    async def test() -> None:
+        port = free_port()
+        with Injector(tmp_path, SEED) as injector:
+            environ = {**injector.environ(), "ROUTER_CONSOLE": f"127.0.0.1:{port}"}
+            async with Platform(tmp_path, KINDS, settings=settings_of(KINDS), environ=environ):
+                assert await called(port) == "ok"
+                injector.set(call, error, probability=0.3)
+                heard = []
+                for _ in range(REQUESTS // 6):
+                    heard += await asyncio.gather(*(called(port) for _ in range(6)))
+                assert injector.injected()[call] > 0
+                assert Counter(heard) == {"ok": REQUESTS}
+
+    run(test())
