Known red: a drain told in a hold-up behind a watch that was reset

The schedule, cut down to three faults, is kept as a test. Cause, from log and schedule: the gateway is stopped for 0.78 s; 27 ms into that the watch is reset, 3 ms later the drain is told. When the gateway goes on it finds the reset and opens a new watch, but what stands in its clients' sockets is written before that tells the drain.

Not mended here.

--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -30,6 +30,15 @@
     assert report.violations == [], stories
 
 
+# Guards against requests to a drained endpoint where the watch is reset and the drain told in a hold-up.
+@pytest.mark.parametrize("seed", [522])
+def test_no_rule_is_broken_under_a_kept_schedule(seed: int, tmp_path: Path) -> None:
+    faults = schedule.read(Path(__file__).parent / "schedules" / f"{seed}.jsonl")
+    report, stories = play(tmp_path, seed, faults)
+    assert report.requests > 500 and report.statuses[200] > report.requests / 2
+    assert report.violations == [], stories
+
+
 def test_a_schedule_is_the_same_for_the_same_seed_and_survives_its_file(tmp_path: Path) -> None:
     drawn = [schedule.draw(seed, 20.0, ["n0", "n1"], ["b0", "b1"], 4.0) for seed in (5, 5, 6)]
     assert drawn[0] == drawn[1] != drawn[2]
