Close a connection only for a shortage of descriptors that lasts

Cause: eight failures in one turn had a connection closed, however many were accepted between them. Since what was accepted in that turn can be chosen too; its request is still on the way. Change: a connection is closed only where nothing was accepted since the pause before.

--- a/badgergap/proxy/downstream/acceptor.py
+++ b/badgergap/proxy/downstream/acceptor.py
@@ -40,6 +40,7 @@
         self._on_shortage = on_shortage
         self._retry: asyncio.TimerHandle | None = None
         self._is_listening = False
+        self._is_short = False  # a pause has come, and nothing was accepted since
 
     def start(self) -> None:
         """Accept from now on."""
@@ -71,6 +72,7 @@
                     self._pause()
                     break
             else:
+                self._is_short = False
                 self._open(sock)
         return True
 
@@ -79,8 +81,14 @@
         self._events.warn(EventKind.CALL_FAILED, f"accept_{name}", "accept failed: %s", error.strerror)
 
     def _pause(self) -> None:
-        """The shortage lasts: have a descriptor freed, and try again soon."""
-        self._on_shortage()
+        """Try again soon; have a descriptor freed if nothing was accepted since the pause before.
+
+        Guards against a passing shortage that costs a client its connection: of those that could be closed,
+        many were accepted just now, and their requests are on the way.
+        """
+        if self._is_short:
+            self._on_shortage()
+        self._is_short = True
         if self._is_listening and self._retry is None:
             self._loop.remove_reader(self._listener.fileno())
             self._retry = self._loop.call_later(ACCEPT_AGAIN_S, self._start_again)
--- /dev/null
+++ b/tests/proxy/downstream/test_acceptor.py
@@ -0,0 +1,60 @@
+"""When a shortage makes the acceptor have a connection closed for another."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from typing import cast
+
+import pytest
+
+from badgergap.proxy.diagnostics import EventLog
+from badgergap.proxy.downstream.acceptor import SHORTAGES_MOST, Acceptor
+
+
+class Listener:
+    """A listening socket whose calls of `accept` end as scripted: True is a connection."""
+
+    def __init__(self, outcomes: list[bool]) -> None:
+        self.outcomes = iter(outcomes)
+
+    def accept(self) -> tuple[None, None]:
+        accepted = next(self.outcomes, None)
+        if accepted is None:
+            raise BlockingIOError
+        if not accepted:
+            raise OSError(errno.EMFILE, "too many open files")
+        return None, None
+
+
+# Guards against a client that was accepted just now and is closed for a shortage that is over in a moment.
+@pytest.mark.parametrize(
+    ("turns", "closed"),
+    [
+        ([[False] * SHORTAGES_MOST], 0),
+        ([[True, *[False] * SHORTAGES_MOST]] * 2, 0),
+        ([[False] * SHORTAGES_MOST] * 2, 1),
+        ([[False] * SHORTAGES_MOST, [True], [False] * SHORTAGES_MOST], 0),
+        ([[False] * SHORTAGES_MOST] * 4, 3),
+    ],
+)
+def test_a_connection_is_closed_only_for_a_shortage_that_lasts(
+    turns: list[list[bool]], closed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Acceptor, "_open", lambda self, sock: None)
+    evictions: list[None] = []
+    loop = asyncio.new_event_loop()
+    listener = Listener([])
+    acceptor = Acceptor(
+        loop,
+        cast(socket.socket, listener),
+        asyncio.Protocol,
+        EventLog(),
+        lambda: evictions.append(None),
+    )
+    for outcomes in turns:
+        listener.outcomes = iter(outcomes)
+        acceptor.accept()
+    loop.close()
+    assert len(evictions) == closed
