--- a/badgergap/standins/net.py
+++ b/badgergap/standins/net.py
@@ -12,6 +12,7 @@
     """Takes in little unread, so that a test can make the other side's writes wait."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     return sock
 
 
--- a/badgergap/standins/platform.py
+++ b/badgergap/standins/platform.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 from badgergap.standins.box import Box
+from badgergap.standins.discovery import DiscoveryService
 from badgergap.standins.load import Kind
 from badgergap.standins.registry import LiveRegistry
 from badgergap.standins.rig import free_port
@@ -156,11 +157,14 @@
         environ: Mapping[str, str] | None = None,
         work_s: float = 0.0,
         sockets: int = 1024,
+        discovery: DiscoveryService | None = None,
     ) -> None:
+        """`discovery`: the service that gateways ask; None: a registry that pushes its list to all."""
         self.folder = folder
         self.kinds = list(kinds)
         self.settings = dict(settings if settings is not None else settings_of(kinds))
         self.registry = LiveRegistry()
+        self.discovery = discovery
         self.sockets = sockets
         self.wall_step_s = 0.0  # by which the clock that all machines read is ahead of the true one
         self.since_ms: dict[str, int] = {}  # of each box, as it was told first
@@ -173,6 +177,9 @@
 
     async def __aenter__(self) -> Platform:
         await self.registry.start()
+        if self.discovery is not None:
+            for gateway in self.gateways:
+                await self.discovery.add_gateway(gateway.name)
         for name, box in self.boxes.items():
             await box.start()
             self.tell(name, "active")
@@ -190,6 +197,8 @@
         for box in self.boxes.values():
             box.die()
         self.registry.stop()
+        if self.discovery is not None:
+            self.discovery.stop()
 
     def configuration(self, gateway: GatewayProcess) -> dict[str, Any]:
         entries = [
@@ -199,18 +208,31 @@
         return {
             "name": gateway.name,
             "listen": f"127.0.0.1:{gateway.port}",
-            "discovery": self.registry.address,
+            "discovery": self.discovery_address(gateway),
             "seed": "1f",
             "limits": {"sockets": self.sockets},
             "known": {"index": 1, "snapshot": True, "endpoints": entries},
             "settings": {**self.settings, "index": self.gateways.index(gateway)},
         }
 
+    def discovery_address(self, gateway: GatewayProcess) -> str:
+        if self.discovery is not None:
+            return self.discovery.address_of(gateway.name)
+        return self.registry.address
+
+    async def move_discovery(self, gateway: GatewayProcess) -> None:
+        """Move a gateway's discovery to a new address, by a new configuration and SIGHUP."""
+        assert self.discovery is not None
+        await self.discovery.outlets[gateway.name].move()
+        gateway.config_file.write_text(json.dumps(self.configuration(gateway)))
+        gateway.send_signal(signal.SIGHUP)
+
     def tell(self, name: str, status: str) -> float:
         """Have discovery tell a box's status; returns when (time.monotonic())."""
         box = self.boxes[name]
         if status == "active" and box.started_ms:
             self.since_ms[name] = box.started_ms + int(self.wall_step_s * 1000)
         since_ms = self.since_ms.get(name, 0)
-        self.registry.set(name, box.address, status, zone="a", type="m1", since_ms=since_ms)
+        source = self.registry if self.discovery is None else self.discovery
+        source.set(name, box.address, status, zone="a", type="m1", since_ms=since_ms)
         return time.monotonic()
