Log each call to discovery with its reason and end, and each list with its version and age

The lines 'discovery: connection lost' and the like are now 'discovery call N: failed after S s: connection lost'. Behaviour is as before.

--- a/badgergap/proxy/diagnostics/event_log.py
+++ b/badgergap/proxy/diagnostics/event_log.py
@@ -27,6 +27,8 @@
     UNANSWERED_CLOSE = "closed_unanswered"
     LOOP_STALLED = "held_up"
     CALL_FAILED = "call_failed"
+    DISCOVERY_CALL = "discovery_call"
+    LIST_RECEIVED = "list"
 
 
 @dataclass(slots=True)
@@ -79,6 +81,12 @@
         self._counts[SUPPRESSED, kind] += 1
         return False
 
+    def inform(self, kind: EventKind, detail: str, line: str, *arguments: object) -> None:
+        """Count one event, and log it within the rate limit."""
+        self.count(kind, detail)
+        if self.take_line(kind):
+            log.info(line, *arguments)
+
     def warn(self, kind: EventKind, detail: str, line: str, *arguments: object) -> None:
         """Count one event, and log a warning about it within the rate limit."""
         self.count(kind, detail)
--- a/badgergap/proxy/endpoints/directory.py
+++ b/badgergap/proxy/endpoints/directory.py
@@ -10,6 +10,7 @@
 from functools import partial
 
 from badgergap.balancing.interface import EndpointList, EndpointListKind
+from badgergap.proxy.diagnostics import EventLog
 from badgergap.proxy.endpoints.discovery import Discovery
 from badgergap.proxy.endpoints.registry import EndpointRegistry
 from badgergap.proxy.endpoints.sources import PLATFORM, EndpointSource, EndpointUpdate
@@ -35,6 +36,7 @@
         now_us: Callable[[], int],
         upstream: Upstream,
         feed: Callable[[EndpointList], None],
+        events: EventLog,
     ) -> None:
         self.now_us = now_us
         self.upstream = upstream
@@ -52,6 +54,7 @@
                 config.settings.endpoint_list_is_pushed,
                 config.known,
                 partial(self.receive_update, Discovery.name),
+                events,
             )
             self.add_source(self.discovery)
         self.manual_drain_listeners: list[ManualDrainListener] = []
--- a/badgergap/proxy/endpoints/discovery.py
+++ b/badgergap/proxy/endpoints/discovery.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
+from collections import Counter
 from dataclasses import replace
 from typing import Any
 
 from badgergap.balancing.interface import EndpointListKind
-from badgergap.proxy.endpoints.discovery_call import DiscoveryCall
+from badgergap.proxy.diagnostics import EventKind, EventLog
+from badgergap.proxy.endpoints.discovery_call import CallReason, DiscoveryCall
 from badgergap.proxy.endpoints.endpoint_list import parse_list, version_of
 from badgergap.proxy.endpoints.sources import PLATFORM, EndpointUpdate, OnUpdate
 from badgergap.proxy.lifecycle.config import Address, Names
@@ -41,6 +44,7 @@
         pushed: bool,
         initial_list: dict[str, Any],
         on_update: OnUpdate,
+        events: EventLog,
     ) -> None:
         self.loop = loop
         self.address = address
@@ -48,6 +52,8 @@
         self.pushed = pushed
         self.initial_list = initial_list  # the stored list, used at the start
         self.on_update = on_update
+        self.events = events
+        self.call_numbers = itertools.count(1)
         self.index = 0  # the version of the latest list received
         self.current_watch: DiscoveryCall | None = None
         # After a move or an unreadable message: the old watch, kept until the current one is answered.
@@ -76,13 +82,13 @@
             return  # opened by the move, and not answered yet
         self.stop_watch()
         if on:
-            self.open_watch()
+            self.open_watch(CallReason.POLL)
         else:
             self.moving_until = 0.0
 
-    def open_watch(self) -> None:
+    def open_watch(self, reason: CallReason) -> None:
         """Start a call that streams changes after the current version; an open watch is not closed."""
-        self.current_watch = DiscoveryCall(self, f"{PATH}?stream=1&index={self.index}", watch=True)
+        self.current_watch = DiscoveryCall(self, f"{PATH}?stream=1&index={self.index}", reason, watch=True)
 
     def stop_watch(self) -> None:
         """End the watch, and the one before it if it is still open."""
@@ -107,16 +113,16 @@
         if self.fetches:
             self.fetches = set()
             self.fetch()
-        self.open_watch()
+        self.open_watch(CallReason.MOVE)
 
     def reopen(self) -> None:
         """Retry the first watch after a move."""
         if self.moving_until and self.current_watch is None:
-            self.open_watch()
+            self.open_watch(CallReason.RETRY)
 
     def fetch(self) -> None:
         """Start a call for the full list; its result is reported as an update."""
-        self.fetches.add(DiscoveryCall(self, PATH, watch=False))
+        self.fetches.add(DiscoveryCall(self, PATH, CallReason.POLL, watch=False))
 
     def read_unread(self) -> None:
         """Process unread data ahead of the event loop: an unread drain counts as announced."""
@@ -128,6 +134,7 @@
         """Process a message that a call has received. Raises ValueError if it is not a list."""
         update = parse_list(raw, self.names)
         is_complete = len(update.entries) == len(raw["endpoints"])
+        self.log_list(call, update, version_of(raw))
         if call.watch:
             self.failures, self.current_at = 0, 0.0
         if call is self.current_watch:
@@ -141,6 +148,23 @@
         if not is_complete:
             self.on_unreadable(call)
 
+    def log_list(self, call: DiscoveryCall, update: EndpointUpdate, version: int) -> None:
+        """Log a list and the states of the endpoints in it."""
+        kind = update.kind.value
+        self.events.count(EventKind.LIST_RECEIVED, kind)
+        if not self.events.take_line(EventKind.LIST_RECEIVED):
+            return
+        states = Counter(entry.listed.status.value for entry in update.entries)
+        log.info(
+            "discovery call %d: %s list, version %d after %d: %s; came %.0f ms ago",
+            call.number,
+            kind,
+            version,
+            self.index,
+            " ".join(f"{state}={count}" for state, count in sorted(states.items())) or "no endpoints",
+            call.data_age_s * 1000.0,
+        )
+
     def finish_move(self) -> None:
         """End a move once the current watch has been answered, and end the previous watch."""
         self.moving_until = 0.0
@@ -164,9 +188,8 @@
             self.index = 0
         if self.previous_watch is not None:
             self.previous_watch.end()
-        log.info("discovery: requesting an unreadable message again")
         self.previous_watch = call
-        self.open_watch()
+        self.open_watch(CallReason.UNREADABLE)
 
     def on_call_failed(self, call: DiscoveryCall) -> None:
         """Retry a failed call here, or leave the retry to the balancer by reporting an ERROR update."""
@@ -194,14 +217,14 @@
         if call.silent and call.answered:
             # Changes that a silent watch misses count as announced soon after, so no delay may be added by
             # the balancer's backoff, which grows with the polling time in the settings.
-            self.open_watch()
+            self.open_watch(CallReason.SILENCE)
             return True
         return False
 
     def reopen_pushed(self) -> None:
         """Retry the watch of a pushed list."""
         if self.current_watch is None and not self.closed:
-            self.open_watch()
+            self.open_watch(CallReason.RETRY)
 
     @property
     def is_current(self) -> bool:
--- a/badgergap/proxy/endpoints/discovery_call.py
+++ b/badgergap/proxy/endpoints/discovery_call.py
@@ -5,11 +5,13 @@
 import asyncio
 import json
 import logging
+from enum import StrEnum
 from typing import TYPE_CHECKING, cast
 
 import httptools
 
 from badgergap.proxy import unread_input
+from badgergap.proxy.diagnostics import EventKind
 from badgergap.proxy.endpoints.message_splitter import MessageSplitter
 from badgergap.proxy.tcp_transport import connect_tcp
 
@@ -28,6 +30,16 @@
 LINE_LIMIT = 8 * 1024 * 1024  # bytes, also for a message of several lines
 
 
+class CallReason(StrEnum):
+    """Why a call is made, for the log."""
+
+    POLL = "poll"  # requested by the balancer, or the start of a pushed list
+    MOVE = "move"  # discovery has another address
+    RETRY = "retry"  # the call before has failed
+    SILENCE = "silence"  # the watch before has sent nothing for too long
+    UNREADABLE = "unreadable"  # a message could not be read
+
+
 class DiscoveryCall(asyncio.Protocol):
     """One call to discovery: a continuous watch, or one fetch of the full list.
 
@@ -35,8 +47,10 @@
     `on_call_failed` at its end, unless that was by `end`.
     """
 
-    def __init__(self, discovery: Discovery, target: str, watch: bool) -> None:
+    def __init__(self, discovery: Discovery, target: str, reason: CallReason, watch: bool) -> None:
         self.discovery = discovery
+        self.number = next(discovery.call_numbers)  # for the log
+        self.began_at = discovery.loop.time()
         self.address = discovery.address
         self.target = target
         self.watch = watch
@@ -50,7 +64,17 @@
         self.answered = False  # body data was received: part of a list, or a keep-alive line
         self.silence_timer: asyncio.TimerHandle | None = None
         self.is_parsing = False
-        self.is_late = False  # the data being read was in the socket for longer than LATE_S
+        self.data_age_s = 0.0  # how long the data being read was in the socket
+        discovery.events.inform(
+            EventKind.DISCOVERY_CALL,
+            reason,
+            "discovery call %d: %s%s at %s:%d (%s)",
+            self.number,
+            "watch " if watch else "",
+            target,
+            *self.address,
+            reason,
+        )
         self.task = discovery.loop.create_task(self.open())
 
     async def open(self) -> None:
@@ -87,7 +111,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data from discovery; malformed input fails the call."""
-        self.is_late = unread_input.data_age_s(self.transport) > LATE_S
+        self.data_age_s = unread_input.data_age_s(self.transport)
         self.is_parsing = True
         try:
             self.parser.feed_data(data)
@@ -98,6 +122,11 @@
         if not self.ended:
             self.restart_silence_timer()  # with the limit that applies after this response
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the data being read was in the socket for longer than LATE_S."""
+        return self.data_age_s > LATE_S
+
     def read_unread(self) -> None:
         """Process data from discovery that the event loop has not read yet."""
         if self.ended or self.is_parsing or self.transport is None or self.transport.is_closing():
@@ -179,5 +208,12 @@
         if self.ended:
             return
         self.end()
-        log.info("discovery: %s", reason)
+        self.discovery.events.inform(
+            EventKind.DISCOVERY_CALL,
+            "failed",
+            "discovery call %d: failed after %.2f s: %s",
+            self.number,
+            self.discovery.loop.time() - self.began_at,
+            reason,
+        )
         self.discovery.on_call_failed(self)
--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -84,7 +84,9 @@
         self.request_log = RequestLog(self.diagnostics.events, self.clock.now_us)
         self.balancer = Balancer(settings, config.seed)
         self.upstream = create_upstream(config, loop)
-        self.directory = EndpointDirectory(config, loop, self.clock.now_us, self.upstream, self.feed)
+        self.directory = EndpointDirectory(
+            config, loop, self.clock.now_us, self.upstream, self.feed, self.diagnostics.events
+        )
         self.upstream.catch_up = self.directory.catch_up
         self.peers = PeerMessenger(config, self.proxy_settings.may_message, loop, self.feed)
         self.health_checker = HealthChecker(
--- a/badgergap/standins/discovery.py
+++ b/badgergap/standins/discovery.py
@@ -1,8 +1,8 @@
-"""Discovery that gateways ask, with faults on command; it records what each gateway counts as notified of, and when.
+"""Discovery that gateways ask, with faults on command; it records when each gateway counts as notified.
 
 Each gateway has an `Outlet` of its own: an address that serves the one list. Faults of an outlet: `go_down`
 and `come_back`, `answer_after_s` (slow or crowded), `fall_silent` (open watches say nothing any more),
-`silent_calls` (nor do the next ones), `cut_messages` (messages that arrive in part), `move` (another address).
+`silent_calls` (nor do the next ones), `cut_messages` (that arrive in part), `move` (another address).
 """
 
 from __future__ import annotations
