Keep a silent call to discovery open and make another beside it, until one is answered

After a move of discovery each call was given up after 1.5 s and repeated, elsewhere after 3.5 s: a service that answered later was never heard, and two losses in a row took longer than the 6 s after which a change counts as announced. A request of the balancer for a watch closed the one that worked (each failed call sets a timer for one); a second move ended the first one's call with what stood unread; with two calls open an older list, read last, made a drained endpoint ready again.

Class: a call is ended because of time or of a later call, while what it was made for may still come or has come already.

Now no watch ends before another of the same or a later generation is answered (or 6 s of silence). One that is silent for 2 s (2.5 s once accepted, 1 s with a part of a message, 1.5 s after a move) gets another beside it: two of three calls in a row may get lost within the 6 s. What stands unread at the others is read before they end; a list that is older than another open call's is not applied; retries have one timer.

--- a/badgergap/proxy/endpoints/discovery.py
+++ b/badgergap/proxy/endpoints/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import logging
 from collections import Counter
@@ -55,9 +56,14 @@
         self.events = events
         self.call_numbers = itertools.count(1)
         self.index = 0  # the version of the latest list received
-        self.current_watch: DiscoveryCall | None = None
-        # After a move or an unreadable message: the old watch, kept until the current one is answered.
-        self.previous_watch: DiscoveryCall | None = None
+        self.index_at = 0.0  # loop time at which it was received
+        self.index_call: DiscoveryCall | None = None  # the call that received it
+        # Open watches in the order of their start: usually one. Another is opened beside one that is silent,
+        # unreadable, or at the address before a move; the first of the latest generation to be answered ends
+        # all others.
+        self.watches: list[DiscoveryCall] = []
+        self.generation = 0  # of new calls; a move and an unreadable message begin another
+        self.retry_timer: asyncio.TimerHandle | None = None
         self.moving_until = 0.0  # loop time; 0 once the new service has answered
         self.fetches: set[DiscoveryCall] = set()
         self.unreadable_count = 0  # messages in a row that were partly unreadable
@@ -76,38 +82,53 @@
             self.current_at = self.loop.time() + FIRST_MESSAGE_S
             self.watch(True)
 
+    @property
+    def current_watch(self) -> DiscoveryCall | None:
+        """The latest open watch, if it is of the latest generation."""
+        latest = self.watches[-1] if self.watches else None
+        return latest if latest is not None and latest.generation == self.generation else None
+
+    @property
+    def previous_watch(self) -> DiscoveryCall | None:
+        """The oldest open watch that has another beside it."""
+        oldest = self.watches[0] if self.watches else None
+        return oldest if oldest is not self.current_watch else None
+
     def watch(self, on: bool) -> None:
-        """Open the watch, or close it."""
-        if on and self.moving_until and self.current_watch is not None:
-            return  # opened by the move, and not answered yet
-        self.stop_watch()
+        """Open a watch unless one is open that may still be answered; or close all."""
         if on:
-            self.open_watch(CallReason.POLL)
+            self.ensure_watch(CallReason.POLL)
         else:
+            self.stop_watch()
             self.moving_until = 0.0
 
+    def ensure_watch(self, reason: CallReason) -> None:
+        """Open a watch unless one of the latest generation is open and not silent."""
+        if self.closed or any(
+            call.generation == self.generation and not call.is_silent for call in self.watches
+        ):
+            return
+        self.open_watch(reason)
+
     def open_watch(self, reason: CallReason) -> None:
         """Start a call that streams changes after the current version; an open watch is not closed."""
-        self.current_watch = DiscoveryCall(self, f"{PATH}?stream=1&index={self.index}", reason, watch=True)
+        self.watches.append(DiscoveryCall(self, f"{PATH}?stream=1&index={self.index}", reason, watch=True))
 
     def stop_watch(self) -> None:
-        """End the watch, and the one before it if it is still open."""
-        for call in (self.current_watch, self.previous_watch):
-            if call is not None:
-                call.end()
-        self.current_watch = self.previous_watch = None
+        """End all watches."""
+        calls, self.watches = self.watches, []
+        for call in calls:
+            call.end()
 
     def move(self, address: Address) -> None:
-        """Watch discovery from version 0 at a new address, and keep the old watch until that is answered.
+        """Watch discovery from version 0 at a new address; open watches are kept until that is answered.
 
         This avoids a gap in the updates: the old service continues for a moment, and the new one may start
         late. Version numbers of the two services are unrelated.
         """
-        kept_watch = self.current_watch if self.moving_until == 0.0 else self.previous_watch
-        if kept_watch is not self.current_watch and self.current_watch is not None:
-            self.current_watch.end()  # a second move before the first was answered
-        self.address, self.index = address, 0
-        self.previous_watch, self.moving_until = kept_watch, self.loop.time() + MOVE_S
+        self.address, self.index, self.index_call = address, 0, None
+        self.generation += 1
+        self.moving_until = self.loop.time() + MOVE_S
         for call in self.fetches:
             call.end()
         if self.fetches:
@@ -115,39 +136,65 @@
             self.fetch()
         self.open_watch(CallReason.MOVE)
 
-    def reopen(self) -> None:
-        """Retry the first watch after a move."""
-        if self.moving_until and self.current_watch is None:
-            self.open_watch(CallReason.RETRY)
-
     def fetch(self) -> None:
         """Start a call for the full list; its result is reported as an update."""
         self.fetches.add(DiscoveryCall(self, PATH, CallReason.POLL, watch=False))
 
     def read_unread(self) -> None:
         """Process unread data ahead of the event loop: an unread drain counts as announced."""
-        for call in (self.previous_watch, self.current_watch, *self.fetches):
-            if call is not None:
-                call.read_unread()
+        for call in (*self.watches, *self.fetches):
+            call.read_unread()
 
     def on_list(self, raw: Any, call: DiscoveryCall) -> None:
         """Process a message that a call has received. Raises ValueError if it is not a list."""
         update = parse_list(raw, self.names)
+        version = version_of(raw)
         is_complete = len(update.entries) == len(raw["endpoints"])
-        self.log_list(call, update, version_of(raw))
+        self.log_list(call, update, version)
         if call.watch:
             self.failures, self.current_at = 0, 0.0
-        if call is self.current_watch:
-            self.finish_move()
+        if self.is_outdated(call, version):
+            return
+        is_of_latest = call.generation == self.generation
         self.fetches = {call for call in self.fetches if not call.ended}
-        if is_complete and call is self.current_watch:
+        if is_complete and is_of_latest and call.watch:
             self.unreadable_count = 0
-        if call is not self.previous_watch and (is_complete or self.unreadable_count >= UNREADABLE_LIMIT):
-            self.index = version_of(raw)
+        if is_of_latest and (is_complete or self.unreadable_count >= UNREADABLE_LIMIT):
+            self.index, self.index_at, self.index_call = version, self.loop.time(), call
         self.on_update(replace(update, is_late=call.is_late))
+        if is_of_latest and call in self.watches:
+            self.moving_until = 0.0
+            self.end_other_watches(call)
         if not is_complete:
             self.on_unreadable(call)
 
+    def is_outdated(self, call: DiscoveryCall, version: int) -> bool:
+        """Whether a call's message is older than one that another call received while this one was open.
+
+        A message with a lower version than the list's is newer all the same if its call began later:
+        discovery has been restarted.
+        """
+        return (
+            call.generation == self.generation
+            and call is not self.index_call
+            and version < self.index
+            and call.began_at < self.index_at
+        )
+
+    def end_other_watches(self, answered: DiscoveryCall) -> None:
+        """Keep only a watch that has been answered. What stands unread at the others counts as announced."""
+        others = [call for call in self.watches if call is not answered]
+        self.watches = [answered]
+        for call in others:
+            if call.generation == self.generation:
+                call.read_unread()
+            call.end()
+
+    def on_silence(self, call: DiscoveryCall) -> None:
+        """Open another watch beside a silent one, unless there is another that may still be answered."""
+        if call.watch and call.generation == self.generation:
+            self.ensure_watch(CallReason.SILENCE)
+
     def log_list(self, call: DiscoveryCall, update: EndpointUpdate, version: int) -> None:
         """Log a list and the states of the endpoints in it."""
         kind = update.kind.value
@@ -165,20 +212,13 @@
             call.data_age_s * 1000.0,
         )
 
-    def finish_move(self) -> None:
-        """End a move once the current watch has been answered, and end the previous watch."""
-        self.moving_until = 0.0
-        if self.previous_watch is not None:
-            self.previous_watch.end()
-            self.previous_watch = None
-
     def on_unreadable(self, call: DiscoveryCall) -> None:
         """Request a partly unreadable message again, and keep this watch open until the answer.
 
         After the next version number discovery would never send the lost updates again. The second request is
         for the full list. After `UNREADABLE_LIMIT` requests the readable part is accepted.
         """
-        if call is not self.current_watch or self.unreadable_count >= UNREADABLE_LIMIT:
+        if call.generation != self.generation or self.unreadable_count >= UNREADABLE_LIMIT:
             return
         if self.moving_until:
             call.fail("first message of the new service is unreadable")  # retried after MOVE_RETRY_S
@@ -186,45 +226,40 @@
         self.unreadable_count += 1
         if self.unreadable_count > 1:
             self.index = 0
-        if self.previous_watch is not None:
-            self.previous_watch.end()
-        self.previous_watch = call
+        self.end_other_watches(call)
+        self.generation += 1
         self.open_watch(CallReason.UNREADABLE)
 
     def on_call_failed(self, call: DiscoveryCall) -> None:
         """Retry a failed call here, or leave the retry to the balancer by reporting an ERROR update."""
         self.fetches.discard(call)
-        if call is self.previous_watch:  # the watch of the old service: not an error
-            self.previous_watch = None
-            return
-        if call is self.current_watch:
-            self.current_watch = None
-            if self._retries_watch(call):
+        if call.watch:
+            with contextlib.suppress(ValueError):  # it has been replaced
+                self.watches.remove(call)
+            if call.generation != self.generation or self._retries_watch():
                 return
         self.on_update(EndpointUpdate(EndpointListKind.ERROR))
 
-    def _retries_watch(self, call: DiscoveryCall) -> bool:
-        """Reopen a failed watch, now or after a delay. Returns False if that is left to the balancer."""
+    def _retries_watch(self) -> bool:
+        """Reopen a failed watch after a delay. Returns whether the failure need not be reported."""
         if self.moving_until > self.loop.time():
-            self.loop.call_later(MOVE_RETRY_S, self.reopen)
+            self._retry_after(MOVE_RETRY_S)
             return True
         self.moving_until = 0.0
         if self.pushed:
-            wait_s = min(REOPEN_S * 2**self.failures, REOPEN_MAX_S)
+            self._retry_after(min(REOPEN_S * 2**self.failures, REOPEN_MAX_S))
             self.failures = min(self.failures + 1, BACKOFF_STEPS)
-            self.loop.call_later(wait_s, self.reopen_pushed)
-            return True
-        if call.silent and call.answered:
-            # Changes that a silent watch misses count as announced soon after, so no delay may be added by
-            # the balancer's backoff, which grows with the polling time in the settings.
-            self.open_watch(CallReason.SILENCE)
             return True
         return False
 
-    def reopen_pushed(self) -> None:
-        """Retry the watch of a pushed list."""
-        if self.current_watch is None and not self.closed:
-            self.open_watch(CallReason.RETRY)
+    def _retry_after(self, wait_s: float) -> None:
+        if self.retry_timer is None:
+            self.retry_timer = self.loop.call_later(wait_s, self._retry)
+
+    def _retry(self) -> None:
+        self.retry_timer = None
+        if self.pushed or self.moving_until:
+            self.ensure_watch(CallReason.RETRY)
 
     @property
     def is_current(self) -> bool:
@@ -242,6 +277,8 @@
     def close(self) -> None:
         """End all calls; no further updates are sent."""
         self.closed = True
+        if self.retry_timer is not None:
+            self.retry_timer.cancel()
         self.stop_watch()
         for call in self.fetches:
             call.end()
--- a/badgergap/proxy/endpoints/discovery_call.py
+++ b/badgergap/proxy/endpoints/discovery_call.py
@@ -20,12 +20,15 @@
 
 log = logging.getLogger(__name__)
 
-# A watch sends a line every 2 s. One that stays open but sends nothing, for example because the machine at
-# the other end has vanished, would let the list go stale unnoticed. A change counts as announced at most 6 s
-# late, and the next call should have been answered by then.
-SILENCE_S = 3.5
-CONNECT_S = 1.0
-MOVE_ANSWER_S = 1.5  # replaces SILENCE_S until the first watch after a move is answered
+# A change counts as announced 6 s after discovery has it, whatever became of the calls until then. A call
+# that sends nothing for one of these times is not given up, since its answer may be on its way, but another
+# is made beside it: of three calls in a row, two may get lost.
+ANNOUNCED_S = 6.0
+ANSWER_S = ANNOUNCED_S / 3
+MOVE_ANSWER_S = 1.5  # after a move, where changes count as announced within 4 s
+SILENCE_S = 2.5  # of an accepted watch, which sends a line every 2 s
+PARTIAL_S = 1.0  # of one that has sent a part of a message
+GIVE_UP_S = ANNOUNCED_S  # silence after which a call ends
 LATE_S = 0.05
 LINE_LIMIT = 8 * 1024 * 1024  # bytes, also for a message of several lines
 
@@ -36,7 +39,7 @@
     POLL = "poll"  # requested by the balancer, or the start of a pushed list
     MOVE = "move"  # discovery has another address
     RETRY = "retry"  # the call before has failed
-    SILENCE = "silence"  # the watch before has sent nothing for too long
+    SILENCE = "silence"  # the call before has sent nothing for too long, and stays open
     UNREADABLE = "unreadable"  # a message could not be read
 
 
@@ -50,7 +53,8 @@
     def __init__(self, discovery: Discovery, target: str, reason: CallReason, watch: bool) -> None:
         self.discovery = discovery
         self.number = next(discovery.call_numbers)  # for the log
-        self.began_at = discovery.loop.time()
+        self.generation = discovery.generation
+        self.began_at = self.heard_at = discovery.loop.time()  # heard_at: when data was last received
         self.address = discovery.address
         self.target = target
         self.watch = watch
@@ -60,7 +64,8 @@
         self.messages = MessageSplitter()
         self.partial_bytes = 0  # bytes of an incomplete message
         self.ended = False
-        self.silent = False  # it ended because nothing was received for too long
+        self.connecting = True
+        self.accepted = False  # the head of a response was received
         self.answered = False  # body data was received: part of a list, or a keep-alive line
         self.silence_timer: asyncio.TimerHandle | None = None
         self.is_parsing = False
@@ -79,39 +84,66 @@
 
     async def open(self) -> None:
         """Connect; `connection_made` sends the request."""
+        self.restart_silence_timer()
         try:
-            async with asyncio.timeout(CONNECT_S):
-                await connect_tcp(self.discovery.loop, self, *self.address)
-        except (OSError, TimeoutError) as error:
+            await connect_tcp(self.discovery.loop, self, *self.address)
+        except OSError as error:
+            self.connecting = False
             self.fail(f"no connection: {error}")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Send the GET request, unless the call has ended, and start the silence timer."""
+        """Send the GET request, unless the call has ended."""
+        self.connecting = False
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transports do not inherit from it
         if self.ended:
             self.transport.abort()
             return
         host, port = self.address
         self.transport.write(f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-        self.restart_silence_timer()
+
+    @property
+    def silence_limit_s(self) -> float:
+        """How long it may send nothing before another call is made beside it."""
+        if not self.answered and self.watch and self.discovery.moving_until:
+            return MOVE_ANSWER_S
+        if not self.accepted:
+            return min(ANSWER_S, SILENCE_S)
+        return min(PARTIAL_S, SILENCE_S) if self.has_incomplete_message else SILENCE_S
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether it has sent nothing for longer than it may."""
+        return self.discovery.loop.time() - self.heard_at >= self.silence_limit_s
+
+    @property
+    def has_incomplete_message(self) -> bool:
+        """Whether a message has begun whose rest is missing."""
+        return bool(self.buffer) or self.messages.has_incomplete_message
 
     def restart_silence_timer(self) -> None:
-        """Restart the timer that fails the call when discovery sends nothing."""
+        """Restart the timer that acts when discovery sends nothing."""
         if self.silence_timer is not None:
             self.silence_timer.cancel()
-        moved = self.watch and not self.answered and self.discovery.moving_until
-        self.silence_timer = self.discovery.loop.call_later(
-            MOVE_ANSWER_S if moved else SILENCE_S, self.on_silence
-        )
+        self.silence_timer = self.discovery.loop.call_later(self.silence_limit_s, self.on_silence)
 
     def on_silence(self) -> None:
-        """Fail the call because discovery has sent nothing for too long."""
-        self.silent = True
-        self.fail("no data for too long")
+        """Have another call made beside this one; after GIVE_UP_S of silence this one fails.
+
+        The socket is read first: after a stall this may run before data that arrived in time is read.
+        """
+        heard_at = self.heard_at
+        self.read_unread()
+        if self.ended or self.heard_at != heard_at:
+            return
+        self.restart_silence_timer()
+        self.discovery.on_silence(self)
+        if self.discovery.loop.time() - heard_at >= GIVE_UP_S:
+            self.fail("no data for too long")
 
     def data_received(self, data: bytes) -> None:
         """Parse data from discovery; malformed input fails the call."""
         self.data_age_s = unread_input.data_age_s(self.transport)
+        self.heard_at = self.discovery.loop.time()
         self.is_parsing = True
         try:
             self.parser.feed_data(data)
@@ -147,6 +179,7 @@
         status = self.parser.get_status_code()
         if status != 200:
             self.fail(f"answered {status}")
+        self.accepted = True
 
     def on_body(self, body: bytes) -> None:
         """Buffer the body, and process each complete line of a watch; fails over LINE_LIMIT bytes."""
@@ -202,6 +235,8 @@
             self.silence_timer.cancel()
         if self.transport is not None:
             self.transport.abort()
+        elif self.connecting:
+            self.task.cancel()
 
     def fail(self, reason: str) -> None:
         """End the call and report it as failed, once; `reason` is logged."""
--- a/badgergap/proxy/endpoints/message_splitter.py
+++ b/badgergap/proxy/endpoints/message_splitter.py
@@ -25,12 +25,20 @@
                 self.lines, self.depth = [], 0
                 raise ValueError("incomplete message")
             return None
-        unquoted = STRING.sub(b"", line)
         self.lines.append(line)
-        self.depth += (
-            unquoted.count(b"{") + unquoted.count(b"[") - unquoted.count(b"}") - unquoted.count(b"]")
-        )
+        self.depth += _bracket_balance(line)
         if self.depth > 0:
             return None
         message, self.lines, self.depth = b"\n".join(self.lines), [], 0
         return message
+
+    @property
+    def has_incomplete_message(self) -> bool:
+        """Whether a message has begun whose rest is missing."""
+        return bool(self.lines)
+
+
+def _bracket_balance(line: bytes) -> int:
+    """Return how many more brackets are opened than closed, outside of strings."""
+    unquoted = STRING.sub(b"", line)
+    return unquoted.count(b"{") + unquoted.count(b"[") - unquoted.count(b"}") - unquoted.count(b"]")
--- /dev/null
+++ b/tests/proxy/endpoints/test_watches.py
@@ -0,0 +1,131 @@
+"""Which watch of discovery is believed, kept, replaced and ended, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+
+from badgergap.balancing.interface import EndpointStatus, WatchEndpoints
+from badgergap.proxy.endpoints import discovery_call
+from badgergap.proxy.endpoints.sources import endpoint_id_of
+from badgergap.proxy.lifecycle.config import parse_address
+from tests.sockets import Gateway, Registry, chunk, entry, gateway, news, run, settings
+
+SLOW_POLLING = {**settings(), "contract": {"mustAskInUs": 3_600_000_000, "stopSendingWithinUs": 0}}
+LIMIT_S = 0.05  # of silence, in place of seconds
+SHORTLY_S = 0.03
+
+
+@asynccontextmanager
+async def watched_gateway() -> AsyncIterator[tuple[Gateway, asyncio.StreamWriter]]:
+    """A gateway whose balancer polls hourly, and its watch, which has told of h1."""
+    async with gateway(settings=SLOW_POLLING) as it:
+        it.proxy.carry_out(WatchEndpoints())
+        _, watch = await it.registry.watches.get()
+        watch.write(list_with(it, "active", 8))
+        await expect(it, EndpointStatus.READY)
+        yield it, watch
+
+
+def list_with(it: Gateway, status: str, index: int, **more: bool) -> bytes:
+    return chunk(news(entry("h1", it.host.address, status), index=index, **more))
+
+
+def status_of(it: Gateway) -> EndpointStatus | None:
+    endpoint = it.proxy.balancer.table.by_id.get(endpoint_id_of("h1"))
+    return endpoint.entry.status if endpoint is not None else None
+
+
+async def expect(it: Gateway, status: EndpointStatus) -> None:
+    async with asyncio.timeout(2.0):
+        while status_of(it) is not status:
+            await asyncio.sleep(0.001)
+
+
+# Guards against report 25e3c4: a new service that answers late was never heard, each call being given up.
+def test_an_answer_is_taken_though_another_call_was_made_meanwhile(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery_call, "MOVE_ANSWER_S", LIMIT_S)
+
+    async def test() -> None:
+        async with watched_gateway() as (it, _):
+            second = Registry()
+            await second.start()
+            it.proxy.reload(replace(it.proxy.latest_config, discovery=parse_address(second.address)))
+            _, first = await second.watches.get()
+            await second.watches.get()
+            first.write(list_with(it, "leaving", 9, snapshot=True))
+            await expect(it, EndpointStatus.DRAINING)
+            second.stop()
+
+    run(test())
+
+
+# Guards against a late timer that closes a watch which works: each failed call sets one.
+def test_a_request_for_a_watch_keeps_the_one_that_is_open() -> None:
+    async def test() -> None:
+        async with watched_gateway() as (it, watch):
+            it.proxy.carry_out(WatchEndpoints())
+            await asyncio.sleep(SHORTLY_S)
+            assert it.registry.watches.empty()
+            watch.write(list_with(it, "leaving", 9))
+            await expect(it, EndpointStatus.DRAINING)
+
+    run(test())
+
+
+# Guards against time limits that pass while the list stands unread: the loop runs timers before it reads.
+def test_a_list_that_stands_unread_as_its_call_falls_silent_is_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery_call, "SILENCE_S", 2 * LIMIT_S)
+    monkeypatch.setattr(discovery_call, "GIVE_UP_S", 2 * LIMIT_S, raising=False)
+
+    async def test() -> None:
+        async with watched_gateway() as (it, watch):
+            with socket.socket(fileno=os.dup(watch.transport.get_extra_info("socket").fileno())) as sock:
+                sock.send(list_with(it, "leaving", 9))
+            time.sleep(4 * LIMIT_S)
+            await asyncio.sleep(SHORTLY_S)
+            assert status_of(it) is EndpointStatus.DRAINING
+            assert it.registry.watches.empty()
+
+    run(test())
+
+
+# Guards against an answer that was begun before a drain, is read after it, and makes the endpoint ready.
+def test_a_list_that_is_older_than_one_from_another_call_is_not_applied(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(discovery_call, "SILENCE_S", LIMIT_S)
+
+    async def test() -> None:
+        async with watched_gateway() as (it, watch):
+            _, another = await it.registry.watches.get()
+            watch.write(list_with(it, "leaving", 9))
+            another.write(list_with(it, "active", 8, snapshot=True))
+            await asyncio.sleep(SHORTLY_S)
+            assert status_of(it) is EndpointStatus.DRAINING
+
+    run(test())
+
+
+def test_a_list_with_a_lower_version_of_a_later_call_is_that_of_a_restarted_service() -> None:
+    async def test() -> None:
+        async with watched_gateway() as (it, watch):
+            watch.transport.abort()
+            _, another = await it.registry.watches.get()
+            another.write(list_with(it, "leaving", 2, snapshot=True))
+            await expect(it, EndpointStatus.DRAINING)
+
+    run(test())
+
+
+def test_two_more_calls_fit_into_the_time_after_which_a_change_counts_as_announced() -> None:
+    """Of three calls in a row, two may get lost."""
+    assert 2 * max(discovery_call.ANSWER_S, discovery_call.SILENCE_S) < discovery_call.ANNOUNCED_S
+    assert discovery_call.SILENCE_S > 2.0  # a watch sends a line every 2 s
