Read a message of discovery whose line end has not come

What callers saw: requests at a draining endpoint until the next message came, or for good if the watch ended behind the message.

A watch's message was parsed at its line end only. Discovery has written it, so it counts as announced; a pause or the end of the watch behind the last bracket left it in the buffer. Now it is read 20 ms after data that ends in a closed bracket, and at the end of the watch.

--- a/badgergap/proxy/endpoints/discovery_call.py
+++ b/badgergap/proxy/endpoints/discovery_call.py
@@ -29,6 +29,7 @@
 SILENCE_S = 2.5  # of an accepted watch, which sends a line every 2 s
 PARTIAL_S = 1.0  # of one that has sent a part of a message
 GIVE_UP_S = ANNOUNCED_S  # silence after which a call ends
+LINE_END_S = 0.02  # wait for the line end behind a complete message
 LATE_S = 0.05
 LINE_LIMIT = 8 * 1024 * 1024  # bytes, also for a message of several lines
 
@@ -68,6 +69,7 @@
         self.accepted = False  # the head of a response was received
         self.answered = False  # body data was received: part of a list, or a keep-alive line
         self.silence_timer: asyncio.TimerHandle | None = None
+        self.line_end_timer: asyncio.TimerHandle | None = None
         self.is_parsing = False
         self.data_age_s = 0.0  # how long the data being read was in the socket
         discovery.events.inform(
@@ -172,6 +174,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call, unless it has ended, because the connection is lost."""
+        self.read_last_line()
         self.fail("connection lost")
 
     def on_headers_complete(self) -> None:
@@ -195,12 +198,24 @@
             for line in lines:
                 if not self.ended:
                     self.read_line(bytes(line))
+            if self.buffer and not self.ended and self.line_end_timer is None:
+                self.line_end_timer = self.discovery.loop.call_later(LINE_END_S, self.read_last_line)
+
+    def read_last_line(self) -> None:
+        """Process a complete message whose line end has not come."""
+        if self.line_end_timer is not None:
+            self.line_end_timer.cancel()
+            self.line_end_timer = None
+        if self.watch and not self.ended and self.messages.is_last_line(self.buffer):
+            line, self.buffer = bytes(self.buffer), bytearray()
+            self.read_line(line)
 
     def on_message_complete(self) -> None:
         """Process a fetched list; a watch that ends has failed."""
         if self.ended:
             return
         if self.watch:
+            self.read_last_line()
             self.fail("the watch ended")
         else:
             self.end()
@@ -231,8 +246,9 @@
     def end(self) -> None:
         """End the call without reporting a failure."""
         self.ended = True
-        if self.silence_timer is not None:
-            self.silence_timer.cancel()
+        for timer in (self.silence_timer, self.line_end_timer):
+            if timer is not None:
+                timer.cancel()
         if self.transport is not None:
             self.transport.abort()
         elif self.connecting:
--- a/badgergap/proxy/endpoints/message_splitter.py
+++ b/badgergap/proxy/endpoints/message_splitter.py
@@ -32,13 +32,17 @@
         message, self.lines, self.depth = b"\n".join(self.lines), [], 0
         return message
 
+    def is_last_line(self, line: bytes | bytearray) -> bool:
+        """Whether this line, whose end has not come yet, completes a message."""
+        return line.endswith((b"}", b"}\r")) and self.depth + _bracket_balance(line) == 0
+
     @property
     def has_incomplete_message(self) -> bool:
         """Whether a message has begun whose rest is missing."""
         return bool(self.lines)
 
 
-def _bracket_balance(line: bytes) -> int:
+def _bracket_balance(line: bytes | bytearray) -> int:
     """Return how many more brackets are opened than closed, outside of strings."""
     unquoted = STRING.sub(b"", line)
     return unquoted.count(b"{") + unquoted.count(b"[") - unquoted.count(b"}") - unquoted.count(b"]")
--- a/tests/proxy/endpoints/test_watches.py
+++ b/tests/proxy/endpoints/test_watches.py
@@ -125,6 +125,22 @@
     run(test())
 
 
+# Guards against a wait for the next message: until then the endpoint counted as ready.
+@pytest.mark.parametrize("then", [b"", b"0\r\n\r\n", b"reset"], ids=["nothing", "end", "reset"])
+def test_a_message_without_its_line_end_is_read(then: bytes) -> None:
+    async def test() -> None:
+        async with watched_gateway() as (it, watch):
+            whole = news(entry("h1", it.host.address, "leaving"), index=9).rstrip("\n")
+            watch.write(chunk(whole[:40]))
+            watch.write(chunk(whole[40:]) + then.removeprefix(b"reset"))
+            if then == b"reset":
+                await watch.drain()
+                watch.transport.abort()
+            await expect(it, EndpointStatus.DRAINING)
+
+    run(test())
+
+
 def test_two_more_calls_fit_into_the_time_after_which_a_change_counts_as_announced() -> None:
     """Of three calls in a row, two may get lost."""
     assert 2 * max(discovery_call.ANSWER_S, discovery_call.SILENCE_S) < discovery_call.ANNOUNCED_S
