Repeat failed calls to discovery within 1.5 s, whatever the polling time of the settings

What callers saw: requests at draining endpoints after an outage of discovery: the next call came up to 0.4 of the polling time after the last that failed (24 s for 60 s), while a change counts as announced 6 s after discovery can be reached. A process that had just started first called within a tenth of the polling time.

The transport repeats a call that has failed after 0.75 to 1.5 s, and makes the first one within 1 to 2 s of the start, if the balancer has not requested one by then; drawn from the seed, so that gateways which failed together spread. Two more calls fit into the 6 s.

Evidence: test_failed_calls_are_repeated_soon failed before.

--- a/badgergap/proxy/endpoints/directory.py
+++ b/badgergap/proxy/endpoints/directory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -38,6 +39,7 @@
         feed: Callable[[EndpointList], None],
         events: EventLog,
     ) -> None:
+        self.loop = loop
         self.now_us = now_us
         self.upstream = upstream
         self.feed = feed
@@ -55,6 +57,7 @@
                 config.known,
                 partial(self.receive_update, Discovery.name),
                 events,
+                random.Random(config.seed),
             )
             self.add_source(self.discovery)
         self.manual_drain_listeners: list[ManualDrainListener] = []
@@ -78,6 +81,13 @@
         """Start all sources; updates may be received during the call."""
         for source in self.sources.values():
             source.start()
+        if self.discovery is not None:
+            self.loop.call_later(self.discovery.first_poll_after_s(), self.watch_discovery)
+
+    def watch_discovery(self) -> None:
+        """Watch discovery, if it may be followed, in case the balancer has not requested it yet."""
+        if self.discovery is not None and self.may_follow(self.discovery.name):
+            self.discovery.watch(True)
 
     def close(self) -> None:
         """Close all sources; they send no further updates."""
--- a/badgergap/proxy/endpoints/discovery.py
+++ b/badgergap/proxy/endpoints/discovery.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import logging
+import random
 from collections import Counter
 from dataclasses import replace
 from typing import Any
@@ -28,6 +29,10 @@
 # without an open watch, and the agent answers immediately at no cost: the first retry is almost immediate.
 REOPEN_S, REOPEN_MAX_S = 0.02, 0.5
 BACKOFF_STEPS = 16  # most doublings of REOPEN_S
+# Longest delay, drawn from this range, before a failed call is repeated where the balancer's backoff, which
+# grows with the polling time in the settings, is longer: two more calls must fit into ANNOUNCED_S.
+POLL_RETRY_S = (0.75, 1.5)
+FIRST_POLL_S = (1.0, 2.0)  # likewise before the first call
 FIRST_MESSAGE_S = 0.2  # wait for an agent's first message before the stored list is used
 UNREADABLE_LIMIT = 3  # partly unreadable messages in a row, after which the readable part is accepted
 
@@ -46,6 +51,7 @@
         initial_list: dict[str, Any],
         on_update: OnUpdate,
         events: EventLog,
+        rng: random.Random,
     ) -> None:
         self.loop = loop
         self.address = address
@@ -54,6 +60,7 @@
         self.initial_list = initial_list  # the stored list, used at the start
         self.on_update = on_update
         self.events = events
+        self.rng = rng
         self.call_numbers = itertools.count(1)
         self.index = 0  # the version of the latest list received
         self.index_at = 0.0  # loop time at which it was received
@@ -64,6 +71,7 @@
         self.watches: list[DiscoveryCall] = []
         self.generation = 0  # of new calls; a move and an unreadable message begin another
         self.retry_timer: asyncio.TimerHandle | None = None
+        self.is_wanted = False  # a watch was requested, and not withdrawn
         self.moving_until = 0.0  # loop time; 0 once the new service has answered
         self.fetches: set[DiscoveryCall] = set()
         self.unreadable_count = 0  # messages in a row that were partly unreadable
@@ -72,7 +80,7 @@
         self.current_at = 0.0  # loop time from which the list counts as up to date
 
     def start(self) -> None:
-        """Report the stored list as the first update; for a pushed list open the watch too."""
+        """Report the stored list as the first update, and open the watch: of a pushed list at once."""
         initial, self.initial_list = self.initial_list, {}
         self.index = version_of(initial)
         self.on_update(
@@ -82,6 +90,10 @@
             self.current_at = self.loop.time() + FIRST_MESSAGE_S
             self.watch(True)
 
+    def first_poll_after_s(self) -> float:
+        """Return the seconds after the start by which a list that is asked for is watched at the latest."""
+        return self.rng.uniform(*FIRST_POLL_S)
+
     @property
     def current_watch(self) -> DiscoveryCall | None:
         """The latest open watch, if it is of the latest generation."""
@@ -96,6 +108,7 @@
 
     def watch(self, on: bool) -> None:
         """Open a watch unless one is open that may still be answered; or close all."""
+        self.is_wanted = on
         if on:
             self.ensure_watch(CallReason.POLL)
         else:
@@ -250,6 +263,7 @@
             self._retry_after(min(REOPEN_S * 2**self.failures, REOPEN_MAX_S))
             self.failures = min(self.failures + 1, BACKOFF_STEPS)
             return True
+        self._retry_after(self.rng.uniform(*POLL_RETRY_S))
         return False
 
     def _retry_after(self, wait_s: float) -> None:
@@ -258,7 +272,7 @@
 
     def _retry(self) -> None:
         self.retry_timer = None
-        if self.pushed or self.moving_until:
+        if self.is_wanted or self.moving_until:
             self.ensure_watch(CallReason.RETRY)
 
     @property
--- a/tests/proxy/endpoints/test_watches.py
+++ b/tests/proxy/endpoints/test_watches.py
@@ -13,7 +13,7 @@
 import pytest
 
 from badgergap.balancing.interface import EndpointStatus, WatchEndpoints
-from badgergap.proxy.endpoints import discovery_call
+from badgergap.proxy.endpoints import discovery, discovery_call
 from badgergap.proxy.endpoints.sources import endpoint_id_of
 from badgergap.proxy.lifecycle.config import parse_address
 from tests.sockets import Gateway, Registry, chunk, entry, gateway, news, run, settings
@@ -141,7 +141,24 @@
     run(test())
 
 
+# Guards against pauses that grow with the polling time in the settings: changes count as announced after 6 s.
+def test_failed_calls_are_repeated_soon_whatever_the_polling_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "POLL_RETRY_S", (LIMIT_S, LIMIT_S), raising=False)
+    monkeypatch.setattr(discovery, "FIRST_POLL_S", (LIMIT_S, LIMIT_S), raising=False)
+
+    async def test() -> None:
+        async with gateway(settings=SLOW_POLLING) as it:
+            for _ in range(4):
+                async with asyncio.timeout(1.0):
+                    _, watch = await it.registry.watches.get()
+                watch.transport.abort()
+
+    run(test())
+
+
 def test_two_more_calls_fit_into_the_time_after_which_a_change_counts_as_announced() -> None:
     """Of three calls in a row, two may get lost."""
-    assert 2 * max(discovery_call.ANSWER_S, discovery_call.SILENCE_S) < discovery_call.ANNOUNCED_S
+    most_s = max(discovery_call.ANSWER_S, discovery_call.SILENCE_S, max(discovery.POLL_RETRY_S))
+    assert 2 * most_s < discovery_call.ANNOUNCED_S
+    assert max(discovery.FIRST_POLL_S) + most_s < discovery_call.ANNOUNCED_S
     assert discovery_call.SILENCE_S > 2.0  # a watch sends a line every 2 s
