Read ahead again where a read fails for a moment though data has arrived

recv(2) and select(2): a read may fail with EAGAIN, ENOBUFS or ENOMEM although there is data. Read ahead repeats it while poll says that there is some, at most 20 times.

--- a/badgergap/proxy/unread_input.py
+++ b/badgergap/proxy/unread_input.py
@@ -4,17 +4,21 @@
 
 import asyncio
 import contextlib
+import errno
 import os
 import select
 import socket
 import struct
 from collections.abc import Iterator
 
-from badgergap.proxy.tcp_transport import TCP_INFO, TcpTransport
+from badgergap.proxy.tcp_transport import SHORTAGES, TCP_INFO, TcpTransport
 
 # Linux reports a peer's close separately from its data; other systems only report a reset.
 CLOSE_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
 READ_SIZE = 64 * 1024
+# A read may fail for a moment although data has arrived (recv(2), select(2)).
+TEMPORARY_ERRORS = frozenset((errno.EAGAIN, *SHORTAGES))
+RECEIVE_ATTEMPTS = 20
 
 
 def is_quiet(transport: asyncio.BaseTransport | None) -> bool:
@@ -46,11 +50,27 @@
         # Uses a duplicate descriptor: the event loop may close the transport's in the meantime.
         socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as sock,
     ):
-        while limit > 0 and (data := sock.recv(min(limit, READ_SIZE), socket.MSG_DONTWAIT)):
+        while limit > 0 and (data := _receive(sock, min(limit, READ_SIZE))):
             limit -= len(data)
             yield data
 
 
+def _receive(sock: socket.socket, size: int) -> bytes:
+    """Receive data that has arrived; again if a read fails for a moment though there is some.
+
+    Returns nothing at the end of the stream and if there is no data. Raises OSError.
+    """
+    for _ in range(RECEIVE_ATTEMPTS):
+        try:
+            return sock.recv(size, socket.MSG_DONTWAIT)
+        except OSError as error:
+            if error.errno not in TEMPORARY_ERRORS:
+                raise
+        if not _poll_descriptor(sock.fileno(), select.POLLIN):
+            break
+    return b""
+
+
 def data_age_s(transport: asyncio.BaseTransport | None) -> float:
     """Return the seconds since a TCP socket last received data, read or unread; 0 if not available."""
     if transport is None or transport.is_closing():
@@ -80,7 +100,11 @@
     """Return which of `events` are set on a socket; all of them if its transport is closing."""
     if transport is None or transport.is_closing():
         return events
+    return _poll_descriptor(transport.get_extra_info("socket").fileno(), events)
+
+
+def _poll_descriptor(descriptor: int, events: int) -> int:
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), events)
+    poll.register(descriptor, events)
     ready = poll.poll(0)
     return ready[0][1] if ready else 0
