--- a/badgergap/standins/faults/records.py
+++ b/badgergap/standins/faults/records.py
@@ -47,6 +47,15 @@
     has_run: bool  # False: it was turned away unexamined
 
 
+@dataclass(slots=True, frozen=True)
+class Notification:
+    """When a gateway's process that started `since` counts as notified of a drain."""
+
+    gateway: str
+    since: float
+    at: float
+
+
 @dataclass(slots=True, frozen=True)
 class DrainRecord:
     """A box that discovery said drains, from then until it said that it is back."""
@@ -54,6 +63,12 @@
     box: str
     told_at: float
     until: float
+    notifications: tuple[Notification, ...] = ()  # by start; none: all are notified at `told_at`
+
+    def notified_at(self, gateway: str, at: float) -> float:
+        """Return when the process of a gateway that ran at a time counts as notified."""
+        found = [each.at for each in self.notifications if each.gateway == gateway and each.since <= at]
+        return found[-1] if found else self.told_at
 
 
 @dataclass(slots=True, frozen=True)
--- a/badgergap/standins/platform.py
+++ b/badgergap/standins/platform.py
@@ -75,6 +75,7 @@
     environ: Mapping[str, str] = field(default_factory=dict)
     process: asyncio.subprocess.Process | None = None
     starts: int = 0
+    started_at: list[float] = field(default_factory=list)  # time.monotonic() of each start
 
     @property
     def config_file(self) -> Path:
@@ -94,6 +95,7 @@
     async def start(self) -> None:
         """Start the process, and wait until it says that it is ready."""
         self.starts += 1
+        self.started_at.append(time.monotonic())
         with self.log_file.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
