Do not wait again for a line end that has not come while the process was stalled

The 20 ms after which a message without its line end is read counted from the read. They count from when the data came now.

Evidence: the new case in tests/proxy/endpoints/test_watches.py failed before.

--- a/badgergap/proxy/endpoints/discovery_call.py
+++ b/badgergap/proxy/endpoints/discovery_call.py
@@ -198,8 +198,15 @@
             for line in lines:
                 if not self.ended:
                     self.read_line(bytes(line))
-            if self.buffer and not self.ended and self.line_end_timer is None:
-                self.line_end_timer = self.discovery.loop.call_later(LINE_END_S, self.read_last_line)
+            if self.buffer and not self.ended:
+                self.await_line_end()
+
+    def await_line_end(self) -> None:
+        """Process what the buffer holds if its line end has not come LINE_END_S after it."""
+        if self.data_age_s >= LINE_END_S:
+            self.read_last_line()
+        elif self.line_end_timer is None:
+            self.line_end_timer = self.discovery.loop.call_later(LINE_END_S, self.read_last_line)
 
     def read_last_line(self) -> None:
         """Process a complete message whose line end has not come."""
--- a/tests/proxy/endpoints/test_watches.py
+++ b/tests/proxy/endpoints/test_watches.py
@@ -38,6 +38,12 @@
     return chunk(news(entry("h1", it.host.address, status), index=index, **more))
 
 
+def send_now(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Send without the event loop, which writes at the end of its iteration."""
+    with socket.socket(fileno=os.dup(writer.transport.get_extra_info("socket").fileno())) as sock:
+        sock.send(data)
+
+
 def status_of(it: Gateway) -> EndpointStatus | None:
     endpoint = it.proxy.balancer.table.by_id.get(endpoint_id_of("h1"))
     return endpoint.entry.status if endpoint is not None else None
@@ -87,8 +93,7 @@
 
     async def test() -> None:
         async with watched_gateway() as (it, watch):
-            with socket.socket(fileno=os.dup(watch.transport.get_extra_info("socket").fileno())) as sock:
-                sock.send(list_with(it, "leaving", 9))
+            send_now(watch, list_with(it, "leaving", 9))
             time.sleep(4 * LIMIT_S)
             await asyncio.sleep(SHORTLY_S)
             assert status_of(it) is EndpointStatus.DRAINING
@@ -141,6 +146,18 @@
     run(test())
 
 
+# Guards against a wait for a line end that the stall has already outlasted: requests were decided without it.
+def test_a_message_without_its_line_end_that_stood_unread_is_read_ahead() -> None:
+    async def test() -> None:
+        async with watched_gateway() as (it, watch):
+            send_now(watch, chunk(news(entry("h1", it.host.address, "leaving"), index=9).rstrip("\n")))
+            time.sleep(LIMIT_S)
+            it.proxy.directory.catch_up()
+            assert status_of(it) is EndpointStatus.DRAINING
+
+    run(test())
+
+
 # Guards against pauses that grow with the polling time in the settings: changes count as announced after 6 s.
 def test_failed_calls_are_repeated_soon_whatever_the_polling_time(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "POLL_RETRY_S", (LIMIT_S, LIMIT_S), raising=False)
