Hold requests back for the new watch after a stall in which a pushed list's watch was lost

What an agent has counts as announced without a watch. Requests were decided by the old list until the new watch was answered, and the drain in its first answer then had a whole grace period.

--- a/badgergap/proxy/endpoints/directory.py
+++ b/badgergap/proxy/endpoints/directory.py
@@ -13,6 +13,7 @@
 from badgergap.balancing.interface import EndpointList, EndpointListKind
 from badgergap.proxy.diagnostics import EventLog
 from badgergap.proxy.endpoints.discovery import Discovery
+from badgergap.proxy.endpoints.list_freshness import ListFreshness, Resume
 from badgergap.proxy.endpoints.registry import EndpointRegistry
 from badgergap.proxy.endpoints.sources import PLATFORM, EndpointSource, EndpointUpdate
 from badgergap.proxy.endpoints.start_times import StartTimes
@@ -60,6 +61,10 @@
                 random.Random(config.seed),
             )
             self.add_source(self.discovery)
+        # Set where the list is pushed: elsewhere what was not written to this process is not announced yet.
+        self.freshness: ListFreshness | None = None
+        if self.discovery is not None and self.discovery.pushed:
+            self.freshness = ListFreshness(loop, self.discovery.is_watched)
         self.manual_drain_listeners: list[ManualDrainListener] = []
         # Called with each update; True: it was handled elsewhere, and comes back by `apply_update`.
         self.intercept_update: Callable[[str, EndpointUpdate], bool] | None = None
@@ -81,6 +86,8 @@
         """Start all sources; updates may be received during the call."""
         for source in self.sources.values():
             source.start()
+        if self.freshness is not None:
+            self.freshness.start()
         if self.discovery is not None:
             self.loop.call_later(self.discovery.first_poll_after_s(), self.watch_discovery)
 
@@ -125,14 +132,32 @@
     def catch_up(self) -> None:
         """Process updates from discovery that the event loop has not read yet, at most every CATCH_UP_S."""
         now = time.monotonic()
-        if self.discovery is not None and now - self.caught_up_at > CATCH_UP_S:
-            self.caught_up_at = now
+        if self.discovery is None or now - self.caught_up_at <= CATCH_UP_S:
+            return
+        self.caught_up_at = now
+        if self.freshness is not None:
+            self.freshness.check()
+        else:
             self.discovery.read_unread()
 
+    @property
+    def may_be_outdated(self) -> bool:
+        """Whether the grace period of a drain may have passed before its announcement could be received."""
+        return self.freshness is not None and self.freshness.may_be_outdated
+
+    def hold_back(self, resume: Resume) -> bool:
+        """Whether nothing may be sent now because the list may be outdated; `resume` is then called soon."""
+        if self.freshness is None:
+            return False
+        self.catch_up()
+        return self.freshness.hold_back(resume)
+
     def receive_update(self, source: str, update: EndpointUpdate) -> None:
         """Apply an update from a source, unless `intercept_update` handles it."""
         if self.intercept_update is None or not self.intercept_update(source, update):
             self.apply_update(source, update)
+        if self.freshness is not None:
+            self.freshness.check()
 
     def apply_update(self, source: str, update: EndpointUpdate) -> None:
         """Merge an update into the registry, and publish what it changes.
@@ -140,8 +165,9 @@
         A failure or an empty change of a source other than the platform ends at the registry, because the
         balancer responds to a failure by calling the platform again.
         """
+        is_late = update.is_late or self.may_be_outdated
         update = self.start_times[source].convert(update)
-        update = replace(self.registry.receive(self.now_us(), source, update), is_late=update.is_late)
+        update = replace(self.registry.receive(self.now_us(), source, update), is_late=is_late)
         if source == PLATFORM or update.entries or update.kind is EndpointListKind.FULL:
             self.publish_update(update)
 
--- a/badgergap/proxy/endpoints/discovery.py
+++ b/badgergap/proxy/endpoints/discovery.py
@@ -153,6 +153,11 @@
         """Start a call for the full list; its result is reported as an update."""
         self.fetches.add(DiscoveryCall(self, PATH, CallReason.POLL, watch=False))
 
+    def is_watched(self) -> bool:
+        """Whether a watch is open, by its socket."""
+        self.read_unread()
+        return any(call.is_open for call in self.watches)
+
     def read_unread(self) -> None:
         """Process unread data ahead of the event loop: an unread drain counts as announced."""
         for call in (*self.watches, *self.fetches):
--- a/badgergap/proxy/endpoints/discovery_call.py
+++ b/badgergap/proxy/endpoints/discovery_call.py
@@ -66,6 +66,7 @@
         self.partial_bytes = 0  # bytes of an incomplete message
         self.ended = False
         self.connecting = True
+        self.is_broken = False  # discovery has closed the connection, as `read_unread` has seen
         self.accepted = False  # the head of a response was received
         self.answered = False  # body data was received: part of a list, or a keep-alive line
         self.silence_timer: asyncio.TimerHandle | None = None
@@ -117,6 +118,13 @@
         """Whether it has sent nothing for longer than it may."""
         return self.discovery.loop.time() - self.heard_at >= self.silence_limit_s
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it has been answered and its connection has not been closed, as `read_unread` has seen."""
+        if not self.answered or self.ended or self.transport is None or self.transport.is_closing():
+            return False
+        return not self.is_broken and not self.has_incomplete_message
+
     @property
     def has_incomplete_message(self) -> bool:
         """Whether a message has begun whose rest is missing."""
@@ -165,7 +173,9 @@
         """Process data from discovery that the event loop has not read yet."""
         if self.ended or self.is_parsing or self.transport is None or self.transport.is_closing():
             return  # data being parsed may lead to this call
-        if unread_input.is_quiet(self.transport):
+        events = unread_input.pending_events(self.transport)
+        self.is_broken = events & unread_input.CLOSE_EVENTS != 0
+        if not events:
             return
         for data in unread_input.read_now(self.transport, LINE_LIMIT):
             self.data_received(data)
--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -88,6 +88,7 @@
             config, loop, self.clock.now_us, self.upstream, self.feed, self.diagnostics.events
         )
         self.upstream.catch_up = self.directory.catch_up
+        self.upstream.hold_back = self.directory.hold_back
         self.peers = PeerMessenger(config, self.proxy_settings.may_message, loop, self.feed)
         self.health_checker = HealthChecker(
             self.upstream, self.proxy_settings.reports.mode, self.clock.now_us, self.feed
--- a/badgergap/proxy/unread_input.py
+++ b/badgergap/proxy/unread_input.py
@@ -30,6 +30,11 @@
     return _poll(transport, select.POLLIN) == 0
 
 
+def pending_events(transport: asyncio.BaseTransport | None) -> int:
+    """Return the poll events for unread input and for a close by the peer, in one look."""
+    return _poll(transport, select.POLLIN | CLOSE_EVENTS)
+
+
 def peer_has_closed(transport: asyncio.BaseTransport | None) -> bool:
     """Whether the peer has closed the connection, even while unread data precedes the close.
 
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from operator import attrgetter
 from typing import cast
 
@@ -75,9 +76,15 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transports do not inherit from it
         # With a limit of 0, pause_writing and resume_writing report exactly when bytes are buffered.
         self.transport.set_write_buffer_limits(high=0)
+        self.begin()
+
+    def begin(self) -> None:
+        """Write the exchange, once the endpoint list is up to date, unless it may no longer be sent."""
         exchange = self.exchange
         if exchange is None or exchange.done:
             self.abort()
+        elif self.pool.hold_back(self.begin):
+            return
         elif not self.pool.is_epoch_current(self.epoch) or not self.pool.may_begin(self.endpoint, exchange):
             # While connecting, the endpoint began to drain, the settings changed, or the request ended (its
             # client disconnected, or another attempt was answered).
@@ -168,6 +175,9 @@
         self.now: Callable[[], float] = time.monotonic
         # Called before anything is sent: reads endpoint updates that are still unread in the sockets.
         self.catch_up: Callable[[], None] = lambda: None
+        # Called before anything is sent: whether the endpoint list may be outdated. If so, the argument is
+        # called soon.
+        self.hold_back: Callable[[Callable[[], None]], bool] = lambda resume: False
         self.reuse_delay_s = reuse_delay_s
         # For connections to all endpoints; a certificate that does not match makes the connect fail.
         self.tls: ssl.SSLContext | None = None
@@ -263,12 +273,20 @@
         It ends as TIMEOUT after `timeout_s` seconds, and as NEVER_SENT if nothing may be sent to the
         endpoint.
         """
-        endpoint = self.endpoints.get(endpoint_id)
         exchange.deadline_at = self.now() + timeout_s
+        exchange.timer = self.loop.call_later(timeout_s, self.on_timeout, exchange)
+        begin = partial(self.begin, endpoint_id, exchange, connection_class)
+        if not self.hold_back(begin):
+            begin()
+
+    def begin(
+        self, endpoint_id: EndpointId, exchange: Exchange, connection_class: type[PooledConnection]
+    ) -> None:
+        """Send an exchange by the endpoint list as it is now."""
+        endpoint = self.endpoints.get(endpoint_id)
         if endpoint is None or not self.may_begin(endpoint, exchange):
             self.loop.call_soon(exchange.never_sent)
             return
-        exchange.timer = self.loop.call_later(timeout_s, self.on_timeout, exchange)
         while (connection := self.take_idle(endpoint)) is not None:
             if type(connection) is connection_class and connection.is_quiet():
                 connection.write(exchange)
--- a/tests/faults/test_hold_ups.py
+++ b/tests/faults/test_hold_ups.py
@@ -114,6 +114,28 @@
     run(test())
 
 
+# Guards against a drain that is announced while the watch is lost, both in one hold-up: until the new watch
+# had brought it, the endpoint got requests beyond its grace.
+def test_a_drain_told_behind_a_lost_watch_while_the_gateway_was_held_up_is_heeded(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with world(tmp_path) as it:
+            clients = await it.warm()
+            it.gateway.stop()
+            it.platform.registry.cut()
+            told_at = it.platform.tell("b0", "leaving")
+            await asyncio.sleep(GRACE_S + 0.2)
+            for client in clients:
+                client.send(ask())
+            await asyncio.sleep(0.05)
+            it.gateway.go_on()
+            answers = await asyncio.gather(*(client.answer() for client in clients))
+            assert [status for status, _, _ in answers] == [200] * CLIENTS
+            late = [each for each in it.platform.boxes["b0"].seen if each.at > told_at + GRACE_S]
+            assert late == []
+
+    run(test())
+
+
 # Guards against time that counts from when a request was read: endpoints were told more than was left.
 @pytest.mark.parametrize("kept", [True, False], ids=["kept", "new"])
 def test_the_deadline_passed_on_counts_from_when_the_request_came(kept: bool, tmp_path: Path) -> None:
