Record the stops of a gateway as they were: SIGCONT ends all that overlap

Two stops of n0 overlap in its schedule; the second's SIGCONT ended both after 0.497 s, and the soak recorded the first to its drawn end, so that the checker did not find the write that the stop had held up.

The check is as it was.

--- a/badgergap/standins/faults/soak.py
+++ b/badgergap/standins/faults/soak.py
@@ -127,6 +127,11 @@
 
     def _collect(self) -> None:
         self.records.requests = self.clients.records
+        self.records.hold_ups = [
+            Interruption(gateway.name, began_at, ended_at, "held up")
+            for gateway in self.platform.gateways
+            for began_at, ended_at in gateway.stops
+        ]
         self.records.attempts = [
             AttemptRecord(each.id, name, each.at, each.timeout_ms, each.has_run)
             for name, box in self.platform.boxes.items()
@@ -158,11 +163,7 @@
         gateway = front.gateway
         match fault.kind:
             case FaultKind.HOLD_UP:
-                began_at = time.monotonic()
                 await gateway.hold_up(fault.for_s)
-                self.records.hold_ups.append(
-                    Interruption(gateway.name, began_at, time.monotonic(), "held up")
-                )
             case FaultKind.CALLS:
                 await self._fail_calls(fault, gateway)
             case FaultKind.RESTART:
--- a/badgergap/standins/platform.py
+++ b/badgergap/standins/platform.py
@@ -75,6 +75,10 @@
     environ: Mapping[str, str] = field(default_factory=dict)
     process: asyncio.subprocess.Process | None = None
     starts: int = 0
+    stopped_at: float | None = None
+    stops: list[tuple[float, float]] = field(
+        default_factory=list
+    )  # from SIGSTOP to SIGCONT, time.monotonic()
     started_at: list[float] = field(default_factory=list)  # time.monotonic() of each start
 
     @property
@@ -126,11 +130,17 @@
             self.process.send_signal(number)
 
     def stop(self) -> None:
-        """Hold the process up until `go_on`."""
+        """Hold the process up until the next `go_on`."""
         self.send_signal(signal.SIGSTOP)
+        if self.stopped_at is None:
+            self.stopped_at = time.monotonic()
 
     def go_on(self) -> None:
+        """Let the process go on, however often it was stopped."""
         self.send_signal(signal.SIGCONT)
+        if self.stopped_at is not None:
+            self.stops.append((self.stopped_at, time.monotonic()))
+            self.stopped_at = None
 
     async def hold_up(self, seconds: float) -> None:
         self.stop()
