Count a rollout's heartbeat only under a lease that is being renewed

A link that was cut delivers what it had taken in as it heals: heartbeats from before the stop, whose record number the member has. Each counted as a confirmation, now, that the log is current. A lease counts from the member's own request and comes on the same link in order, so heartbeats that were held back come before the first new grant; they do not count until then. No message changes.

--- a/badgergap/consensus/member_core.py
+++ b/badgergap/consensus/member_core.py
@@ -114,6 +114,12 @@
             return max(0, end_us - now_us)
         return self.lease.left_us(now_us)
 
+    def leader_confirmed_us(self, now_us: int) -> int:
+        """Return when the leader was last known to lead: what it sent before may have been delayed since."""
+        if self.raft.is_established_leader:
+            return self.raft.confirmed_us(now_us)
+        return self.lease.end_us - self.lease.duration_us
+
     def minimum_version(self) -> int:
         """Return the version that must be loaded to act under the lease."""
         if self.raft.is_established_leader:
--- a/badgergap/rollout/service.py
+++ b/badgergap/rollout/service.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from badgergap.consensus.clock import clock_us
+from badgergap.consensus.lease import REQUESTS_PER_LEASE
 from badgergap.consensus.pending_requests import PROPOSAL_TIMEOUT_S
 from badgergap.consensus.service import GroupService
 from badgergap.consensus.settings_text import decode_tables
@@ -53,6 +54,7 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.25
+RENEWALS_MISSED = 2  # of a lease, after which a heartbeat may be one that was delayed
 
 
 class RolloutService:
@@ -141,6 +143,19 @@
         """Return whether the leader has recently confirmed that this member's log is current."""
         return self.heartbeat_us > 0 and now_us - self.heartbeat_us <= HEARTBEAT_TIMEOUT_US
 
+    def _on_heartbeat(self, now_us: int, message: Heartbeat) -> None:
+        """Record that the leader has confirmed that this member's log is current.
+
+        A heartbeat may have been delayed, for example by a partition. It was sent after the lease that was
+        granted before it arrived, so it counts only while that lease is as new as leases are renewed.
+        """
+        member = self.group.member
+        if member is None or message.record_number > self.record_number:
+            return
+        renewal_us = member.lease.duration_us // REQUESTS_PER_LEASE
+        if now_us - member.leader_confirmed_us(now_us) <= RENEWALS_MISSED * renewal_us:
+            self.heartbeat_us = now_us
+
     def effective_settings(self, settings: str) -> str:
         """Return the rollout's settings if this member has to apply them, else `settings`."""
         rollout = self.rollout
@@ -202,8 +217,7 @@
         match message:
             case Heartbeat():
                 if name == self.leader():
-                    if message.record_number <= self.record_number:
-                        self.heartbeat_us = now_us
+                    self._on_heartbeat(now_us, message)
                     self.send(name, self.status())
             case MemberStatus():
                 self.statuses[name] = (message, now_us)
