Leave a response alone that began as its attempt's timeout was due, and log what breaks one off

Upstream.on_timeout reads what stands unread at the endpoint's socket before it gives an attempt up. If that was the beginning of a long answer, it was passed on, and the attempt was given up all the same: the client's connection was reset. An attempt whose response has begun, or whose body is no longer held, has no timeout of the balancer's: on_timeout asks again after reading (Exchange.is_final). Proxy.extend set a timer anew on such an attempt; it does not now.

--- a/badgergap/proxy/diagnostics/event_log.py
+++ b/badgergap/proxy/diagnostics/event_log.py
@@ -25,6 +25,7 @@
     ATTEMPT_ENDED = "attempt"
     CONNECTION_CLOSED = "connection"
     UNANSWERED_CLOSE = "closed_unanswered"
+    RESPONSE_BROKEN = "response_broken"  # by the endpoint's side, after it had begun
     LOOP_STALLED = "held_up"
     CALL_FAILED = "call_failed"
     DISCOVERY_CALL = "discovery_call"
--- a/badgergap/proxy/diagnostics/request_log.py
+++ b/badgergap/proxy/diagnostics/request_log.py
@@ -33,6 +33,17 @@
         """Record that an attempt was started with `left_us` until its deadline."""
         trace.note(self._now_us(), "attempt %d to %d for %d us", number, endpoint_id, left_us)
 
+    def response_broken(self, trace: RequestTrace, outcome: Outcome, cause: str) -> None:
+        """Record that a response which was being forwarded has ended before its end."""
+        self._events.warn(
+            EventKind.RESPONSE_BROKEN,
+            outcome.value,
+            "the response to request %s broke off: %s; %s",
+            trace.client_id,
+            outcome.value,
+            cause or "no cause is known",
+        )
+
     def attempt_ended(self, trace: RequestTrace, number: int, outcome: Outcome) -> None:
         """Record the outcome of an attempt."""
         name = OUTCOME_NAMES[outcome]
--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -312,7 +312,9 @@
         """Extend the timeout of an attempt that is still in flight."""
         request = self.requests.get(action.request_id)
         exchange = request.attempts[action.attempt_number] if request is not None else None
-        if exchange is not None and not exchange.done and exchange.timer is not None:
+        if exchange is None or exchange.is_final:
+            return  # begun, perhaps by an event that the balancer has not handled yet
+        if not exchange.done and exchange.timer is not None:
             exchange.timer.cancel()
             exchange.timer = self.loop.call_later(action.timeout_us / 1e6, self.upstream.on_timeout, exchange)
 
@@ -474,6 +476,13 @@
         request.attempts_in_flight -= 1
         latency_us = self.clock.now_us() - attempt.sent_us
         self.request_log.attempt_ended(request.trace, attempt.attempt_number, outcome)
+        exchange = (
+            request.attempts[attempt.attempt_number]
+            if attempt.attempt_number < len(request.attempts)
+            else None
+        )
+        if exchange is not None and exchange.is_truncated and outcome is not Outcome.CANCELLED:
+            self.request_log.response_broken(request.trace, outcome, exchange.end_cause)
         if outcome is Outcome.SUCCESS and answer is not None:
             self.send_final_answer(request, answer)
         endpoint_id = attempt.endpoint_id
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -295,7 +295,7 @@
         self.connect(endpoint, exchange, connection_class)
 
     def on_timeout(self, exchange: Exchange) -> None:
-        """End an exchange that has timed out, unless its response has arrived.
+        """End an exchange that has timed out, unless its response has arrived, or has begun to.
 
         After a stall the loop runs timers before it reads. A response that came in time would be lost, and
         the endpoint blamed for it.
@@ -305,7 +305,8 @@
         connection = exchange.connection
         if isinstance(connection, PooledConnection):
             connection.read_unread()
-        exchange.give_up(Outcome.TIMEOUT)
+        if not exchange.is_final:
+            exchange.give_up(Outcome.TIMEOUT)
 
     def take_idle(self, endpoint: Endpoint) -> PooledConnection | None:
         """Take the most recently used connection whose reuse delay is over; None if there is none.
--- a/badgergap/proxy/upstream/exchange.py
+++ b/badgergap/proxy/upstream/exchange.py
@@ -59,6 +59,7 @@
         "connection",
         "deadline_at",
         "done",
+        "end_cause",
         "payload",
         "start_prevented",
         "timer",
@@ -74,6 +75,17 @@
         self.written = False  # the endpoint may have run the request, by the rule above
         self.done = False
         self.start_prevented = False
+        self.end_cause = ""  # what ended it, beyond the outcome; for the log
+
+    @property
+    def is_final(self) -> bool:
+        """Whether no retry is possible any more, so that its timeout does not apply."""
+        return False
+
+    @property
+    def is_truncated(self) -> bool:
+        """Whether its response was forwarded in part and has no end."""
+        return False
 
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         """Report the outcome, and the response if there is one; does nothing after the first call."""
--- a/badgergap/proxy/upstream/stream_attempt.py
+++ b/badgergap/proxy/upstream/stream_attempt.py
@@ -118,11 +118,20 @@
             return
         self.spec.upload.detach(self)
         self.cancel_continue_timer()
-        is_truncated = self.response_started and not self.response_complete
         super().end(outcome, answer)
-        if is_truncated:
+        if self.is_truncated:
             self.spec.download.abort()
 
+    @property
+    def is_final(self) -> bool:
+        """Whether its response has begun, or its body is not held any more."""
+        return self.response_started or self.is_committed
+
+    @property
+    def is_truncated(self) -> bool:
+        """Whether its response was forwarded in part and has no end."""
+        return self.response_started and not self.response_complete
+
     def check_time(self, now: float, idle_timeout_s: float, response_timeout_s: float) -> None:
         """Time the attempt out if the endpoint makes no progress after the balancer's own timeout has ended.
 
@@ -139,6 +148,7 @@
         else:
             late = self.write_blocked and idle_s > idle_timeout_s
         if late:
+            self.end_cause = f"no progress for {idle_s:.1f} s"
             self.give_up(Outcome.TIMEOUT)
 
     # The request's body
--- a/badgergap/proxy/upstream/stream_exchange.py
+++ b/badgergap/proxy/upstream/stream_exchange.py
@@ -245,8 +245,9 @@
                 clean = False
             elif rest:
                 exchange.spec.download.data(rest)
-        except httptools.HttpParserError:
+        except httptools.HttpParserError as error:
             clean = False
+            exchange.end_cause = f"invalid response: {error}"
         if self.exchange is not exchange:
             return  # a callback of the parser has ended it
         if self.state is COMPLETE:
@@ -301,8 +302,17 @@
             self.conclude(False)
         else:
             self.count_held(0)
+            exchange.end_cause = exchange.end_cause or self.describe_loss(exc)
             exchange.lost()
 
+    def describe_loss(self, exc: Exception | None) -> str:
+        """Return what ended the connection, and how much of the response had come."""
+        cause = (
+            str(exc) if exc is not None else "closed by the endpoint" if self.peer_ended else "closed here"
+        )
+        left = f", {self.body_left} bytes missing" if self.body_left > 0 else ""
+        return f"{cause} in state {self.state.name} after {self.raw_size} bytes{left}"
+
     def abort(self) -> None:
         """Close at once without ending the exchange, and release the held response's memory."""
         self.count_held(0)
--- a/tests/faults/test_hold_ups.py
+++ b/tests/faults/test_hold_ups.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from badgergap.standins.box import Seen
+from badgergap.standins.box import Box, Job, Seen
 from badgergap.standins.load import Kind
 from badgergap.standins.platform import GatewayProcess, Platform, settings_of
 from tests.sockets import Client, ask, run
@@ -25,6 +25,8 @@
 LEAVE_SLACK_S = 0.1
 HALF_REQUEST_S = 3.0
 DEADLINE_SLACK_MS = 150
+LONG_PART = 200_000  # bytes of half an answer: more than is held for a retry
+SECOND_PART_S = 0.1
 WORK_S = 0.02  # so that requests at the same time have connections to endpoints of their own
 
 
@@ -198,6 +200,44 @@
     run(test())
 
 
+class LongAnswerBox(Box):
+    """A box that gives its answers in two parts, the second one a while after the first."""
+
+    def finish(self, job: Job) -> None:
+        transport = job.connection.transport
+        if job.connection.turn != job.turn or transport is None:
+            return
+        job.connection.turn += 1
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * LONG_PART)
+        transport.write(head + bytes(LONG_PART))
+        asyncio.get_running_loop().call_later(SECOND_PART_S, transport.write, bytes(LONG_PART))
+
+
+# Guards against a long answer that is cut off: its beginning stood unread as its attempt timed out, was read
+# and passed on, and the attempt was given up all the same.
+def test_a_long_answer_that_began_while_the_gateway_was_held_up_is_passed_on_whole(tmp_path: Path) -> None:
+    async def test() -> None:
+        kinds = [Kind("look", "safe", 0.5, 3.0)]
+        settings = settings_of(kinds, late_value=0.0)
+        platform = Platform(tmp_path, kinds, settings=settings, work_s=WORK_S)
+        platform.boxes = {
+            name: LongAnswerBox(name, default_work_s=WORK_S, cores=256) for name in platform.boxes
+        }
+        async with platform:
+            it = World(platform)
+            clients = await it.warm()
+            for box in platform.boxes.values():
+                box.default_work_s = 0.2
+            for client in clients:
+                client.send(ask(Request_Timeout_Ms="3000"))
+            await asyncio.sleep(0.1)
+            await it.gateway.hold_up(0.8)
+            answers = await asyncio.gather(*(client.answer() for client in clients))
+            assert [(status, len(body)) for status, _, body in answers] == [(200, 2 * LONG_PART)] * CLIENTS
+
+    run(test())
+
+
 # Guards against time limits that count from when bytes were read: a client that stops in the middle of a
 # request heard its error later than the 3 s that it is owed.
 @pytest.mark.parametrize("kept", [True, False], ids=["kept", "new"])
