--- a/badgergap/standins/platform.py
+++ b/badgergap/standins/platform.py
@@ -25,6 +25,7 @@
 from badgergap.standins.rig import free_port
 
 READY_S = 20.0
+START = "trap '' HUP; exec \"$0\" -m badgergap"  # as the deploy file does
 EFFECTS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
 WINDOW_US = 60_000_000
 
@@ -102,9 +103,10 @@
         self.started_at.append(time.monotonic())
         with self.log_file.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
+                "/bin/sh",
+                "-c",
+                START,
                 sys.executable,
-                "-m",
-                "badgergap",
                 env={**os.environ, **self.environ, "ROUTER_CONFIG": str(self.config_file)},
                 stderr=log,
                 stdout=log,
