Keep the port of a discovery that refuses connections in the soak

The soak ended with 'address already in use' as an outage that refuses connections was over: meanwhile another socket of the machine had been given the port. A bound socket that does not listen keeps it now, and refuses connections alike.

--- a/badgergap/standins/discovery.py
+++ b/badgergap/standins/discovery.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 import time
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -88,6 +89,7 @@
     outages: list[tuple[float, float]] = field(default_factory=list)
     silences: list[Silence] = field(default_factory=list)
     down_since: float | None = None
+    kept_port: socket.socket | None = None  # refuses connections, and keeps the port from others
 
     def __post_init__(self) -> None:
         super().__init__()
@@ -102,12 +104,14 @@
         self.watches.clear()
         if outage is Outage.REFUSED and self.listener is not None:
             self.listener.close()
+            self.kept_port = bound_socket(self.address)
 
     async def come_back(self) -> None:
         """Serve again, at the same address. Calls that hang stay as they are."""
         assert self.down_since is not None
-        if self.outage is Outage.REFUSED:
-            await self.listen(self.address)
+        if self.kept_port is not None:
+            self.listener = await asyncio.start_server(self.accept, sock=self.kept_port)
+            self.kept_port = None
         self.outage = None
         self.outages.append((self.down_since, time.monotonic()))
         self.down_since = None
@@ -140,11 +144,6 @@
             with contextlib.suppress(ValueError):
                 self.watches.remove(watch)
 
-    async def listen(self, address: str) -> None:
-        """Listen at an address again."""
-        host, port = address.split(":")
-        self.listener = await asyncio.start_server(self.accept, host, int(port))
-
     # Calls
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -253,6 +252,15 @@
         return float("inf") if self.down_since is not None and self.down_since <= at else at
 
 
+def bound_socket(address: str) -> socket.socket:
+    """Return a socket that has an address and does not listen."""
+    host, port = address.split(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, int(port)))
+    return sock
+
+
 class DiscoveryService:
     """The list, and an outlet for each gateway."""
 
