Do not send a request whose time ends between the look at the clock and its head

The gateway was stopped for 0.324 s behind the pool's look at the clock and before the head with the deadline was made: the time left was none, and the least that a head says is 1 ms.

The clock is looked at again once the head is made; an attempt that is out of time by then ends as never sent.

Evidence: test_a_request_whose_time_ends_as_it_is_written_is_not_sent failed before.

--- a/badgergap/proxy/upstream/exchange.py
+++ b/badgergap/proxy/upstream/exchange.py
@@ -107,9 +107,12 @@
 
     def may_begin(self) -> bool:
         """Whether it may still be sent; called just before its first byte is written."""
-        if self.done or self.start_prevented:
-            return False
-        return self.deadline_at is None or time.monotonic() < self.deadline_at
+        return not (self.done or self.start_prevented or self.is_out_of_time)
+
+    @property
+    def is_out_of_time(self) -> bool:
+        """Whether its deadline has passed, after which it may not be started."""
+        return self.deadline_at is not None and time.monotonic() >= self.deadline_at
 
     def lost(self) -> None:
         """End because the connection was lost or the response was invalid."""
--- a/badgergap/proxy/upstream/stream_exchange.py
+++ b/badgergap/proxy/upstream/stream_exchange.py
@@ -151,6 +151,10 @@
         if expects:
             exchange.await_continue()
         payload = spec.head.lines() + (b"expect: 100-continue\r\n\r\n" if expects else b"\r\n") + held
+        if exchange.is_out_of_time:  # the process was stalled since the pool checked
+            exchange.never_sent()
+            self.abort()
+            return
         exchange.sent_at = exchange.progress_at = exchange.loop.time()
         exchange.written = True
         transport.write(payload)  # may call pause_writing if not all of it is sent
--- a/tests/proxy/test_gateway.py
+++ b/tests/proxy/test_gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+import time
 from typing import Any
 
 import pytest
@@ -25,7 +26,7 @@
 )
 from badgergap.proxy import tcp_transport
 from badgergap.proxy.body_streams import HOLD
-from badgergap.proxy.downstream import client_connection, http_connection, request_reader
+from badgergap.proxy.downstream import client_connection, forwarding, http_connection, request_reader
 from badgergap.proxy.downstream.request_validation import BODY_LIMIT, HEAD_LIMIT
 from badgergap.proxy.endpoints.sources import endpoint_id_of
 from badgergap.proxy.limits import eviction
@@ -69,6 +70,26 @@
     run(test())
 
 
+# Guards against a stall between the look at the clock and the head: the endpoint was told that 1 ms was left.
+def test_a_request_whose_time_ends_as_it_is_written_is_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
+    lines = forwarding.EndpointHead.lines
+
+    def stalled_lines(head: forwarding.EndpointHead) -> bytes:
+        time.sleep(0.1)
+        return lines(head)
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            await it.served(client)
+            monkeypatch.setattr(forwarding.EndpointHead, "lines", stalled_lines)
+            assert (await client.ask(ask(Request_Timeout_Ms="50")))[0] == 503
+            await asyncio.sleep(0.05)
+            assert it.host.taken.empty()
+
+    run(test())
+
+
 def test_connection_closed_after_response_is_not_reused() -> None:
     async def test() -> None:
         async with gateway() as it:
