Tell a process that has the state of later commands: they were lost until it had the clients

Cause: commands were told to the predecessor and to the successor, and a process becomes the successor only as it takes the clients. Between the export of its state and that it was neither; and it dropped such messages until it served. The end of a drain of a host that is not listed yet was ignored at any time.

Fix: `StateSync` counts a process as linked from the export on. Changes follow the state on the same ordered connection, are kept until the new proxy has started, and are applied in order before clients are accepted. A drain and its end apply to hosts that are not listed yet. Sending everything again at the take-over was not taken: a command to the new process in that moment would be undone by the copy that crosses it.

`test_connections_of_the_old_process_count...` drives a coordinator by hand and now calls `apply_changes` as the process does.

--- a/badgergap/hot_restart/coordinator.py
+++ b/badgergap/hot_restart/coordinator.py
@@ -10,7 +10,8 @@
 3. From then on the predecessor accepts no connection and sends no request to endpoints that are warming up.
    It exports each client's connection once no request is open on it, so that neither process holds any
    unprocessed byte of it.
-4. A manual drain, its end or a lame-duck command is forwarded to the other process before it is answered.
+4. A manual drain, its end or a lame-duck command is forwarded to the other process before it is answered,
+   from the export of the state on (`state_sync.py`).
 5. If the successor is lost, the predecessor takes clients again, unless it is shutting down. If the
    predecessor is lost, the successor continues.
 6. If the operator file sets a standby time, the successor ends the predecessor after that time, or earlier if
@@ -40,6 +41,7 @@
 from badgergap.hot_restart.listeners import TransferableComponent
 from badgergap.hot_restart.messages import Message
 from badgergap.hot_restart.rendezvous import Rendezvous, check_peer
+from badgergap.hot_restart.state_sync import StateSync
 from badgergap.hot_restart.state_transfer import (
     GatewayIdentity,
     TransferredState,
@@ -49,11 +51,11 @@
 from badgergap.proxy.downstream.client_connection import ClientConnection
 from badgergap.proxy.downstream.listener import Downstream
 from badgergap.proxy.endpoints.manual_drains import DrainStore
-from badgergap.proxy.endpoints.registry import EndpointRegistryError, ManualDrain
+from badgergap.proxy.endpoints.registry import ManualDrain
 from badgergap.proxy.endpoints.sources import PLATFORM
 from badgergap.proxy.lifecycle.component import Component, PoolOwner
 from badgergap.proxy.lifecycle.config import Config
-from badgergap.proxy.pools import MAIN, proxy_for_endpoint
+from badgergap.proxy.pools import MAIN
 from badgergap.proxy.proxy import Proxy
 from badgergap.proxy.tcp_transport import TcpTransport
 
@@ -112,7 +114,7 @@
         self.downstream: Downstream
         self.serving = False
         self.ending = False
-        self.origin: Link | None = None  # of the message being handled; changes are not sent back to it
+        self.sync = StateSync(self.proxies)
         # Towards the predecessor
         self.predecessor: Link | None = None
         self.state: TransferredState | None = None
@@ -154,6 +156,7 @@
             log.warning("another process of this gateway listens and hands nothing over")
         if self.state is None or (self.listener is None and self.config.listen is not None):
             self.state = None
+            self.sync = StateSync(self.proxies)
             self.close_unused_listeners()
             link.close()
             return None
@@ -181,7 +184,7 @@
             case messages.ExportClient(component) if sock is not None and self.serving:
                 self._adopt_client(component, sock)
                 return
-            case _ if self.serving and self.predecessor is not None:
+            case _ if self.predecessor is not None:
                 self.on_shared_message(self.predecessor, message)
         if sock is not None:
             sock.close()
@@ -195,6 +198,8 @@
             return False
         else:
             self.listener = listener
+            if self.predecessor is not None:
+                self.sync.add(self.predecessor)
             return True
         finally:
             self.state_received.set()
@@ -202,6 +207,8 @@
     def on_predecessor_lost(self) -> None:
         """Handle the end of the predecessor's link; its connections no longer count against the limits."""
         self.state_received.set()
+        if self.predecessor is not None:
+            self.sync.discard(self.predecessor)
         self.predecessor = None
         if self.serving:
             self.update_counts(messages.ConnectionCounts())
@@ -241,6 +248,10 @@
         if self.learned_state is not None:
             self.learned_state.restore()
 
+    def apply_changes(self) -> None:
+        """Apply what operators have changed at the predecessor since it exported its state."""
+        self.sync.start(self.downstream)
+
     async def ready(self) -> None:
         """Wait until the pools list endpoints, then restore learned state; runs before clients are taken."""
         if self.learned_state is not None:
@@ -347,6 +358,7 @@
                 link.send(messages.ExportListener(name), descriptor)
         message = messages.ExportState(self.current_state(), self.state_identity)
         link.send(message, main_socket.fileno() if main_socket is not None else None)
+        self.sync.add(link)
         log.info("another process of this gateway has asked for what it needs")
 
     def current_state(self) -> TransferredState:
@@ -408,6 +420,7 @@
     def on_successor_lost(self, link: Link) -> None:
         """Handle the end of a link; if that process had taken the clients, take them here again."""
         self.candidates.discard(link)
+        self.sync.discard(link)
         if link is not self.successor:
             return
         self.successor = None
@@ -425,45 +438,17 @@
     # In both roles
 
     def on_shared_message(self, link: Link, message: Message) -> None:
-        """Handle a message that both processes may send; an unknown one is logged and ignored."""
-        self.origin = link
-        try:
-            match message:
-                case messages.ManualDrainChanged():
-                    self._apply_manual_drain(message)
-                case messages.LameDuckChanged(is_lame_duck):
-                    (self.downstream.enter_lame_duck if is_lame_duck else self.downstream.leave_lame_duck)()
-                case messages.ConnectionCounts() if link is self.predecessor:
+        """Handle a message that both processes may send."""
+        match message:
+            case messages.ConnectionCounts() if link is self.predecessor:
+                if self.serving:
                     self.update_counts(message)
-                case _:
-                    log.warning(
-                        "ignored an unknown message of another process: %.200r",
-                        messages.encode(message),
-                    )
-        finally:
-            self.origin = None
-
-    def _apply_manual_drain(self, change: messages.ManualDrainChanged) -> None:
-        proxy = proxy_for_endpoint(self.proxies().values(), change.endpoint)
-        try:
-            if change.drained:
-                proxy.directory.drain(change.endpoint, change.by)
-            else:
-                proxy.directory.undrain(change.endpoint, change.by)
-        except EndpointRegistryError:
-            if change.drained:  # not listed here yet: drain it as soon as it is listed
-                drain = ManualDrain(change.endpoint, change.by, self.proxy.clock.now_us())
-                self.proxy.directory.registry.restore([drain])
-
-    def _notify(self, message: Message) -> None:
-        """Send a message to the predecessor and the successor, except the one that caused it."""
-        for link in (self.predecessor, self.successor):
-            if link is not None and link is not self.origin:
-                link.send(message)
+            case _:
+                self.sync.receive(link, message)
 
     def on_manual_drain(self, name: str, by: str, drained: bool) -> None:
         """Forward and store a change of the manual drains, made here or at another process."""
-        self._notify(messages.ManualDrainChanged(name, by, drained))
+        self.sync.notify(messages.ManualDrainChanged(name, by, drained))
         if self.drain_store is not None:
             drains = list(self.proxy.directory.registry.drains.values())
             self.drain_writer.submit(self._save_drains, self.drain_store, drains)
@@ -476,7 +461,7 @@
 
     def on_lame_duck(self, is_lame_duck: bool) -> None:
         """Forward the start or the end of the lame-duck state."""
-        self._notify(messages.LameDuckChanged(is_lame_duck))
+        self.sync.notify(messages.LameDuckChanged(is_lame_duck))
 
     def on_shutdown(self) -> None:
         """Note that this process shuts down; with a standby time, end the predecessor too."""
--- /dev/null
+++ b/badgergap/hot_restart/state_sync.py
@@ -0,0 +1,78 @@
+"""Keeps what operators have decided the same in all linked processes of one gateway.
+
+A process that has exported its state to another one forwards each later manual drain, its end, and each
+lame-duck command to it: from the export on, and not only once the other one has taken the clients. Changes
+and state use one ordered link, so that none is lost in between. The receiver applies them in order, as soon
+as its proxy has started.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+
+from badgergap.hot_restart import messages
+from badgergap.hot_restart.channel import Link
+from badgergap.hot_restart.messages import Message
+from badgergap.proxy.downstream.listener import Downstream
+from badgergap.proxy.pools import proxy_for_endpoint
+from badgergap.proxy.proxy import Proxy
+
+log = logging.getLogger(__name__)
+
+
+class StateSync:
+    """Forwards changes to the processes that have the state of this one, and applies theirs."""
+
+    def __init__(self, proxies: Callable[[], Mapping[str, Proxy]]) -> None:
+        """`proxies` returns the proxies of all pools, the main one first."""
+        self.proxies = proxies
+        self.downstream: Downstream | None = None  # set once changes can be applied
+        self.links: dict[Link, None] = {}  # to processes whose state is that of this one; in order
+        self.origin: Link | None = None  # of the change being applied, which is not sent back to it
+        self.early: list[tuple[Link, Message]] = []  # received before changes can be applied
+
+    def add(self, link: Link) -> None:
+        """Forward changes from now on to a process that has the state of this one, or has sent its own."""
+        self.links[link] = None
+
+    def discard(self, link: Link) -> None:
+        """Forward nothing more over a link that has ended."""
+        self.links.pop(link, None)
+
+    def start(self, downstream: Downstream) -> None:
+        """Apply the changes that have been received, and from now on each one when it is received."""
+        self.downstream = downstream
+        early, self.early = self.early, []
+        for link, message in early:
+            self._apply(downstream, link, message)
+
+    def receive(self, link: Link, message: Message) -> None:
+        """Apply a change that another process has made, now or once this one has started."""
+        if self.downstream is None:
+            self.early.append((link, message))
+        else:
+            self._apply(self.downstream, link, message)
+
+    def notify(self, message: Message) -> None:
+        """Forward a change to all linked processes, except to the one that has made it."""
+        for link in list(self.links):
+            if link is not self.origin:
+                link.send(message)
+
+    def _apply(self, downstream: Downstream, link: Link, message: Message) -> None:
+        """Apply a change; an unknown message is logged and ignored."""
+        self.origin = link
+        try:
+            match message:
+                case messages.ManualDrainChanged(endpoint, by, drained):
+                    proxy = proxy_for_endpoint(self.proxies().values(), endpoint)
+                    proxy.directory.apply_manual_drain(endpoint, by, drained)
+                case messages.LameDuckChanged(is_lame_duck):
+                    (downstream.enter_lame_duck if is_lame_duck else downstream.leave_lame_duck)()
+                case _:
+                    log.warning(
+                        "ignored an unknown message of another process: %.200r", messages.encode(message)
+                    )
+        finally:
+            self.origin = None
--- a/badgergap/proxy/endpoints/directory.py
+++ b/badgergap/proxy/endpoints/directory.py
@@ -202,6 +202,15 @@
         self.publish_update(self.registry.undrain(name))
         self._notify_manual_drain(name, by, was_drained)
 
+    def apply_manual_drain(self, name: str, by: str, drained: bool) -> None:
+        """Apply a manual drain, or its end, that another process of this gateway has made.
+
+        The endpoint need not be listed here yet.
+        """
+        was_drained = name in self.registry.drains
+        self.publish_update(self.registry.apply_manual_drain(self.now_us(), name, by, drained))
+        self._notify_manual_drain(name, by, was_drained)
+
     def _notify_manual_drain(self, name: str, by: str, was_drained: bool) -> None:
         is_drained = name in self.registry.drains
         if is_drained is was_drained:
--- a/badgergap/proxy/endpoints/registry.py
+++ b/badgergap/proxy/endpoints/registry.py
@@ -208,6 +208,14 @@
         del self.drains[name]
         return EndpointUpdate(EndpointListKind.DELTA, self._merged((name,)))
 
+    def apply_manual_drain(self, now_us: int, name: str, by: str, drained: bool) -> EndpointUpdate:
+        """Apply a manual drain, or its end, that was made elsewhere; the endpoint may be unknown here."""
+        if not drained:
+            self.drains.pop(name, None)
+        elif len(self.drains) < DRAIN_LIMIT:
+            self.drains.setdefault(name, ManualDrain(name, by, now_us))
+        return EndpointUpdate(EndpointListKind.DELTA, self._merged((name,)))
+
     def restore(self, drains: Iterable[ManualDrain]) -> None:
         """Restore stored drains before the first update. Those beyond DRAIN_LIMIT are dropped."""
         for drain in list(drains)[:DRAIN_LIMIT]:
--- a/badgergap/proxy/lifecycle/component.py
+++ b/badgergap/proxy/lifecycle/component.py
@@ -93,6 +93,9 @@
     def restore_learned_state(self) -> None:
         """Restore the learned state in the proxies, after the endpoints are listed."""
 
+    def apply_changes(self) -> None:
+        """Apply what has changed in the other process since it sent its state; called once this one runs."""
+
     def take_clients(self) -> None:
         """Take over serving the clients from the other process."""
 
--- a/badgergap/proxy/lifecycle/process.py
+++ b/badgergap/proxy/lifecycle/process.py
@@ -61,6 +61,7 @@
         await self.proxy.start()
         if self.hot_restart is not None:
             self.hot_restart.restore_learned_state()
+            self.hot_restart.apply_changes()
         reloader = Reloader(self.proxy, self.downstream, self.components)
         for component in self.components:
             if isinstance(component, ConfigurationSource):
--- a/tests/hot_restart/test_coordinator.py
+++ b/tests/hot_restart/test_coordinator.py
@@ -428,6 +428,7 @@
             limit = it.downstream.limit
             coordinator = HotRestartCoordinator(Rendezvous(tmp_path), it.proxy.config)
             coordinator.join(it.proxy, it.downstream)
+            coordinator.apply_changes()
             ours, theirs = socket.socketpair()
             for sock in (ours, theirs):
                 sock.setblocking(False)
--- /dev/null
+++ b/tests/hot_restart/test_state_sync.py
@@ -0,0 +1,81 @@
+"""What operators change while a process takes over from another; each crossing is forced by a relay."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+
+from tests.hot_restart.relay import TO_NEW, TO_OLD, Relay
+from tests.hot_restart.test_coordinator import Process, Site, site
+from tests.proxy.commands.test_commands import send_command
+from tests.sockets import ask, run
+
+Address = tuple[str, int]
+APPLIED_S = 0.5  # the grace of a drain: a change that came with the take-over applies within it
+# The command before, the command during the take-over, and what PING of the new process then says.
+CHANGES = [
+    (b"", b"DETACH h0\n", b"1 out by hand"),
+    (b"DETACH h0\n", b"ATTACH h0\n", b"0 out by hand"),
+    (b"", b"LAMEDUCK\n", b"was told to send clients away"),
+    (b"LAMEDUCK\n", b"REJOIN\n", b", takes clients,"),
+]
+
+
+async def says(address: Address, text: bytes) -> bool:
+    """Whether PING says this within APPLIED_S."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + APPLIED_S
+    while text not in await send_command(address, b"PING\n"):
+        if loop.time() > until:
+            return False
+        await asyncio.sleep(0.005)
+    return True
+
+
+async def end(process: Process) -> None:
+    process.send_signal(signal.SIGTERM)
+    assert await process.wait() == 0
+
+
+async def start_beside(
+    it: Site, address: Address, relay: Relay, direction: int, command: bytes
+) -> tuple[Process, Address]:
+    """Start the next process; the command comes while what it sends, or is sent, is held."""
+    if direction == TO_NEW:
+        relay.hold(TO_NEW)
+    else:
+        relay.hold_after_next(TO_OLD)  # the request for the state
+    starting = asyncio.create_task(it.start())
+    await relay.arrived[direction].wait()
+    assert (await send_command(address, command)).startswith(b"ok ")
+    relay.release(direction)
+    return await starting
+
+
+@pytest.mark.parametrize("direction", [TO_NEW, TO_OLD], ids=["state held", "take-over held"])
+@pytest.mark.parametrize(("before", "command", "expected"), CHANGES)
+def test_a_command_between_the_export_of_the_state_and_the_take_over_is_not_lost(
+    before: bytes, command: bytes, expected: bytes, direction: int, tmp_path: Path
+) -> None:
+    """The new process was told of commands once it had the clients, and not between its state and that."""
+
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            old, address = await it.start()
+            if before:
+                assert (await send_command(address, before)).startswith(b"ok ")
+            with Relay(it.folder) as relay:
+                _, second = await start_beside(it, address, relay, direction, command)
+                assert await says(second, expected)
+                await end(old)
+                assert await says(second, expected)
+                if command.startswith(b"DETACH"):
+                    client = await it.client()
+                    for _ in range(20):
+                        assert (await client.ask(ask()))[0] == 200
+                    assert not it.endpoints[0].ran
+
+    run(test())
