Forward newer endpoint lists between the processes of a gateway in a hot restart

Callers would have seen work cut off at draining hosts: what discovery told one of two processes of a gateway reached the other by its own call alone. A drain told to the old process between the export of its state and the take-over was unknown to the new one while its own call was not answered; one told to a new process that then died was unknown to the old one that took the clients again. To the outside the two are one gateway.

Fix: `Discovery.on_news` reports each newer version, `StateSync` forwards it in both directions, `Discovery.adopt` applies it unless it is not newer, follows a version not reached here, or comes from another address; then the own call brings it.

Releases that do not know the message log it as unknown and go on as before.

--- a/badgergap/hot_restart/coordinator.py
+++ b/badgergap/hot_restart/coordinator.py
@@ -11,7 +11,7 @@
    It exports each client's connection once no request is open on it, so that neither process holds any
    unprocessed byte of it.
 4. A manual drain, its end or a lame-duck command is forwarded to the other process before it is answered,
-   from the export of the state on (`state_sync.py`).
+   and a newer endpoint list as it is received: from the export of the state on (`state_sync.py`).
 5. If the successor is lost, the predecessor takes clients again, unless it is shutting down. If the
    predecessor is lost, the successor continues.
 6. If the operator file sets a standby time, the successor ends the predecessor after that time, or earlier if
@@ -50,6 +50,7 @@
 )
 from badgergap.proxy.downstream.client_connection import ClientConnection
 from badgergap.proxy.downstream.listener import Downstream
+from badgergap.proxy.endpoints.discovery import EndpointNews
 from badgergap.proxy.endpoints.manual_drains import DrainStore
 from badgergap.proxy.endpoints.registry import ManualDrain
 from badgergap.proxy.endpoints.sources import PLATFORM
@@ -242,6 +243,8 @@
                 downstream.enter_lame_duck(state.lame_duck_age_s)
         proxy.directory.manual_drain_listeners.append(self.on_manual_drain)
         downstream.lame_duck_observers.append(self.on_lame_duck)
+        if proxy.directory.discovery is not None:
+            proxy.directory.discovery.on_news = self.on_endpoint_news
 
     def restore_learned_state(self) -> None:
         """Restore learned state in the pools that list endpoints and have not used any."""
@@ -463,6 +466,10 @@
         """Forward the start or the end of the lame-duck state."""
         self.sync.notify(messages.LameDuckChanged(is_lame_duck))
 
+    def on_endpoint_news(self, news: EndpointNews) -> None:
+        """Forward a newer endpoint list: what one process is told counts as told to the gateway."""
+        self.sync.notify(messages.EndpointsChanged(news))
+
     def on_shutdown(self) -> None:
         """Note that this process shuts down; with a standby time, end the predecessor too."""
         self.ending = True
--- a/badgergap/hot_restart/messages.py
+++ b/badgergap/hot_restart/messages.py
@@ -10,6 +10,7 @@
 
 from badgergap.hot_restart.frames import JsonObject
 from badgergap.hot_restart.state_transfer import GatewayIdentity, TransferredState, write_state
+from badgergap.proxy.endpoints.discovery import EndpointNews
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +81,13 @@
     lame: bool
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointsChanged:
+    """From either process: discovery has reported a newer version of the endpoint list."""
+
+    news: EndpointNews
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionCounts:
     """From the predecessor: the connections that it and older processes still hold."""
@@ -105,6 +113,7 @@
     | EndPredecessor
     | ManualDrainChanged
     | LameDuckChanged
+    | EndpointsChanged
     | ConnectionCounts
     | UnknownMessage
 )
@@ -129,6 +138,8 @@
             return {"hand": [endpoint, by, drained]}
         case LameDuckChanged(lame):
             return {"lame": lame}
+        case EndpointsChanged(news):
+            return {"news": news.raw, "of": list(news.address), "after": news.after}
         case ConnectionCounts(clients, endpoints):
             return {"holds": [clients, endpoints]}
         case ReceivedState(raw) | UnknownMessage(raw):
@@ -154,6 +165,8 @@
             return ManualDrainChanged(endpoint, by, drained)
         case {"lame": bool(lame)}:
             return LameDuckChanged(lame)
+        case {"news": dict(raw_list), "of": [str(host), int(port)], "after": int(after)}:
+            return EndpointsChanged(EndpointNews((host, port), after, raw_list))
         case {"holds": [int(clients), int(endpoints)]}:
             return ConnectionCounts(max(0, clients), max(0, endpoints))
         case _:
--- a/badgergap/hot_restart/state_sync.py
+++ b/badgergap/hot_restart/state_sync.py
@@ -1,9 +1,9 @@
-"""Keeps what operators have decided the same in all linked processes of one gateway.
+"""Keeps operators' decisions and the endpoint list the same in all linked processes of one gateway.
 
-A process that has exported its state to another one forwards each later manual drain, its end, and each
-lame-duck command to it: from the export on, and not only once the other one has taken the clients. Changes
-and state use one ordered link, so that none is lost in between. The receiver applies them in order, as soon
-as its proxy has started.
+A process that has exported its state to another one forwards each later manual drain, its end, each lame-duck
+command and each newer endpoint list to it: from the export on, and not only once the other one has taken the
+clients. Changes and state use one ordered link, so that none is lost in between. The receiver applies them in
+order, as soon as its proxy has started.
 """
 
 from __future__ import annotations
@@ -15,7 +15,8 @@
 from badgergap.hot_restart.channel import Link
 from badgergap.hot_restart.messages import Message
 from badgergap.proxy.downstream.listener import Downstream
-from badgergap.proxy.pools import proxy_for_endpoint
+from badgergap.proxy.endpoints.discovery import EndpointNews
+from badgergap.proxy.pools import MAIN, proxy_for_endpoint
 from badgergap.proxy.proxy import Proxy
 
 log = logging.getLogger(__name__)
@@ -70,9 +71,20 @@
                     proxy.directory.apply_manual_drain(endpoint, by, drained)
                 case messages.LameDuckChanged(is_lame_duck):
                     (downstream.enter_lame_duck if is_lame_duck else downstream.leave_lame_duck)()
+                case messages.EndpointsChanged(news):
+                    self._apply_news(news)
                 case _:
                     log.warning(
                         "ignored an unknown message of another process: %.200r", messages.encode(message)
                     )
         finally:
             self.origin = None
+
+    def _apply_news(self, news: EndpointNews) -> None:
+        discovery = self.proxies()[MAIN].directory.discovery
+        if discovery is None:
+            return
+        try:
+            discovery.adopt(news)
+        except ValueError as error:
+            log.warning("an endpoint list of another process could not be read: %s", error)
--- a/badgergap/proxy/endpoints/discovery.py
+++ b/badgergap/proxy/endpoints/discovery.py
@@ -8,7 +8,8 @@
 import logging
 import random
 from collections import Counter
-from dataclasses import replace
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from typing import Any
 
 from badgergap.balancing.interface import EndpointListKind
@@ -37,6 +38,15 @@
 UNREADABLE_LIMIT = 3  # partly unreadable messages in a row, after which the readable part is accepted
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointNews:
+    """A message of discovery as one process of the gateway has received it."""
+
+    address: Address  # of the service; versions of different ones are unrelated
+    after: int  # the version that the message was received at
+    raw: dict[str, Any]
+
+
 class Discovery:
     """The platform's source: carries out the balancer's calls. `on_update` receives each result, in order."""
 
@@ -59,6 +69,7 @@
         self.pushed = pushed
         self.initial_list = initial_list  # the stored list, used at the start
         self.on_update = on_update
+        self.on_news: Callable[[EndpointNews], None] | None = None  # receives each newer version
         self.events = events
         self.rng = rng
         self.call_numbers = itertools.count(1)
@@ -177,15 +188,38 @@
         self.fetches = {call for call in self.fetches if not call.ended}
         if is_complete and is_of_latest and call.watch:
             self.unreadable_count = 0
+        previous = self.index
         if is_of_latest and (is_complete or self.unreadable_count >= UNREADABLE_LIMIT):
             self.index, self.index_at, self.index_call = version, self.loop.time(), call
         self.on_update(replace(update, is_late=call.is_late))
+        if is_of_latest and is_complete and version > previous:
+            self.publish_news(EndpointNews(self.address, previous, raw))
         if is_of_latest and call in self.watches:
             self.moving_until = 0.0
             self.end_other_watches(call)
         if not is_complete:
             self.on_unreadable(call)
 
+    def publish_news(self, news: EndpointNews) -> None:
+        """Report a newer version of the list, for the other processes of this gateway."""
+        if self.on_news is not None:
+            self.on_news(news)
+
+    def adopt(self, news: EndpointNews) -> None:
+        """Process a message that another process of this gateway has received.
+
+        One that is not newer, or lacks changes that have not been received here either, is left to the own
+        calls. Raises ValueError if it is not a list.
+        """
+        version, is_delta = version_of(news.raw), not news.raw.get("snapshot", True)
+        is_unusable = version <= self.index or (is_delta and news.after > self.index)
+        if self.closed or news.address != self.address or is_unusable:
+            return
+        update = parse_list(news.raw, self.names)
+        self.index, self.index_at, self.index_call = version, self.loop.time(), None
+        self.on_update(update)
+        self.publish_news(news)
+
     def is_outdated(self, call: DiscoveryCall, version: int) -> bool:
         """Whether a call's message is older than one that another call received while this one was open.
 
--- a/tests/hot_restart/test_state_sync.py
+++ b/tests/hot_restart/test_state_sync.py
@@ -11,7 +11,8 @@
 from tests.hot_restart.relay import TO_NEW, TO_OLD, Relay
 from tests.hot_restart.test_coordinator import Process, Site, site
 from tests.proxy.commands.test_commands import send_command
-from tests.sockets import ask, run
+from tests.proxy.lifecycle.test_process import wait_for_log
+from tests.sockets import ask, chunk, entry, news, run
 
 Address = tuple[str, int]
 APPLIED_S = 0.5  # the grace of a drain: a change that came with the take-over applies within it
@@ -79,3 +80,56 @@
                     assert not it.endpoints[0].ran
 
     run(test())
+
+
+async def unused(it: Site, requests: int = 30) -> bool:
+    """Whether the first endpoint gets none of these requests, while another one serves them."""
+    await asyncio.sleep(APPLIED_S)
+    before = len(it.endpoints[0].times)
+    for _ in range(requests):
+        assert (await (await it.client()).ask(ask()))[0] == 200
+    return len(it.endpoints[0].times) == before
+
+
+def test_a_list_that_the_old_process_receives_before_the_take_over_reaches_the_new_one(
+    tmp_path: Path,
+) -> None:
+    """The new process had the list as it was exported: a drain that discovery told the old one was lost."""
+
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            old, _ = await it.start()
+            _, watch = await it.registry.watches.get()
+            with Relay(it.folder) as relay:
+                relay.hold(TO_NEW)
+                starting = asyncio.create_task(it.start())
+                await relay.arrived[TO_NEW].wait()
+                watch.write(chunk(news(entry("h0", it.endpoints[0].address, "leaving"), index=8)))
+                await wait_for_log(old, b"version 8 after 7")
+                relay.release(TO_NEW)
+                await starting
+                await end(old)
+                assert await unused(it)
+
+    run(test())
+
+
+def test_a_list_that_the_new_process_has_received_is_known_to_the_old_one_that_takes_the_clients_again(
+    tmp_path: Path,
+) -> None:
+    """Discovery told only the process that then died: the old one sent to a draining endpoint again."""
+
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            old, _ = await it.start()
+            await it.registry.watches.get()
+            new, address = await it.start()
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk(news(entry("h0", it.endpoints[0].address, "leaving"), index=8)))
+            await wait_for_log(new, b"version 8 after 7")
+            await send_command(address, b"PING\n")  # answered after the message has been handled
+            new.kill()
+            await wait_for_log(old, b"taken here again")
+            assert await unused(it)
+
+    run(test())
