Let an overtaken start take over from the process that has overtaken it

Callers would have seen: of two new processes that start beside the serving one, the one that takes the clients second served beside the first; hosts out by hand and drains of the gateway that operators called for at one were unknown to the other once the old process had ended.

Cause: the old process ignored the second take-over, and a new process did not wait for an answer to it.

The old process closes the link of one that comes too late; that one asks the process that serves now for its state, puts it in place of its own and takes the clients from it. The old process listens at the rendezvous until the next one does, and a request for the state that is closed unanswered is repeated for 0.3 s.

--- a/badgergap/__main__.py
+++ b/badgergap/__main__.py
@@ -31,7 +31,7 @@
         return 2
     make_hot_restart = None
     if config.console is not None:
-        from badgergap.hot_restart.coordinator import coordinator_from_environment
+        from badgergap.hot_restart.environment import coordinator_from_environment
 
         make_hot_restart = partial(coordinator_from_environment, os.environ)
     return run(
--- a/badgergap/cli/serve.py
+++ b/badgergap/cli/serve.py
@@ -81,7 +81,8 @@
     handover = setup.site.site.handover
     if handover is None and (setup.config.console is None or setup.config.listen is None):
         return None
-    from badgergap.hot_restart.coordinator import HotRestartCoordinator, coordinator_from_environment
+    from badgergap.hot_restart.coordinator import HotRestartCoordinator
+    from badgergap.hot_restart.environment import coordinator_from_environment
     from badgergap.hot_restart.rendezvous import Rendezvous
 
     if handover is None:
--- a/badgergap/hot_restart/coordinator.py
+++ b/badgergap/hot_restart/coordinator.py
@@ -12,6 +12,8 @@
    unprocessed byte of it.
 4. A manual drain, its end or a lame-duck command is forwarded to the other process before it is answered,
    and a newer endpoint list as it is received: from the export of the state on (`state_sync.py`).
+   A process that has the state, and finds that another one has taken the clients first, takes the state and
+   the clients from that one.
 5. If the successor is lost, the predecessor takes clients again, unless it is shutting down. If the
    predecessor is lost, the successor continues.
 6. If the operator file sets a standby time, the successor ends the predecessor after that time, or earlier if
@@ -31,7 +33,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from functools import partial
-from pathlib import Path
 
 from badgergap.hot_restart import messages
 from badgergap.hot_restart.channel import Link, descriptor_of
@@ -40,7 +41,7 @@
 from badgergap.hot_restart.learned_state_import import LearnedStateImport
 from badgergap.hot_restart.listeners import TransferableComponent
 from badgergap.hot_restart.messages import Message
-from badgergap.hot_restart.rendezvous import Rendezvous, check_peer
+from badgergap.hot_restart.rendezvous import Rendezvous, RendezvousListener
 from badgergap.hot_restart.state_sync import StateSync
 from badgergap.hot_restart.state_transfer import (
     GatewayIdentity,
@@ -63,6 +64,9 @@
 log = logging.getLogger(__name__)
 
 STATE_TIMEOUT_S = 2.0
+REJECTED_RETRY_S = 0.3  # for a process that has just replaced the serving one to listen in its place
+REJECTED_POLL_S = 0.02
+RELEASE_TIMEOUT_S = 2.0
 CONNECTION_COUNTS_S = 0.1
 FLUSH_TIMEOUT_S = 0.5  # for sending the last exported connections to the successor
 CANDIDATES_LIMIT = 4  # processes connected to the rendezvous socket at a time
@@ -70,22 +74,6 @@
 OTHER_DESCRIPTORS = 24  # of the predecessor beside connections: loop, log, discovery, second address
 
 
-def coordinator_from_environment(environ: Mapping[str, str], config: Config) -> HotRestartCoordinator | None:
-    """Create the coordinator of a gateway that is configured by environment variables.
-
-    Return None without a second address, a listener, or a $TMPDIR that only this user can write to.
-    """
-    folder = environ.get("TMPDIR")
-    if config.console is None or config.listen is None or not folder:
-        return None
-    try:
-        rendezvous = Rendezvous(Path(folder))
-    except OSError as error:
-        log.warning("no other process can take over from this one: %s", error)
-        return None
-    return HotRestartCoordinator(rendezvous, config, DrainStore(rendezvous.folder))
-
-
 class HotRestartCoordinator:
     """Runs the protocol for one process, with its predecessor and its successor."""
 
@@ -124,8 +112,9 @@
         self.listener: socket.socket | None = None  # the main listener
         self.component_listeners: dict[str, socket.socket] = {}  # received, not yet used by a component
         self.counts = messages.ConnectionCounts()  # connections that older processes hold
+        self.released = asyncio.Event()  # the predecessor has released its clients, or its link has ended
         # Towards successors
-        self.rendezvous_socket: socket.socket | None = None
+        self.rendezvous_listener = RendezvousListener(rendezvous, self.loop, self._add_candidate)
         self.candidates: set[Link] = set()  # connected processes, one of which may become the successor
         self.successor: Link | None = None  # the process that has taken the clients
 
@@ -143,28 +132,47 @@
 
     async def inherit(self) -> TransferredState | None:
         """Request and return the state of the serving process; None if there is no such process or state."""
-        try:
-            sock = self.rendezvous.connect()
-        except OSError as error:
-            log.info("no other process of this gateway: %s", error.strerror or error)
-            return None
-        link = self.predecessor = Link(sock, self.loop, self.on_predecessor_message, self.on_predecessor_lost)
-        link.send(messages.RequestState(self.identity))
-        try:
-            async with asyncio.timeout(STATE_TIMEOUT_S):
-                await self.state_received.wait()
-        except TimeoutError:
-            log.warning("another process of this gateway listens and hands nothing over")
+        await self._request_state()
+        link = self.predecessor
         if self.state is None or (self.listener is None and self.config.listen is not None):
             self.state = None
             self.sync = StateSync(self.proxies)
             self.close_unused_listeners()
-            link.close()
+            if link is not None:
+                link.close()
             return None
         self._log_state(self.state)
         self.learned_state = LearnedStateImport(self.state, self.proxies)
         return self.state
 
+    async def _request_state(self) -> None:
+        """Connect to the serving process and wait for its state; it becomes the predecessor.
+
+        A process that closes the connection without an answer may just have been replaced by another one:
+        the request is repeated for `REJECTED_RETRY_S`.
+        """
+        retry_until = self.loop.time() + REJECTED_RETRY_S
+        while True:
+            try:
+                sock = self.rendezvous.connect()
+            except OSError as error:
+                log.info("no other process of this gateway: %s", error.strerror or error)
+                return
+            self.state_received.clear()
+            link = Link(sock, self.loop, self.on_predecessor_message, self.on_predecessor_lost)
+            self.predecessor = link
+            link.send(messages.RequestState(self.identity))
+            try:
+                async with asyncio.timeout(STATE_TIMEOUT_S):
+                    await self.state_received.wait()
+            except TimeoutError:
+                log.warning("another process of this gateway listens and hands nothing over")
+                return
+            has_state = self.state is not None and not self.serving
+            if link.open or has_state or self.loop.time() > retry_until:
+                return
+            await asyncio.sleep(REJECTED_POLL_S)
+
     def _log_state(self, state: TransferredState) -> None:
         endpoints = len(state.endpoint_list["endpoints"])
         log.info("takes over %d hosts, %d out by hand", endpoints, len(state.drains))
@@ -193,14 +201,18 @@
     def _import_state(self, raw: JsonObject, listener: socket.socket | None) -> bool:
         """Read the state; return whether it is valid and `listener` was kept with it."""
         try:
-            self.state = read_state(raw, self.state_identity)
+            state = read_state(raw, self.state_identity)
         except StateTransferError as error:
             log.warning("the state of another process of this gateway was rejected: %s", error)
             return False
         else:
+            assert self.predecessor is not None
+            self.sync.add(self.predecessor)
+            if self.serving:  # with the state of a process that another one has replaced meanwhile
+                self.sync.replace_state(self.predecessor, state)
+                return False
+            self.state = state
             self.listener = listener
-            if self.predecessor is not None:
-                self.sync.add(self.predecessor)
             return True
         finally:
             self.state_received.set()
@@ -208,6 +220,7 @@
     def on_predecessor_lost(self) -> None:
         """Handle the end of the predecessor's link; its connections no longer count against the limits."""
         self.state_received.set()
+        self.released.set()
         if self.predecessor is not None:
             self.sync.discard(self.predecessor)
         self.predecessor = None
@@ -261,18 +274,31 @@
             await self.learned_state.wait_for_endpoints()
             self.learned_state.restore()
 
-    def take_clients(self) -> None:
-        """Take clients from now on: notify the predecessor and listen for successors."""
+    async def take_clients(self) -> None:
+        """Take clients from now on, from the process that serves now, and listen for successors."""
         self.restore_learned_state()
         self.close_unused_listeners()
         self.serving = True
-        self.listen_for_successors()
+        while self.predecessor is not None and not await self._is_released(self.predecessor):
+            # Another process has taken the clients since the state was exported, or the predecessor has died.
+            await self._request_state()
+        self.rendezvous_listener.start()
         if self.predecessor is not None:
-            self.predecessor.send(messages.TakeClients())
             self.update_counts(self.counts)
             if self.standby_s is not None:
                 self.loop.call_later(self.standby_s, self.end_predecessor)
 
+    async def _is_released(self, predecessor: Link) -> bool:
+        """Ask the predecessor for the clients; return False if its link ends before it has released them."""
+        self.released.clear()
+        predecessor.send(messages.TakeClients())
+        try:
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                await self.released.wait()
+        except TimeoutError:
+            log.warning("the process before this one has not said that it releases its clients")
+        return predecessor.open
+
     def end_predecessor(self) -> None:
         """Request that the predecessor, if there still is one, drains and exits."""
         if self.predecessor is not None:
@@ -295,36 +321,10 @@
 
     # As the predecessor
 
-    def listen_for_successors(self) -> None:
-        """Listen on the rendezvous socket; if that fails, no process can take over from this one."""
-        try:
-            self.rendezvous_socket = self.rendezvous.listen()
-            self.loop.add_reader(self.rendezvous_socket.fileno(), self._accept_successor)
-        except OSError as error:
-            log.warning("no other process can take over from this one: %s", error)
-
-    def stop_listening_for_successors(self) -> None:
-        """Close the rendezvous socket, if it is open."""
-        if self.rendezvous_socket is not None:
-            self.loop.remove_reader(self.rendezvous_socket.fileno())
-            self.rendezvous_socket.close()
-            self.rendezvous_socket = None
-
-    def _accept_successor(self) -> None:
-        assert self.rendezvous_socket is not None
-        try:
-            sock, _ = self.rendezvous_socket.accept()
-        except OSError:
-            return
-        try:
-            check_peer(sock)
-            if len(self.candidates) >= CANDIDATES_LIMIT:
-                raise OSError(None, "too many processes request the state")
-        except OSError as error:
-            log.warning("rejected a connection to the rendezvous socket: %s", error)
-            sock.close()
-            return
-        sock.setblocking(False)
+    def _add_candidate(self, sock: socket.socket) -> None:
+        """Handle a connection of a process that may become the successor. Raises OSError to reject it."""
+        if len(self.candidates) >= CANDIDATES_LIMIT:
+            raise OSError(None, "too many processes request the state")
         link: Link
         link = Link(
             sock,
@@ -343,6 +343,8 @@
                 self._export_state(link, identity)
             case messages.TakeClients() if self.successor is None:
                 self.release_clients(link)
+            case messages.TakeClients() if self.successor is not link:
+                link.close("another process has taken the clients before it")
             case messages.EndPredecessor() if link is self.successor:
                 log.info("shutting down at the request of the process that took the clients")
                 self.ending = True
@@ -388,7 +390,6 @@
         """Stop accepting; export each client's connection to `successor` once no request is open on it."""
         log.info("another process of this gateway takes its clients")
         self.successor = successor
-        self.stop_listening_for_successors()
         for proxy in self.proxies().values():
             proxy.balancer.is_standby = True
             proxy.upstream.close_all_idle()
@@ -436,7 +437,7 @@
             self.downstream.resume_accepting()
         for component in self.transferable.values():
             component.reclaim_clients()
-        self.listen_for_successors()
+        self.rendezvous_listener.start()
 
     # In both roles
 
@@ -444,8 +445,8 @@
         """Handle a message that both processes may send."""
         match message:
             case messages.ConnectionCounts() if link is self.predecessor:
-                if self.serving:
-                    self.update_counts(message)
+                self.released.set()
+                self.update_counts(message)
             case _:
                 self.sync.receive(link, message)
 
@@ -479,7 +480,7 @@
     async def close(self) -> None:
         """Send the last exported connections, then close all links; runs when all requests are answered."""
         self.ending = True
-        self.stop_listening_for_successors()
+        self.rendezvous_listener.stop()
         self.close_unused_listeners()
         if self.successor is not None:
             with suppress(TimeoutError):
--- a/badgergap/hot_restart/rendezvous.py
+++ b/badgergap/hot_restart/rendezvous.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import logging
 import os
 import socket
 import stat
@@ -10,6 +12,8 @@
 from contextlib import suppress
 from pathlib import Path
 
+log = logging.getLogger(__name__)
+
 SOCKET_NAME = "badgergap.sock"
 PATH_LIMIT = 100  # bytes; a margin below the kernel's limit for the path of a Unix socket
 BACKLOG = 4
@@ -68,6 +72,52 @@
             os.close(folder)
 
 
+class RendezvousListener:
+    """Accepts connections of other processes of this user on the rendezvous socket."""
+
+    def __init__(
+        self,
+        rendezvous: Rendezvous,
+        loop: asyncio.AbstractEventLoop,
+        on_connection: Callable[[socket.socket], None],
+    ) -> None:
+        """`on_connection` takes ownership of a non-blocking socket; it raises OSError to reject it."""
+        self.rendezvous = rendezvous
+        self.loop = loop
+        self.on_connection = on_connection
+        self.socket: socket.socket | None = None
+
+    def start(self) -> None:
+        """Listen, in place of any other process; if that fails, no process can take over from this one."""
+        self.stop()
+        try:
+            self.socket = self.rendezvous.listen()
+            self.loop.add_reader(self.socket.fileno(), self._accept)
+        except OSError as error:
+            log.warning("no other process can take over from this one: %s", error)
+
+    def stop(self) -> None:
+        """Close the socket, if it is open."""
+        if self.socket is not None:
+            self.loop.remove_reader(self.socket.fileno())
+            self.socket.close()
+            self.socket = None
+
+    def _accept(self) -> None:
+        assert self.socket is not None
+        try:
+            sock, _ = self.socket.accept()
+        except OSError:
+            return
+        try:
+            check_peer(sock)
+            sock.setblocking(False)
+            self.on_connection(sock)
+        except OSError as error:
+            log.warning("rejected a connection to the rendezvous socket: %s", error)
+            sock.close()
+
+
 def check_peer(sock: socket.socket) -> None:
     """Raises OSError if the peer process runs as another user."""
     credentials = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, PEER_CREDENTIALS.size)
--- a/badgergap/hot_restart/state_sync.py
+++ b/badgergap/hot_restart/state_sync.py
@@ -14,6 +14,7 @@
 from badgergap.hot_restart import messages
 from badgergap.hot_restart.channel import Link
 from badgergap.hot_restart.messages import Message
+from badgergap.hot_restart.state_transfer import TransferredState
 from badgergap.proxy.downstream.listener import Downstream
 from badgergap.proxy.endpoints.discovery import EndpointNews
 from badgergap.proxy.pools import MAIN, proxy_for_endpoint
@@ -21,6 +22,8 @@
 
 log = logging.getLogger(__name__)
 
+REPLACED = "another process"  # the author of the end of a drain that another process does not have
+
 
 class StateSync:
     """Forwards changes to the processes that have the state of this one, and applies theirs."""
@@ -55,6 +58,26 @@
         else:
             self._apply(self.downstream, link, message)
 
+    def replace_state(self, link: Link, state: TransferredState) -> None:
+        """Replace operators' decisions, and an older endpoint list, by those of another process."""
+        assert self.downstream is not None
+        self.origin = link
+        try:
+            drained = {drain.name for drain in state.drains}
+            for name in self.proxies()[MAIN].directory.registry.drains.keys() - drained:
+                self._apply_drain(name, REPLACED, drained=False)
+            for drain in state.drains:
+                self._apply_drain(drain.name, drain.by, drained=True)
+            if state.lame_duck_age_s is None:
+                self.downstream.leave_lame_duck()
+            else:
+                self.downstream.enter_lame_duck(state.lame_duck_age_s)
+            discovery = self.proxies()[MAIN].directory.discovery
+            if discovery is not None:
+                self._apply_news(EndpointNews(discovery.address, 0, state.endpoint_list))
+        finally:
+            self.origin = None
+
     def notify(self, message: Message) -> None:
         """Forward a change to all linked processes, except to the one that has made it."""
         for link in list(self.links):
@@ -67,8 +90,7 @@
         try:
             match message:
                 case messages.ManualDrainChanged(endpoint, by, drained):
-                    proxy = proxy_for_endpoint(self.proxies().values(), endpoint)
-                    proxy.directory.apply_manual_drain(endpoint, by, drained)
+                    self._apply_drain(endpoint, by, drained)
                 case messages.LameDuckChanged(is_lame_duck):
                     (downstream.enter_lame_duck if is_lame_duck else downstream.leave_lame_duck)()
                 case messages.EndpointsChanged(news):
@@ -80,6 +102,10 @@
         finally:
             self.origin = None
 
+    def _apply_drain(self, endpoint: str, by: str, drained: bool) -> None:
+        proxy = proxy_for_endpoint(self.proxies().values(), endpoint)
+        proxy.directory.apply_manual_drain(endpoint, by, drained)
+
     def _apply_news(self, news: EndpointNews) -> None:
         discovery = self.proxies()[MAIN].directory.discovery
         if discovery is None:
--- a/badgergap/proxy/lifecycle/component.py
+++ b/badgergap/proxy/lifecycle/component.py
@@ -96,7 +96,7 @@
     def apply_changes(self) -> None:
         """Apply what has changed in the other process since it sent its state; called once this one runs."""
 
-    def take_clients(self) -> None:
+    async def take_clients(self) -> None:
         """Take over serving the clients from the other process."""
 
     def on_shutdown(self) -> None:
--- a/badgergap/proxy/lifecycle/process.py
+++ b/badgergap/proxy/lifecycle/process.py
@@ -73,7 +73,7 @@
         for component in self.components:
             await component.start()
         if self.hot_restart is not None:
-            self.hot_restart.take_clients()
+            await self.hot_restart.take_clients()
         return reloader
 
     async def drain(self) -> None:
--- a/tests/hot_restart/relay.py
+++ b/tests/hot_restart/relay.py
@@ -76,6 +76,11 @@
         for descriptor in descriptors:
             socket.close(descriptor)
 
+    def step_aside(self) -> None:
+        """Let further processes meet the old one as if there was no relay."""
+        self.path.unlink()
+        self.moved.rename(self.path)
+
     def hold(self, direction: int) -> None:
         self.holding[direction] = True
 
--- a/tests/hot_restart/test_state_sync.py
+++ b/tests/hot_restart/test_state_sync.py
@@ -133,3 +133,41 @@
             assert await unused(it)
 
     run(test())
+
+
+@pytest.mark.parametrize("old_ends_first", [False, True])
+def test_a_start_that_another_one_has_overtaken_takes_over_from_that_one(
+    old_ends_first: bool, tmp_path: Path
+) -> None:
+    """Its take-over was ignored: it served beside the other one, and neither was told of commands."""
+
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            old, _ = await it.start()
+            with Relay(it.folder) as relay:
+                relay.hold_after_next(TO_OLD)
+                starting = asyncio.create_task(it.start())
+                await relay.arrived[TO_OLD].wait()  # it asks for the clients
+                relay.step_aside()
+                _, second = await it.start()
+                assert (await send_command(second, b"DETACH h0\n")).startswith(b"ok ")
+                if old_ends_first:
+                    await end(old)
+                else:
+                    relay.release(TO_OLD)
+                _, late = await starting
+                if not old_ends_first:
+                    await end(old)
+            assert await says(late, b"1 out by hand")
+            for address, command, expected in (
+                (second, b"ATTACH h0\n", b"0 out by hand"),
+                (late, b"DETACH h0\n", b"1 out by hand"),
+                (second, b"LAMEDUCK\n", b"was told to send clients away"),
+                (late, b"REJOIN\n", b", takes clients,"),
+            ):
+                assert (await send_command(address, command)).startswith(b"ok ")
+                for each in (second, late):
+                    assert await says(each, expected)
+            assert await unused(it)
+
+    run(test())
