Reset a body that ends with its connection if the process is killed within it

Callers saw: a client of HTTP/1.0 whose answer has no length took half of it for the whole if the gateway was killed, also by the SIGKILL that follows SIGTERM.

Cause: such an answer ends with the connection, and the kernel closes the sockets of a killed process in the ordinary way.

Fix: as its head is written the socket is set to reset at its close (SO_LINGER of 0 s); taken back once all is sent and the gateway closes it.

Evidence: a real process killed within such a body, with and without SIGTERM before: no reset before, a reset now. tests/proxy and tests/web pass.

--- a/badgergap/proxy/downstream/http_connection.py
+++ b/badgergap/proxy/downstream/http_connection.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import socket
-import struct
 from collections import deque
 from enum import IntEnum
 from typing import Generic, Protocol, TypeVar
@@ -18,6 +17,7 @@
 from badgergap.proxy.body_streams import DownloadSource, Upload
 from badgergap.proxy.diagnostics.close_reason import CloseReason
 from badgergap.proxy.downstream.response_writer import RespondedRequest
+from badgergap.proxy.tcp_transport import RESET_AT_CLOSE, TcpTransport
 
 LINGER_S = 1.0  # after the last response, for how long input of the client is read and dropped
 
@@ -247,6 +247,11 @@
 
     # Close by the gateway
 
+    def reset_at_exit(self) -> None:
+        """Have an end of the process reset the connection; over TLS the client can tell by itself."""
+        if isinstance(self.transport, TcpTransport) and not self.transport.is_closing():
+            self.transport.reset_at_exit()
+
     @property
     def may_close(self) -> bool:
         """Whether no unread data of the client is in the socket, so that a close causes no reset.
@@ -297,5 +302,5 @@
         """Close with a reset: a plain close would mark the end of a body that ends with its connection."""
         if self.transport is not None and not self.transport.is_closing():
             sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
         self.abort()
--- a/badgergap/proxy/downstream/response_writer.py
+++ b/badgergap/proxy/downstream/response_writer.py
@@ -43,6 +43,9 @@
     def write(self, data: bytes) -> None:
         """Write to the client; does nothing once the connection is closing."""
 
+    def reset_at_exit(self) -> None:
+        """Have an end of the process reset the connection, unless it has been closed after the response."""
+
     def response_finished(self, incoming: RespondedRequest) -> None:
         """Handle the end of a complete response."""
 
@@ -98,6 +101,7 @@
         )
         if head.has_body and head.length is None and not incoming.chunked and not head.upgraded:
             incoming.keep_alive = False  # the end of the connection marks the end of the body
+            writer.reset_at_exit()
         writer.progress_at = writer.loop.time()
         writer.write(writer.head_lines(incoming, head))
         if writer.write_paused:
--- a/badgergap/proxy/tcp_transport.py
+++ b/badgergap/proxy/tcp_transport.py
@@ -24,6 +24,9 @@
 TCP_INFO = struct.Struct("=B51xI")
 TCP_CLOSE = 7  # the TCP state of a closed connection
 READ_SIZE = 64 * 1024  # maximum of one read, unless the protocol's own buffer is smaller
+# Values of SO_LINGER: whether it is on, and for how many seconds.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+NO_RESET_AT_CLOSE = struct.pack("ii", 0, 0)
 DEFAULT_HIGH_WATER = 64 * 1024  # the default of asyncio's transports
 
 
@@ -51,6 +54,7 @@
         self._is_closing = False
         self._is_lost = False  # connection_lost was called, or is scheduled
         self._is_eof_written = False
+        self._resets_at_exit = False
         self.set_protocol(protocol)
 
     def start(self) -> None:
@@ -263,6 +267,7 @@
 
     def _on_all_sent(self) -> None:
         if self._is_closing:
+            self._end_cleanly()
             self._schedule_connection_lost(None)
         elif self._is_eof_written:
             self._shut_down_sending()
@@ -290,6 +295,7 @@
             self._shut_down_sending()
 
     def _shut_down_sending(self) -> None:
+        self._end_cleanly()
         try:
             self._socket.shutdown(socket.SHUT_WR)
         except OSError as error:
@@ -304,8 +310,22 @@
         self._is_closing = True
         self._stop_reading()
         if not self._unsent:
+            self._end_cleanly()
             self._schedule_connection_lost(None)
 
+    def reset_at_exit(self) -> None:
+        """Have the connection end with a reset unless it is closed here once all data is sent.
+
+        The kernel closes the sockets of a process that is killed, which would look like the end of the data.
+        """
+        self._resets_at_exit = True
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
+    def _end_cleanly(self) -> None:
+        if self._resets_at_exit:
+            self._resets_at_exit = False
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_RESET_AT_CLOSE)
+
     def abort(self) -> None:
         """Close immediately; unsent data is dropped."""
         self._schedule_connection_lost(None)
--- a/tests/proxy/lifecycle/test_process.py
+++ b/tests/proxy/lifecycle/test_process.py
@@ -138,6 +138,30 @@
     run(test())
 
 
+@pytest.mark.parametrize("signals", [[signal.SIGKILL], [signal.SIGTERM, signal.SIGKILL]])
+def test_a_kill_within_a_body_that_ends_with_the_connection_resets_it(
+    signals: list[signal.Signals], tmp_path: Path
+) -> None:
+    """The kernel closed the connection, which looked like the end of the body."""
+
+    async def test() -> None:
+        host = Host()
+        async with process(host, tmp_path) as (child, port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(ask().replace(b"HTTP/1.1", b"HTTP/1.0"))
+            taken = await host.taken.get()
+            taken.raw(b"HTTP/1.1 200 OK\r\n\r\n" + bytes(100_000))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"content-length" not in head.lower()
+            await reader.readexactly(100_000)
+            for number in signals:
+                child.send_signal(number)
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+
+    run(test())
+
+
 def test_requests_that_come_during_a_drain_are_served(monkeypatch: pytest.MonkeyPatch) -> None:
     """Clients keep sending for a moment, on new connections and on existing ones."""
     monkeypatch.setattr(eviction, "STALLED_S", PATIENCE_S)
