Write nothing of a held response once its attempt has ended

Callers would have seen, with second copies and without cancellations (`secondCopies`, not `mayCancel`): bytes of the second copy's answer in the middle of the first one's, within the stated length.

Cause: a held answer of unknown length is forwarded after 50 ms. Its head is refused where another answer is on its way, and its attempt cancelled; `StreamAttempt.forward_held` then wrote the held body all the same, and the client's side takes bytes by the request. `finish` had the same gap for HTTP/3 to hosts.

Fix: both stop once the attempt has ended.

Evidence: the new test failed before ("foreign" at byte 100,000) and passes; tests/proxy/test_bodies.py and tests/h3 pass. The gap of `finish` was read in the code and not played.

--- a/badgergap/proxy/upstream/stream_attempt.py
+++ b/badgergap/proxy/upstream/stream_attempt.py
@@ -246,13 +246,20 @@
         self.spec.download.begin(head, self)
 
     def forward_held(self, head: AnswerHead, chunks: list[bytes]) -> None:
-        """Forward a held response to the client, with as much of its body as was received."""
+        """Forward a held response to the client, with as much of its body as was received.
+
+        Does nothing more if the client is getting another one: this attempt has been cancelled then.
+        """
         self.start_response(head)
         for chunk in chunks:
+            if self.done:
+                return
             self.spec.download.data(chunk)
 
     def finish(self, outcome: Outcome, answer: Answer | None, fields: Headers) -> None:
         """End with a complete response: `answer` if held, else the forwarded one with trailers `fields`."""
+        if self.done:
+            return
         if self.response_started:
             self.response_complete = True
             self.spec.download.end(fields)
--- a/tests/proxy/test_bodies.py
+++ b/tests/proxy/test_bodies.py
@@ -371,6 +371,27 @@
     run(test())
 
 
+def test_a_second_response_of_a_hedged_request_is_not_mixed_into_the_first() -> None:
+    """Where attempts may not be cancelled, what was held of a later response went into the forwarded one."""
+
+    async def test() -> None:
+        async with gateway(hosts=3, settings=settings(maxAttempts=3, mayCancel=False)) as it:
+            client = await it.client()
+            client.send(ask())
+            first = await it.host.taken.get()
+            hedge(it.proxy)
+            second = await it.host.taken.get()
+            body = data(2 * 100_000)
+            first.raw(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + body[:100_000])
+            await it.event(StreamStarted)
+            second.raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nforeign\r\n")
+            assert (await it.event(AttemptEnded)).outcome is Outcome.CANCELLED  # once it is held no more
+            first.raw(body[100_000:])
+            assert (await Reader(client.reader).answer())[2] == body
+
+    run(test())
+
+
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
 def test_truncated_response_never_looks_complete(framing: str, version: str) -> None:
