End drains in a hot restart that only the file of the operator's drains has

Callers saw: a host that was put back just before a new process of an operator file started stayed out.

Cause: the end of a drain is saved a moment after it is said. The new process read the file as it was, and kept its drain beside the state that it was given, in which there was none.

Fix: once the proxy has started, drains that the state does not have are ended, before later changes are applied.

Evidence: two real processes with the file of a moment before; the new test failed before and passes.

--- a/badgergap/hot_restart/coordinator.py
+++ b/badgergap/hot_restart/coordinator.py
@@ -266,6 +266,8 @@
 
     def apply_changes(self) -> None:
         """Apply what operators have changed at the predecessor since it exported its state."""
+        if self.state is not None:
+            self.sync.undrain_others(self.state)
         self.sync.start(self.downstream)
 
     async def ready(self) -> None:
--- a/badgergap/hot_restart/state_sync.py
+++ b/badgergap/hot_restart/state_sync.py
@@ -63,9 +63,7 @@
         assert self.downstream is not None
         self.origin = link
         try:
-            drained = {drain.name for drain in state.drains}
-            for name in self.proxies()[MAIN].directory.registry.drains.keys() - drained:
-                self._apply_drain(name, REPLACED, drained=False)
+            self.undrain_others(state)
             for drain in state.drains:
                 self._apply_drain(drain.name, drain.by, drained=True)
             if state.lame_duck_age_s is None:
@@ -78,6 +76,12 @@
         finally:
             self.origin = None
 
+    def undrain_others(self, state: TransferredState) -> None:
+        """End the manual drains that are not in a state, such as those of a file that was saved before it."""
+        drained = {drain.name for drain in state.drains}
+        for name in self.proxies()[MAIN].directory.registry.drains.keys() - drained:
+            self._apply_drain(name, REPLACED, drained=False)
+
     def notify(self, message: Message) -> None:
         """Forward a change to all linked processes, except to the one that has made it."""
         for link in list(self.links):
--- a/tests/hot_restart/test_http.py
+++ b/tests/hot_restart/test_http.py
@@ -197,6 +197,29 @@
     run(test(), patience_s=60)
 
 
+def test_a_drain_that_ends_before_a_hot_restart_does_not_come_back_from_its_file(tmp_path: Path) -> None:
+    """The new process read the file before the old one had saved the end of the drain: it stayed drained."""
+
+    async def test() -> None:
+        async with site(tmp_path) as it:
+            await it.start()
+            admin = Admin(tmp_path / "gw.sock")
+            await admin.connect()
+            assert (await admin.steer("drain", "one", even_last=True)).kept
+            (file,) = (tmp_path / "state").glob("drains.json")
+            saved_before = file.read_bytes()
+            await admin.steer("undrain", "one")
+            await admin.close()
+            file.write_bytes(saved_before)
+            await it.start()
+            again = Admin(tmp_path / "gw.sock")
+            await again.connect()
+            assert [box.name for box in (await again.snapshot()).boxes if box.state == "drained"] == []
+            await again.close()
+
+    run(test(), patience_s=60)
+
+
 def test_the_old_process_completes_its_open_requests(tmp_path: Path) -> None:
     """A slow response, a long event stream, a partly sent request, and an idle client over TLS."""
 
