--- a/badgergap/standins/box.py
+++ b/badgergap/standins/box.py
@@ -1,12 +1,15 @@
 """A box that works by itself: cores, a queue, a cold start, and faults on command.
 
 Faults: `die` and `revive` (same address), `silent` (takes requests, answers none), `slow` (a factor on all
-work), `spoil` (how answers are spoilt). Each may change at any moment.
+work), `spoil` (how answers are spoilt), `hold_accepts` (new connections come up late). Each may change at any
+moment.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 import time
 from collections import deque
 from collections.abc import Mapping
@@ -17,6 +20,7 @@
 
 SEEN_LIMIT = 200_000  # requests that a box remembers; the oldest go first
 SPOILS = ("error", "cut", "garbage", "unframed")
+FILLERS = 4  # connections that fill an accept queue of the least length
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,6 +64,9 @@
         self.jobs: deque[Job] = deque()
         self.connections: set[BoxConnection] = set()
         self.listener: asyncio.Server | None = None
+        self.held_socket: socket.socket | None = None  # listens, and accepts nothing
+        self.fillers: list[socket.socket] = []
+        self.lives = 0  # counts the starts and deaths: work of an earlier life is lost
 
     @property
     def address(self) -> str:
@@ -67,7 +74,7 @@
 
     @property
     def alive(self) -> bool:
-        return self.listener is not None
+        return self.listener is not None or self.held_socket is not None
 
     async def start(self, cold: bool = False) -> None:
         """Listen; on the address of before, if there was one. `cold`: its warm-up begins now."""
@@ -78,9 +85,50 @@
         self.port = self.listener.sockets[0].getsockname()[1]
         self.started_at = time.monotonic() if cold else -1e9
         self.started_ms = int(time.time() * 1000) if cold else 0
+        self.lives += 1
+
+    def hold_accepts(self) -> None:
+        """Let no new connection come up: its SYN finds a full queue, and is dropped until it is repeated.
+
+        Linux repeats a SYN after one second, then after two more. Connections that are up go on.
+        """
+        if self.listener is None:
+            return
+        self.listener.close()
+        self.listener = None
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.setblocking(False)
+        held.bind((self.host, self.port))
+        held.listen(0)
+        self.held_socket = held
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect((self.host, self.port))
+            self.fillers.append(filler)
+
+    async def release_accepts(self) -> None:
+        """Accept again; what was dropped comes up once its SYN is repeated."""
+        self._close_fillers()
+        held, self.held_socket = self.held_socket, None
+        if held is not None:
+            loop = asyncio.get_running_loop()
+            self.listener = await loop.create_server(lambda: BoxConnection(self), sock=held, backlog=512)
+
+    def _close_fillers(self) -> None:
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
 
     def die(self) -> None:
         """In one instant: connections are reset, new ones refused, what was in work is lost."""
+        self.lives += 1
+        self._close_fillers()
+        if self.held_socket is not None:
+            self.held_socket.close()
+            self.held_socket = None
         if self.listener is not None:
             self.listener.close()
             self.listener = None
@@ -123,11 +171,10 @@
                 self.finish(job)
                 continue
             self.running += 1
-            listener = self.listener
-            asyncio.get_running_loop().call_later(work_s, self.done, job, listener)
+            asyncio.get_running_loop().call_later(work_s, self.done, job, self.lives)
 
-    def done(self, job: Job, listener: object) -> None:
-        if listener is not self.listener:
+    def done(self, job: Job, life: int) -> None:
+        if life != self.lives:
             return  # it died meanwhile
         self.running -= 1
         if not self.silent:
--- a/badgergap/standins/platform.py
+++ b/badgergap/standins/platform.py
@@ -34,17 +34,21 @@
     kinds: Sequence[Kind],
     *,
     late_value: float = 1.0,
+    window_us: int = WINDOW_US,
     caps: Mapping[str, object] | None = None,
     contract: Mapping[str, object] | None = None,
 ) -> dict[str, object]:
-    """Return the settings object of a platform with these classes; lists are pushed."""
+    """Return the settings object of a platform with these classes; lists are pushed.
+
+    `window_us`: in which endpoints discard repeats of a keyed request.
+    """
     return {
         "lanes": [
             {
                 "name": kind.name,
                 "effect": EFFECTS[kind.effect],
                 "group": "all",
-                "windowUs": WINDOW_US,
+                "windowUs": window_us,
                 "aimUs": int(kind.wanted_s * 1e6),
                 "giveUpUs": int(kind.patience_s * 1e6),
                 "lateValue": late_value,
@@ -171,15 +175,20 @@
         environ: Mapping[str, str] | None = None,
         work_s: float = 0.0,
         sockets: int = 1024,
+        memory_mb: int = 0,
         discovery: DiscoveryService | None = None,
     ) -> None:
-        """`discovery`: the service that gateways ask; None: a registry that pushes its list to all."""
+        """`discovery`: the service that gateways ask; None: a registry that pushes its list to all.
+
+        `memory_mb`: the limit that gateways are told; 0: none.
+        """
         self.folder = folder
         self.kinds = list(kinds)
         self.settings = dict(settings if settings is not None else settings_of(kinds))
         self.registry = LiveRegistry()
         self.discovery = discovery
         self.sockets = sockets
+        self.memory_mb = memory_mb
         self.wall_step_s = 0.0  # by which the clock that all machines read is ahead of the true one
         self.since_ms: dict[str, int] = {}  # of each box, as it was told first
         self.boxes = {
@@ -224,7 +233,7 @@
             "listen": f"127.0.0.1:{gateway.port}",
             "discovery": self.discovery_address(gateway),
             "seed": "1f",
-            "limits": {"sockets": self.sockets},
+            "limits": {"sockets": self.sockets, "memory_mb": self.memory_mb},
             "known": {"index": 1, "snapshot": True, "endpoints": entries},
             "settings": {**self.settings, "index": self.gateways.index(gateway)},
         }
