Log new peaks of the resident memory, and how long an attempt waited to be sent

Each new peak above half of limits.memory_mb is a line now with what is open and counted, and an attempt that was sent over a millisecond after its launch says so.

--- a/badgergap/proxy/diagnostics/__init__.py
+++ b/badgergap/proxy/diagnostics/__init__.py
@@ -6,9 +6,10 @@
 
 from badgergap.proxy.diagnostics.event_log import EventKind, EventLog
 from badgergap.proxy.diagnostics.loop_monitor import LoopMonitor
+from badgergap.proxy.diagnostics.memory_monitor import MemoryMonitor
 from badgergap.proxy.diagnostics.request_trace import RequestTrace
 
-__all__ = ["Diagnostics", "EventKind", "EventLog", "LoopMonitor", "RequestTrace"]
+__all__ = ["Diagnostics", "EventKind", "EventLog", "LoopMonitor", "MemoryMonitor", "RequestTrace"]
 
 
 class Diagnostics:
--- a/badgergap/proxy/diagnostics/event_log.py
+++ b/badgergap/proxy/diagnostics/event_log.py
@@ -30,6 +30,7 @@
     CALL_FAILED = "call_failed"
     DISCOVERY_CALL = "discovery_call"
     LIST_RECEIVED = "list"
+    MEMORY_PEAK = "memory"
 
 
 @dataclass(slots=True)
--- a/badgergap/proxy/diagnostics/request_log.py
+++ b/badgergap/proxy/diagnostics/request_log.py
@@ -11,6 +11,7 @@
 
 log = logging.getLogger(__name__)
 
+NOTED_WAIT_S = 0.001  # until an attempt is sent; a shorter one is ordinary
 OUTCOME_NAMES = {outcome: outcome.name.lower() for outcome in Outcome}
 
 
@@ -44,12 +45,14 @@
             cause or "no cause is known",
         )
 
-    def attempt_ended(self, trace: RequestTrace, number: int, outcome: Outcome) -> None:
-        """Record the outcome of an attempt."""
+    def attempt_ended(self, trace: RequestTrace, number: int, outcome: Outcome, waited_s: float) -> None:
+        """Record the outcome of an attempt that was sent `waited_s` after its launch."""
         name = OUTCOME_NAMES[outcome]
         self._events.count(EventKind.ATTEMPT_ENDED, name)
         if outcome is not Outcome.SUCCESS:
             trace.is_unusual = True
+        if waited_s > NOTED_WAIT_S:
+            trace.note(self._now_us(), "attempt %d sent %.1f ms after its launch", number, waited_s * 1000)
         trace.note(self._now_us(), "attempt %d ended: %s", number, name)
 
     def rejected(self, trace: RequestTrace, reason: RejectionReason) -> None:
--- a/badgergap/proxy/downstream/connection_registry.py
+++ b/badgergap/proxy/downstream/connection_registry.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import heapq
+from collections import Counter
 
+from badgergap.proxy.diagnostics import MemoryMonitor
 from badgergap.proxy.diagnostics.close_reason import CloseReason
 from badgergap.proxy.downstream.client_connection import ClientConnection
 from badgergap.proxy.downstream.http_connection import HttpConnection
@@ -22,6 +24,7 @@
 # once, before they send a request.
 REJECTED_SHARE = 1 / 4
 REJECTED_LINGER_S = 0.3
+MIB = 1024 * 1024
 
 
 class ConnectionRegistry:
@@ -32,6 +35,7 @@
         self.proxy = proxy
         self.loop = loop
         self.budget = proxy.upstream.budget
+        self.memory_monitor = MemoryMonitor(config.memory_mb * MIB, proxy.diagnostics.events)
         self.connection_capacity = eviction.limit(config.sockets, 0)
         self.rejected_capacity = int(eviction.reserve(config.sockets) * REJECTED_SHARE)
         # Bytes buffered for a client beyond which its endpoint is not read.
@@ -99,6 +103,17 @@
         if self.budget.used > self.budget.total:
             self.evict_one(eviction.EvictionPriority.STALLED, for_memory=True)
 
+    def describe_memory(self) -> str:
+        """Return what may hold memory, for the log."""
+        states = Counter(c.eviction_priority(self.loop.time()).name.lower() for c in self.connections)
+        clients = ", ".join(f"{count} {name}" for name, count in sorted(states.items()))
+        endpoints = len(self.proxy.upstream.connections)
+        return (
+            f"{self.budget.used / MIB:.1f} of {self.budget.total / MIB:.1f} MB counted in bodies; "
+            f"{self.proxy.open_requests} open requests, {endpoints} connections to endpoints, "
+            f"{len(self.connections)} from clients ({clients})"
+        )
+
     def discard(self, connection: ClientConnection) -> None:
         """Remove a connection that has ended or is about to end."""
         self.connections.discard(connection)
--- a/badgergap/proxy/downstream/listener.py
+++ b/badgergap/proxy/downstream/listener.py
@@ -152,6 +152,7 @@
         """Enforce the limits and timeouts of all connections, periodically."""
         now = self.loop.time()
         self.enforce_limits()
+        self.memory_monitor.check(self.describe_memory)
         for connection in list(self.connections):
             if not self.try_to_migrate(connection):
                 connection.check_time(now)
--- a/badgergap/proxy/upstream/exchange.py
+++ b/badgergap/proxy/upstream/exchange.py
@@ -82,6 +82,11 @@
         """Whether no retry is possible any more, so that its timeout does not apply."""
         return False
 
+    @property
+    def waited_s(self) -> float:
+        """Seconds from its launch until it was sent: for a connection, or a newer endpoint list."""
+        return 0.0
+
     @property
     def is_truncated(self) -> bool:
         """Whether its response was forwarded in part and has no end."""
--- a/badgergap/proxy/upstream/stream_attempt.py
+++ b/badgergap/proxy/upstream/stream_attempt.py
@@ -80,6 +80,7 @@
     """
 
     __slots__ = (
+        "began_at",
         "client_paused",
         "continue_timer",
         "idle_timeout_s",
@@ -106,7 +107,7 @@
         self.is_committed = False  # the request's body is no longer held for a retry
         self.write_blocked = False  # the endpoint does not accept more of the body for now
         # progress_at: when the endpoint last sent or accepted data.
-        self.sent_at = self.progress_at = loop.time()
+        self.began_at = self.sent_at = self.progress_at = loop.time()
         self.continue_timer: asyncio.TimerHandle | None = None  # set while waiting for 100 Continue
         self.idle_timeout_s = spec.timeouts.idle_s
         self.progress_timer: asyncio.TimerHandle | None = None  # set once the balancer's timeout has ended
@@ -149,6 +150,11 @@
         """Whether its response has begun, or its body is not held any more."""
         return self.response_started or self.is_committed
 
+    @property
+    def waited_s(self) -> float:
+        """Seconds from its launch until it was sent, or its body was complete."""
+        return self.sent_at - self.began_at
+
     @property
     def is_truncated(self) -> bool:
         """Whether its response was forwarded in part and has no end."""
