Send no repeat of a keyed request once its window has ended while it waited

Cause: the window was checked when a repeat was picked, and never again: a connection that came up a second later (its first SYN had been dropped) carried the repeat out of its window.

The balancer now says until when an attempt may be sent, whatever it has waited for; it is asked as its first byte is about to be written, by every transport, and an attempt that is still unsent at the end of the window ends as never sent. That covers late connections, a stopped process, held-back attempts, hedged requests, a first attempt whose hedge ran before it, and a body that the endpoint has not taken whole.

--- a/badgergap/balancing/balancer.py
+++ b/badgergap/balancing/balancer.py
@@ -34,7 +34,7 @@
 from badgergap.balancing.list_polling import ListPoller
 from badgergap.balancing.records import Endpoint, Request
 from badgergap.balancing.request_lifecycle import RequestLifecycle
-from badgergap.balancing.retry_policy import MAX_RETRY_TOKENS
+from badgergap.balancing.retry_policy import MAX_RETRY_TOKENS, window_end_us
 from badgergap.balancing.settings import RequestClass, Settings
 from badgergap.balancing.slow_start import SlowStart
 
@@ -131,6 +131,11 @@
         is_eligible = self.eligibility.is_eligible
         return any(is_eligible(endpoint, request_class, now_us) for endpoint in self.table.ranked)
 
+    def sendable_until_us(self, request_id: str, attempt_number: int) -> int | None:
+        """Return until when an attempt may still be sent, whatever it has waited for; None: at any time."""
+        request = self.requests.get(request_id)
+        return window_end_us(request, attempt_number) if request is not None else None
+
     def add_classes(self, classes: tuple[RequestClass, ...], like: tuple[int | None, ...]) -> None:
         """Append request classes; one with an index in `like` starts with the learned state of that class.
 
--- a/badgergap/balancing/endpoint_selection.py
+++ b/badgergap/balancing/endpoint_selection.py
@@ -15,7 +15,7 @@
 from badgergap.balancing.latency_model import LatencyModel
 from badgergap.balancing.ranking import locality_factor, rendezvous_rank
 from badgergap.balancing.records import Endpoint, Request
-from badgergap.balancing.retry_policy import deduplicates, is_repeatable
+from badgergap.balancing.retry_policy import deduplicates, is_repeatable, window_end_us
 from badgergap.balancing.settings import DeduplicationScope, Idempotency, RequestClass, Settings
 from badgergap.balancing.slow_start import SlowStart
 
@@ -141,13 +141,10 @@
 
     def _may_repeat(self, request: Request, now_us: int) -> bool:
         """Return whether idempotency and deduplication window allow a further attempt now."""
-        may_have_run = [attempt for attempt in request.attempts if attempt.may_have_run]
-        rules = request.rules
-        if not may_have_run or rules.idempotency is Idempotency.SAFE:
-            return True
-        if rules.idempotency is Idempotency.UNSAFE:
-            return False
-        return now_us - may_have_run[0].sent_us < rules.deduplication_window_us
+        if request.rules.idempotency is Idempotency.UNSAFE:
+            return not any(attempt.may_have_run for attempt in request.attempts)
+        until_us = window_end_us(request, len(request.attempts))
+        return until_us is None or now_us < until_us
 
     def _retry_candidates(self, request: Request, subset: list[Endpoint], now_us: int) -> list[Endpoint]:
         """Return the candidates for a further attempt."""
--- a/badgergap/balancing/retry_policy.py
+++ b/badgergap/balancing/retry_policy.py
@@ -93,6 +93,23 @@
     return True
 
 
+def window_end_us(request: Request, attempt_number: int) -> int | None:
+    """Return until when an attempt may be sent although other attempts may have run; None: at any time.
+
+    Endpoints discard repeats of a keyed request for a while after its first attempt. The number may be that
+    of an attempt to come. An attempt in flight may have been sent, or may wait for its connection: it counts
+    as sent when it was launched.
+    """
+    rules = request.rules
+    if rules.idempotency is not Idempotency.KEYED:
+        return None
+    others = (attempt for number, attempt in enumerate(request.attempts) if number != attempt_number)
+    if not any(attempt.may_have_run for attempt in others):
+        return None
+    first_sent_us = next(attempt.sent_us for attempt in request.attempts if attempt.may_have_run)
+    return first_sent_us + rules.deduplication_window_us
+
+
 def attempt_deadline_us(request: Request, now_us: int) -> int:
     """Return the deadline of an attempt.
 
--- a/badgergap/proxy/attempt_recorder.py
+++ b/badgergap/proxy/attempt_recorder.py
@@ -26,6 +26,11 @@
         self.endpoint_id = endpoint_id
         self.sent_us = sent_us
 
+    def may_send(self) -> bool:
+        """Return whether the attempt may still be sent, by the balancer's rules for repeats."""
+        until_us = self.proxy.balancer.sendable_until_us(self.request.id, self.attempt_number)
+        return until_us is None or self.proxy.clock.now_us() < until_us
+
     def on_committed(self) -> None:
         """Notify the balancer that this attempt is the last: no retry is possible from here on."""
         if self.request.deadline_timer is not None:
--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -459,6 +459,9 @@
         recorder = AttemptRecorder(self, request, number, action.endpoint_id, sent_us)
         exchange = request.spec.launch(self.upstream, action.endpoint_id, left_us / 1e6, recorder)
         request.attempts.append(exchange)
+        until_us = self.balancer.sendable_until_us(request.id, number)
+        if until_us is not None and not exchange.written:
+            self.loop.call_later(max(0, until_us - sent_us) / 1e6, exchange.end_if_unsent)
 
     def withdraw(self, request: Request) -> None:
         """End a request from an earlier epoch: the settings it was admitted under may have been revoked."""
--- a/badgergap/proxy/requests.py
+++ b/badgergap/proxy/requests.py
@@ -30,11 +30,14 @@
 
 
 class AttemptListener(Protocol):
-    """Receives the progress of a streamed attempt; each method is called at most once.
+    """Allows a streamed attempt, and receives its progress; each `on_` method is called at most once.
 
     `on_committed` precedes `on_response_started`; `on_ended` may be called at any point.
     """
 
+    def may_send(self) -> bool:
+        """Whether the attempt may still be sent: a repeat may not once endpoints would run it again."""
+
     def on_committed(self) -> None:
         """Part of the request was sent and is no longer buffered: the request cannot be retried."""
 
--- a/badgergap/proxy/upstream/exchange.py
+++ b/badgergap/proxy/upstream/exchange.py
@@ -127,6 +127,15 @@
         """End because nothing was sent, for a reason within this gateway: the endpoint is not to blame."""
         self.end(Outcome.NEVER_SENT)
 
+    def end_if_unsent(self) -> None:
+        """End an attempt that the endpoint cannot have run yet, because it may not be sent any more."""
+        if self.done or self.written:
+            return
+        connection = self.connection
+        self.never_sent()
+        if connection is not None:
+            connection.abort()
+
     def give_up(self, outcome: Outcome) -> None:
         """End with this outcome before a response, and abort the connection so that the endpoint notices.
 
--- a/badgergap/proxy/upstream/stream_attempt.py
+++ b/badgergap/proxy/upstream/stream_attempt.py
@@ -116,6 +116,11 @@
         """Whether it may still be sent; also checks for an unread close of the client's connection."""
         return super().may_begin() and not self.spec.download.client_has_left()
 
+    @property
+    def is_out_of_time(self) -> bool:
+        """Whether its deadline has passed, or the time in which it may repeat an earlier attempt."""
+        return super().is_out_of_time or not self.listener.may_send()
+
     # Implemented per protocol
 
     def send_body(self, data: bytes) -> None:
--- a/badgergap/replication/keyed_attempt.py
+++ b/badgergap/replication/keyed_attempt.py
@@ -136,6 +136,13 @@
                 outcome not in NOT_STARTED and not (outcome is Outcome.CANCELLED and not self.written)
             )
 
+    def end_if_unsent(self) -> None:
+        """End the attempt if the endpoint cannot have run it yet."""
+        if self.inner is not None:
+            self.inner.end_if_unsent()
+        elif not self.done:
+            self.never_sent()
+
     def give_up(self, outcome: Outcome) -> None:
         """End the attempt with this outcome; one that was not sent yet is cancelled or never sent."""
         if self.done:
@@ -152,6 +159,10 @@
     def __init__(self, attempt: PendingAttempt) -> None:
         self.attempt = attempt
 
+    def may_send(self) -> bool:
+        """Return whether the attempt may still be sent."""
+        return self.attempt.listener.may_send()
+
     def on_committed(self) -> None:
         """Report that the request cannot be sent to another endpoint any more."""
         self.attempt.listener.on_committed()
--- a/tests/balancing/test_requests.py
+++ b/tests/balancing/test_requests.py
@@ -62,6 +62,34 @@
     assert finals(driver.end(name, sends(actions)[0].endpoint_id, Outcome.RESET)) == [Fail(name)]
 
 
+# Guards against report a0d5b8: what waits for its connection is sent by the rules of that moment, also the
+# first attempt once another one may have run before it.
+def test_an_attempt_may_be_sent_within_the_window_of_the_first_that_may_have_run() -> None:
+    driver = Driver(endpoints=6)
+    name, actions = driver.arrive(klass=1)
+    until_us = driver.now_us + KEYED.deduplication_window_us
+    assert driver.balancer.sendable_until_us(name, 0) is None
+    driver.now_us += 1000
+    assert len(sends(driver.end(name, sends(actions)[0].endpoint_id, Outcome.RESET))) == 1
+    assert driver.balancer.sendable_until_us(name, 0) == until_us
+    assert driver.balancer.sendable_until_us(name, 1) == until_us
+
+
+@pytest.mark.parametrize("klass", [0, 2])
+def test_without_a_window_an_attempt_may_be_sent_at_any_time(klass: int) -> None:
+    driver = Driver(endpoints=6)
+    name, actions = driver.arrive(klass=klass)
+    driver.end(name, sends(actions)[0].endpoint_id, Outcome.CONNECT_FAILED)
+    assert driver.balancer.sendable_until_us(name, 1) is None
+
+
+def test_an_attempt_that_never_ran_begins_no_window() -> None:
+    driver = Driver(endpoints=6)
+    name, actions = driver.arrive(klass=1)
+    driver.end(name, sends(actions)[0].endpoint_id, Outcome.CONNECT_FAILED)
+    assert driver.balancer.sendable_until_us(name, 1) is None
+
+
 # Guards against a double effect: a request restricted to the endpoints where it may have run was sent to any
 # of these, regardless of its deduplication scope and window.
 @pytest.mark.parametrize(
