--- a/badgergap/standins/box.py
+++ b/badgergap/standins/box.py
@@ -14,6 +14,7 @@
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import cast
 
 import httptools
@@ -35,6 +36,20 @@
     has_run: bool = True  # False: it is turned away unexamined
 
 
+class Framing(StrEnum):
+    """How a box writes its answers."""
+
+    PLAIN = "plain"
+    ENDLESS_CHUNKS = "endless_chunks"  # 3 kB in chunks of two bytes, without an end
+    SHORT_FIELDS = "short_fields"  # a head of very many short fields, and a body that lacks its end
+
+
+UNFINISHED = {
+    Framing.ENDLESS_CHUNKS: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"2\r\nab\r\n" * 1500,
+    Framing.SHORT_FIELDS: b"HTTP/1.1 200 OK\r\n" + b"a:b\r\n" * 3000 + b"Content-Length: 100\r\n\r\nhalf",
+}
+
+
 class Box:
     def __init__(
         self,
@@ -58,6 +73,8 @@
         self.silent = False
         self.slow = 1.0
         self.spoil = ""
+        self.padding = b""  # behind each answer
+        self.framing = Framing.PLAIN
         self.seen: deque[Seen] = deque(maxlen=SEEN_LIMIT)
         self.answered = 0
         self.running = 0
@@ -184,7 +201,7 @@
     def finish(self, job: Job) -> None:
         if job.connection.turn == job.turn:
             self.answered += 1
-            job.connection.reply(200, f"{self.name} served {job.seen.id}".encode())
+            job.connection.reply(200, f"{self.name} served {job.seen.id}".encode() + self.padding)
 
 
 @dataclass(slots=True, frozen=True)
@@ -250,6 +267,10 @@
         self.turn += 1
         if self.transport is None or self.transport.is_closing():
             return
+        unfinished = UNFINISHED.get(self.box.framing)
+        if unfinished is not None:
+            self.transport.write(unfinished)
+            return
         spoil = self.box.spoil if status == 200 else ""
         if spoil == "error":
             status = 500
--- a/badgergap/standins/platform.py
+++ b/badgergap/standins/platform.py
@@ -131,6 +131,13 @@
             return False
         return answer.startswith(b"HTTP/1.1 200")
 
+    def peak_memory_bytes(self) -> int:
+        """The largest resident size of the process so far; 0 once it has ended."""
+        assert self.process is not None
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        sizes = [line.split()[1] for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(sizes[0]) * 1024 if sizes else 0
+
     def send_signal(self, number: signal.Signals) -> None:
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
