Bound what bodies in pieces, bodies ahead of their turn and held answers take of memory and time

Causes: a held body was one object a piece, 28 times its bytes for pieces of two bytes, while the budget counts bytes; bodies of pipelined requests were not counted at all, eight a connection; and one iteration of the event loop took up to 7 s for 700 connections with bodies in tiny chunks, as each chunk was handled by itself, so that nothing was limited meanwhile and nobody was answered.

Held bodies and answers are one buffer now. The pieces of one read are taken together, on both sides. All held bodies of a connection are counted, and it is read no further while the bodies ahead of their turn are as large as one may be held. Reads are shorter in an iteration that has taken over 5 ms.

Before an attempt, and in each check of time-outs, what is unread is read on; where memory is short it is rejected (400) and dropped.

--- a/badgergap/h3/back.py
+++ b/badgergap/h3/back.py
@@ -81,7 +81,7 @@
         self.outcome = Outcome.SUCCESS
         self.answer: Answer | None = None  # held: it counts as the box's failure
         self.held: AnswerHead | None = None
-        self.chunks: list[bytes] = []
+        self.chunks = bytearray()  # of the held answer's body
 
     def abort(self) -> None:
         """Not wanted any more: the box learns of it by a reset (a `Carrier`)."""
@@ -192,10 +192,10 @@
             self.spec.download.data(data)
         elif data:
             self.size += len(data)
-            self.chunks.append(data)
+            self.chunks += data
             if self.size > HOLD:
-                self.forward_held(self.held, self.chunks)
-                self.chunks = []
+                chunks, self.chunks = bytes(self.chunks), bytearray()
+                self.forward_held(self.held, chunks)
         if ended and not self.done:
             self.whole_answer([])
 
@@ -205,7 +205,7 @@
             raise InvalidHeadError("an answer of another length than it says")
         self.response_complete = True
         if not self.response_started and self.answer is not None:
-            self.answer.body = b"".join(self.chunks)
+            self.answer.body = bytes(self.chunks)
         self.finish(self.outcome, self.answer, fields)
 
     def never_ran(self) -> None:
--- a/badgergap/h3/front.py
+++ b/badgergap/h3/front.py
@@ -153,7 +153,7 @@
         """Whether a client may send more: of this stream, or at all."""
         if stream_id is not None:
             return stream_id not in self.held
-        kept = sum(len(piece) for stream in self.streams.values() for piece in stream.turn.upload.held)
+        kept = sum(len(stream.turn.upload.held) for stream in self.streams.values())
         return kept < CONNECTION_WINDOW
 
     def peer(self) -> Peer:
--- a/badgergap/proxy/body_streams.py
+++ b/badgergap/proxy/body_streams.py
@@ -43,7 +43,7 @@
     limit: int | None = None  # bytes; enforced by the reader
     hold: int = HOLD
     size: int = 0
-    held: list[bytes] = field(default_factory=list)
+    held: bytearray = field(default_factory=bytearray)  # one object: a body may come in pieces of one byte
     is_held: bool = True  # all of the body so far is held, so that it can be resent
     complete: bool = False
     awaits_continue: bool = False  # the endpoint has not sent 100 (Continue) yet
@@ -61,7 +61,7 @@
         """Receive the next bytes from the client: hold them for a retry, or forward them to the receiver."""
         self.size += len(data)
         if self.awaits_continue:
-            self.held.append(data)
+            self.held += data
             if self.size >= self.hold:
                 self.flow(False)
             return
@@ -78,7 +78,7 @@
             if self.receiver is not None:
                 self.receiver.send_body(data)
             return
-        self.held.append(data)
+        self.held += data
         if self.size >= self.hold and self.receiver is None:
             self.flow(False)  # until an endpoint receives the body
         self._notify_if_ready()
@@ -106,12 +106,12 @@
         """Attach an endpoint's side. Returns the held bytes, to be sent now; `send_body` gets the rest."""
         self.receiver, self.on_buffer_dropped = receiver, on_buffer_dropped
         self.flow(True)
-        return b"".join(self.held)
+        return bytes(self.held)
 
     def release(self) -> None:
         """Forward the body after 100 (Continue): send the held bytes, and hold nothing from here on."""
         self.awaits_continue = self.is_held = False
-        data = b"".join(self.held)
+        data = bytes(self.held)
         self.held.clear()
         if self.receiver is not None and data:
             self.receiver.send_body(data)
--- a/badgergap/proxy/downstream/client_connection.py
+++ b/badgergap/proxy/downstream/client_connection.py
@@ -201,6 +201,8 @@
             except Exception:
                 log.exception("unhandled error while processing a request")
                 self.send_response(incoming, plain_text(500, "internal error"))
+        if self.read_paused:
+            self.check_flow()
 
     def dispatch(self, incoming: IncomingRequest) -> None:
         """Respond to a request here, or pass it to the proxy. Raises BadRequestError."""
--- a/badgergap/proxy/downstream/request_reader.py
+++ b/badgergap/proxy/downstream/request_reader.py
@@ -30,6 +30,7 @@
 # trailers, but allows a body in chunks of one byte.
 RAW_LIMIT = 4 * HEAD_LIMIT
 ACCOUNTED_HEAD_BYTES = 2048  # an incomplete head above this size counts against the memory budget
+LOOK_BEHIND_BYTES = 1024 * 1024  # read at once to see whether the client has closed behind them
 PIPELINE_LIMIT = 8  # requests that wait for the responses before them
 # Time to receive a complete request: the first on a connection from its accept, a later one from its first
 # byte. Bounds how long clients that send nothing, or an endless request, occupy a descriptor.
@@ -64,6 +65,7 @@
         self.accounted_bytes = 0  # reported to the budget, for requests and unsent responses
         self.arrived_at = 0.0  # time.monotonic() when the newest data reached this machine
         self.due_at = 0.0  # loop time by which more of the body must have arrived
+        self.read_body = bytearray()  # the body bytes of one read, which may be in many chunks
 
     # Implemented by the subclass
 
@@ -114,9 +116,11 @@
             self.make_newest_last()  # the request is valid, but the data after it is not HTTP
         except httptools.HttpParserError:
             self.reject_and_close(BadRequestError(400, "malformed request"))
+        self.take_body()
         if self.state is RECEIVING:
             self.check_size()
         self.start_next()
+        self.check_flow()
 
     def check_size(self) -> None:
         """Enforce the size limits on a partly received request."""
@@ -154,19 +158,29 @@
     def must_pause_reading(self) -> bool:
         """Return whether reading from the client has to pause.
 
-        It pauses while the client does not read its responses, which would accumulate in memory. The rest of
-        the current request is still read: the client may read only after it has sent the whole request.
+        It pauses while the client does not read its responses, and while the bodies ahead of their turn are
+        as large as one may be held: either would accumulate in memory. The rest of the current request is
+        still read: the client may read only after it has sent the whole request.
         """
-        unread = self.write_paused and not (self.is_receiving and self.incoming is self.current)
-        return not self.is_closing and (self.upload_paused or unread)
+        receives_current = self.is_receiving and self.incoming is self.current
+        unread = self.write_paused and not receives_current
+        ahead = not receives_current and self.pipelined_bytes() >= self.server.budget.hold
+        return not self.is_closing and (self.upload_paused or unread or ahead)
+
+    def pipelined_bytes(self) -> int:
+        """Return the bytes of the bodies that wait for the responses before theirs."""
+        return sum(len(incoming.upload.held) for incoming in self.pipeline)
 
     def account_memory(self) -> None:
         """Report the bytes held by this connection to the memory budget."""
         held = 0
         if self.transport is not None and self.write_paused:
             held += self.transport.get_write_buffer_size()
-        if self.incoming.upload.is_held:
-            held += self.incoming.upload.size
+        held += self.pipelined_bytes()
+        if self.current is not None:
+            held += len(self.current.upload.held)
+        if self.incoming is not self.current and not self.incoming.is_queued:
+            held += len(self.incoming.upload.held)
         if self.is_receiving and not self.incoming.head_complete:
             held += self.incoming.raw_bytes
         self.server.budget.change(held - self.accounted_bytes)
@@ -209,30 +223,38 @@
             self.send_continue()
 
     def on_body(self, body: bytes) -> None:
-        """Add bytes to the body, and queue the request once an attempt may begin.
+        """Collect bytes of the body until the end of the read, or of the request.
 
         A body over BODY_LIMIT is rejected.
         """
-        incoming = self.incoming
-        incoming.size += len(body)
-        if incoming.size > BODY_LIMIT:
+        self.incoming.size += len(body)
+        if self.incoming.size > BODY_LIMIT:
             self.reject_and_close(BadRequestError(413, f"body over {BODY_LIMIT} bytes"))
-        elif self.state is RECEIVING and incoming.rejection is None:
-            now = self.loop.time()
-            self.due_at = max(
-                self.due_at, min(self.due_at + len(body) / MIN_UPLOAD_RATE, now + UPLOAD_STALL_S)
-            )
-            incoming.upload.put(body)
-            self.account_memory()
-            if incoming.upload.ready:
-                self.enqueue(incoming)
+        else:
+            self.read_body += body
+
+    def take_body(self) -> None:
+        """Add what one read has brought of the body, and queue the request once an attempt may begin."""
+        if not self.read_body:
+            return
+        body, self.read_body = bytes(self.read_body), bytearray()
+        incoming = self.incoming
+        if self.state is not RECEIVING or incoming.rejection is not None:
+            return
+        now = self.loop.time()
+        self.due_at = max(self.due_at, min(self.due_at + len(body) / MIN_UPLOAD_RATE, now + UPLOAD_STALL_S))
+        incoming.upload.put(body)
+        self.account_memory()
+        if incoming.upload.ready:
+            self.enqueue(incoming)
 
     def on_message_complete(self) -> None:
         """Complete the body of the request, queue the request, and enforce PIPELINE_LIMIT."""
+        self.take_body()
+        incoming = self.incoming
         self.state = AFTER_END[self.state]
         if self.state is not IDLE:
             return
-        incoming = self.incoming
         incoming.received_at = self.arrived_at
         incoming.keep_alive = self.parser.should_keep_alive()
         if not incoming.upload.complete:
@@ -249,3 +271,27 @@
         if not incoming.is_queued:
             incoming.is_queued = True
             self.pipeline.append(incoming)
+
+    # Closes behind unread data
+
+    def client_has_left(self) -> bool:
+        """Return whether the client has closed, also behind data that was left unread; see `look_behind`."""
+        if super().client_has_left():
+            return True
+        is_ahead = self.incoming is not self.current  # what is unread belongs to requests ahead of their turn
+        if not self.read_paused or self.write_paused or self.is_closing or not is_ahead:
+            return False
+        self.look_behind()
+        return super().client_has_left()
+
+    def look_behind(self) -> None:
+        """Read on while reading is paused; where memory is short, reject what comes and drop it.
+
+        A close behind more data than the socket holds is not seen before that data is read.
+        """
+        budget = self.server.budget
+        for data in unread_input.read_now(self.transport, LOOK_BEHIND_BYTES):
+            if budget.used > budget.total and not self.is_closing:
+                self.reject_and_close(BadRequestError(400, "too many requests ahead of their turn"))
+            self.data_received(data)
+        self.check_flow()
--- a/badgergap/proxy/limits/memory.py
+++ b/badgergap/proxy/limits/memory.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 MAX_BUFFER, MIN_BUFFER = 64 * 1024, 4 * 1024  # bytes
 DEFAULT_TOTAL = 64 * 1024 * 1024  # where the memory limit is not known
 PROCESS_BASELINE = 32 * 1024 * 1024  # used by the process without any request
@@ -19,6 +21,9 @@
 MIN_TOTAL = 1024 * 1024
 # One read may return at most 1/READ_DIVISOR of the free budget; one body may keep 1/HOLD_DIVISOR of it.
 READ_DIVISOR, HOLD_DIVISOR = 32, 16
+# In an iteration of the event loop that has taken so long, a read returns at most MIN_BUFFER, then LATE_READ.
+LONG_ITERATION_S, LATE_ITERATION_S = 0.005, 0.02
+LATE_READ = 1024
 
 
 def total_of(memory_mb: int) -> int:
@@ -45,15 +50,26 @@
 
 
 class ReadBuffer:
-    """The buffer that all connections read into; the data of each read is copied out before the next."""
+    """The buffer that all connections read into; the data of each read is copied out before the next.
+
+    Input in tiny pieces costs far more time a byte than other input. Reads become shorter as an iteration of
+    the event loop takes longer, so that many such connections do not hold up the others.
+    """
 
-    def __init__(self, budget: Budget) -> None:
+    def __init__(self, budget: Budget, iteration_age_s: Callable[[], float] = lambda: 0.0) -> None:
+        """`iteration_age_s` returns the seconds since the event loop's iteration began."""
         self.budget = budget
+        self.iteration_age_s = iteration_age_s
         self.view = memoryview(bytearray(MAX_BUFFER))
 
     def buffer(self) -> memoryview:
         """Return the part of the buffer that the next read may fill."""
         size = self.budget.read
+        age_s = self.iteration_age_s()
+        if age_s > LATE_ITERATION_S:
+            size = LATE_READ
+        elif age_s > LONG_ITERATION_S:
+            size = MIN_BUFFER
         return self.view if size == MAX_BUFFER else self.view[:size]
 
     def take(self, size: int) -> bytes:
--- a/badgergap/proxy/upstream/stream_attempt.py
+++ b/badgergap/proxy/upstream/stream_attempt.py
@@ -256,16 +256,14 @@
         self.listener.on_response_started(head.status, self.progress_at - self.sent_at)
         self.spec.download.begin(head, self)
 
-    def forward_held(self, head: AnswerHead, chunks: list[bytes]) -> None:
+    def forward_held(self, head: AnswerHead, body: bytes) -> None:
         """Forward a held response to the client, with as much of its body as was received.
 
         Does nothing more if the client is getting another one: this attempt has been cancelled then.
         """
         self.start_response(head)
-        for chunk in chunks:
-            if self.done:
-                return
-            self.spec.download.data(chunk)
+        if not self.done:
+            self.spec.download.data(body)
 
     def finish(self, outcome: Outcome, answer: Answer | None, fields: Headers) -> None:
         """End with a complete response: `answer` if held, else the forwarded one with trailers `fields`."""
--- a/badgergap/proxy/upstream/stream_exchange.py
+++ b/badgergap/proxy/upstream/stream_exchange.py
@@ -117,7 +117,8 @@
         self.body_left = 0  # bytes left of a body of known length
         self.outcome = Outcome.SUCCESS
         self.held_answer: Answer | None = None  # a failure, or a success with `buffers_success`
-        self.held_chunks: list[bytes] = []
+        self.held_body = bytearray()  # of `held_answer`
+        self.read_body = bytearray()  # the body bytes of one read, forwarded together
         self.hold_limit = HOLD
         self.raw_size = self.body_size = 0  # bytes of the response, framing included, and of its body
         self.counted_held = 0  # bytes of the held response that the budget counts
@@ -176,7 +177,8 @@
         """Clear the state of the previous response before a request."""
         self.headers = []
         self.trailer_fields = []
-        self.held_chunks = []
+        self.held_body = bytearray()
+        self.read_body = bytearray()
         self.head_size = 0
         self.state = HEAD
         self.keep_alive = False
@@ -258,8 +260,11 @@
         except httptools.HttpParserError as error:
             clean = False
             exchange.end_cause = f"invalid response: {error}"
+        if self.read_body:
+            body, self.read_body = bytes(self.read_body), bytearray()
+            exchange.spec.download.data(body)
         if self.exchange is not exchange:
-            return  # a callback of the parser has ended it
+            return  # a callback of the parser, or the client, has ended it
         if self.state is COMPLETE:
             # Data after a complete response makes the connection unusable, but the response is valid.
             self.conclude(clean)
@@ -443,9 +448,9 @@
         if limit is not None and self.body_size > limit:
             raise ValueError("response body too long")
         if exchange.response_started:
-            exchange.spec.download.data(body)
+            self.read_body += body
             return
-        self.held_chunks.append(body)
+        self.held_body += body
         if self.body_size > MIN_BUFFER:
             self.count_held(self.body_size)
         if self.body_size > self.hold_limit:
@@ -455,8 +460,8 @@
 
     def forward_held(self, exchange: Http1Attempt) -> None:
         """Forward a held response, which makes it the final one. Raises InvalidHeadError."""
-        exchange.forward_held(self.client_head(self.held_head), self.held_chunks)
-        self.held_chunks = []
+        held, self.held_body = bytes(self.held_body), bytearray()
+        exchange.forward_held(self.client_head(self.held_head), held)
         self.count_held(0)
 
     def on_message_complete(self) -> None:
@@ -474,7 +479,7 @@
         assert exchange is not None
         outcome, answer = self.outcome, self.held_answer
         if answer is not None:
-            answer.body = b"".join(self.held_chunks)
+            answer.body, self.held_body = bytes(self.held_body), bytearray()
             self.count_held(0)
         self.exchange = self.attempt = None
         transport = self.transport
--- a/badgergap/replication/keyed_request.py
+++ b/badgergap/replication/keyed_request.py
@@ -114,7 +114,7 @@
         if not upload.complete:
             self.reply(plain_text(413, f"a keyed request's body is {BODY_LIMIT} bytes at the most"))
             return
-        self.body = b"".join(upload.held)
+        self.body = bytes(upload.held)
         turn, way = self.turn, self.way
         # The time limit applies to the answer, so it starts with the last byte of the request.
         self.received_at = self.loop.time()
@@ -252,7 +252,9 @@
             length=len(body),
             host=turn.host,
             by_name=turn.by_name,
-            upload=Upload(lambda on: None, hold=BODY_LIMIT, size=len(body), held=[body], complete=True),
+            upload=Upload(
+                lambda on: None, hold=BODY_LIMIT, size=len(body), held=bytearray(body), complete=True
+            ),
             number=turn.number,
             way=way,
             peer=turn.peer,
--- a/tests/proxy/limits/test_memory.py
+++ b/tests/proxy/limits/test_memory.py
@@ -8,6 +8,9 @@
 
 from badgergap.proxy.limits.memory import (
     DEFAULT_TOTAL,
+    LATE_ITERATION_S,
+    LATE_READ,
+    LONG_ITERATION_S,
     MAX_BUFFER,
     MIN_BUFFER,
     MIN_TOTAL,
@@ -56,3 +59,13 @@
         assert total == DEFAULT_TOTAL
     else:
         assert MIN_TOTAL <= total <= max(MIN_TOTAL, memory_mb * 1024 * 1024 - PROCESS_BASELINE)
+
+
+# Guards against report a0d5b8: hundreds of connections with input in tiny pieces held the event loop up.
+def test_reads_are_shorter_in_an_iteration_of_the_loop_that_takes_long() -> None:
+    age_s = 0.0
+    reads = ReadBuffer(Budget(), lambda: age_s)
+    sizes = []
+    for age_s in (0.0, LONG_ITERATION_S * 1.1, LATE_ITERATION_S * 1.1, 0.0):
+        sizes.append(len(reads.buffer()))
+    assert sizes == [MAX_BUFFER, MIN_BUFFER, LATE_READ, MAX_BUFFER]
