Do not complete a streamed request whose client has closed behind its body

Cause: a close behind more of a body than the sockets hold is not seen before the body is read to its end, and the end was passed on first. Evidence: a request of 4 MB whose endpoint's connection came up late ran after its client had closed (two cases, both failed on, and pass). The end of a streamed body is passed on only after a look at the client's connection: endpoints run a request only once they have its end. Requests ahead of their turn were checked as well: they did not fail before, as the answer in front of them meets the reset of the closed client.

--- a/badgergap/proxy/downstream/request_reader.py
+++ b/badgergap/proxy/downstream/request_reader.py
@@ -241,6 +241,8 @@
         incoming = self.incoming
         if self.state is not RECEIVING or incoming.rejection is not None:
             return
+        if incoming.size == incoming.length and self.has_left_behind(incoming):
+            return
         now = self.loop.time()
         self.due_at = max(self.due_at, min(self.due_at + len(body) / MIN_UPLOAD_RATE, now + UPLOAD_STALL_S))
         incoming.upload.put(body)
@@ -252,6 +254,8 @@
         """Complete the body of the request, queue the request, and enforce PIPELINE_LIMIT."""
         self.take_body()
         incoming = self.incoming
+        if self.state is RECEIVING and self.has_left_behind(incoming):
+            return
         self.state = AFTER_END[self.state]
         if self.state is not IDLE:
             return
@@ -295,3 +299,10 @@
                 self.reject_and_close(BadRequestError(400, "too many requests ahead of their turn"))
             self.data_received(data)
         self.check_flow()
+
+    def has_left_behind(self, incoming: IncomingRequest) -> bool:
+        """Return whether the client has closed behind a streamed body, whose end is not forwarded then.
+
+        Endpoints run a request only once they have its end.
+        """
+        return not incoming.upload.is_held and self.client_has_left()
