Do not run a request again that comes with an id that is open or may have run

Cause: an id was free as soon as its client had left, while its attempt could go on, and the processes of a hot restart knew nothing of each other's ids.

A process tells the other processes of its gateway the ids that it knows with its state, and each further one before an endpoint has it. A process of an older release logs that message as unknown and ignores it. An id of which nothing has run is free, as before.

--- a/badgergap/hot_restart/messages.py
+++ b/badgergap/hot_restart/messages.py
@@ -88,6 +88,13 @@
     news: EndpointNews
 
 
+@dataclass(frozen=True, slots=True)
+class RequestsTaken:
+    """From either process: the ids of requests that it has taken, and that must not run again."""
+
+    request_ids: tuple[bytes, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionCounts:
     """From the predecessor: the connections that it and older processes still hold."""
@@ -114,6 +121,7 @@
     | ManualDrainChanged
     | LameDuckChanged
     | EndpointsChanged
+    | RequestsTaken
     | ConnectionCounts
     | UnknownMessage
 )
@@ -140,6 +148,8 @@
             return {"lame": lame}
         case EndpointsChanged(news):
             return {"news": news.raw, "of": list(news.address), "after": news.after}
+        case RequestsTaken(request_ids):
+            return {"taken": [request_id.decode("latin-1") for request_id in request_ids]}
         case ConnectionCounts(clients, endpoints):
             return {"holds": [clients, endpoints]}
         case ReceivedState(raw) | UnknownMessage(raw):
@@ -167,6 +177,9 @@
             return LameDuckChanged(lame)
         case {"news": dict(raw_list), "of": [str(host), int(port)], "after": int(after)}:
             return EndpointsChanged(EndpointNews((host, port), after, raw_list))
+        case {"taken": [*request_ids]}:
+            texts = (each for each in request_ids if isinstance(each, str))
+            return RequestsTaken(tuple(each.encode("latin-1", "replace") for each in texts))
         case {"holds": [int(clients), int(endpoints)]}:
             return ConnectionCounts(max(0, clients), max(0, endpoints))
         case _:
--- a/badgergap/hot_restart/state_sync.py
+++ b/badgergap/hot_restart/state_sync.py
@@ -1,9 +1,9 @@
 """Keeps operators' decisions and the endpoint list the same in all linked processes of one gateway.
 
 A process that has exported its state to another one forwards each later manual drain, its end, each lame-duck
-command and each newer endpoint list to it: from the export on, and not only once the other one has taken the
-clients. Changes and state use one ordered link, so that none is lost in between. The receiver applies them in
-order, as soon as its proxy has started.
+command, each newer endpoint list and the id of each request that must not run again. It does so from the
+export on, and not only once the other one has taken the clients. Changes and state use one ordered link, so
+that none is lost in between. The receiver applies them in order, as soon as its proxy has started.
 """
 
 from __future__ import annotations
@@ -39,6 +39,8 @@
     def add(self, link: Link) -> None:
         """Forward changes from now on to a process that has the state of this one, or has sent its own."""
         self.links[link] = None
+        if self.downstream is not None and (known := self.downstream.validator.ids.known()):
+            link.send(messages.RequestsTaken(known))
 
     def discard(self, link: Link) -> None:
         """Forward nothing more over a link that has ended."""
@@ -47,6 +49,7 @@
     def start(self, downstream: Downstream) -> None:
         """Apply the changes that have been received, and from now on each one when it is received."""
         self.downstream = downstream
+        downstream.validator.ids.on_taken = self.on_request_taken
         early, self.early = self.early, []
         for link, message in early:
             self._apply(downstream, link, message)
@@ -82,6 +85,11 @@
         for name in self.proxies()[MAIN].directory.registry.drains.keys() - drained:
             self._apply_drain(name, REPLACED, drained=False)
 
+    def on_request_taken(self, request_id: bytes) -> None:
+        """Tell the other processes of a request that must not run again, before it is sent to an endpoint."""
+        if self.links:
+            self.notify(messages.RequestsTaken((request_id,)))
+
     def notify(self, message: Message) -> None:
         """Forward a change to all linked processes, except to the one that has made it."""
         for link in list(self.links):
@@ -99,6 +107,8 @@
                     (downstream.enter_lame_duck if is_lame_duck else downstream.leave_lame_duck)()
                 case messages.EndpointsChanged(news):
                     self._apply_news(news)
+                case messages.RequestsTaken(request_ids):
+                    downstream.validator.ids.remember_all(request_ids)
                 case _:
                     log.warning(
                         "ignored an unknown message of another process: %.200r", messages.encode(message)
--- a/badgergap/proxy/downstream/client_connection.py
+++ b/badgergap/proxy/downstream/client_connection.py
@@ -227,8 +227,11 @@
         spec = server.validator.validate(incoming, launch, waited_s)
         incoming.forwarded_head = b"%b %b HTTP/1.1\r\n%b" % (spec.method, spec.target, spec.headers)
         self.requests_read += 1
-        incoming.request_id = server.validator.reserve_id(incoming)
+        incoming.request_id = server.validator.reserve_id(incoming, spec.request_class)
+        incoming.is_repeatable = server.validator.is_repeatable(spec.request_class)
         request = server.proxy.arrive(spec, partial(self.send_response, incoming))
+        if request is None:
+            server.validator.ids.release(incoming.request_id)
         if request is not None and request.reply is not None:
             self.request = request
 
@@ -316,8 +319,9 @@
         self.reset()
 
     def release(self, incoming: IncomingRequest) -> None:
-        """Release the id and the memory of a request that has ended."""
-        self.server.validator.release_id(incoming.request_id)
+        """Release the memory of a request that has ended, and its id if it may be repeated."""
+        if incoming.is_repeatable:
+            self.server.validator.ids.release(incoming.request_id)
         if incoming.upload.size:
             incoming.upload.discard()
         if self.accounted_bytes:
--- a/badgergap/proxy/downstream/incoming_request.py
+++ b/badgergap/proxy/downstream/incoming_request.py
@@ -31,6 +31,7 @@
     keep_alive: bool = True
     rejection: BadRequestError | None = None  # its response, whatever the rest of the request is
     request_id: bytes = b""  # empty until it is reserved
+    is_repeatable: bool = False  # by its class; known once its id is reserved
     forwarded_head: bytes = b""  # the head to forward, without the timeout and the body's length
     exchange: StreamAttempt | None = None  # the newest attempt
     source: DownloadSource | None = None  # of the response that is being streamed
--- a/badgergap/proxy/downstream/listener.py
+++ b/badgergap/proxy/downstream/listener.py
@@ -99,8 +99,7 @@
 
     def reconfigure(self, config: Config) -> None:
         """Validate further requests against the request classes of `config`."""
-        open_ids, self.validator = self.validator.open_ids, RequestValidator(config)
-        self.validator.open_ids = open_ids
+        self.validator = RequestValidator(config, self.validator.ids)
 
     def on_idle(self, connection: ClientConnection) -> None:
         """Keep an idle connection, and hand it to the process that takes over, if there is one."""
--- a/badgergap/proxy/downstream/request_validation.py
+++ b/badgergap/proxy/downstream/request_validation.py
@@ -9,10 +9,12 @@
 import hashlib
 import re
 from dataclasses import dataclass, field
+from functools import partial
 from urllib.parse import parse_qs
 
 from badgergap.balancing.interface import Idempotency
 from badgergap.errors import BadgergapError
+from badgergap.proxy.downstream.request_ids import RequestIds
 from badgergap.proxy.gateway_responses import plain_text
 from badgergap.proxy.lifecycle.config import Config
 from badgergap.proxy.requests import Launch, RequestSpec
@@ -104,27 +106,28 @@
 class RequestValidator:
     """Validates requests and tracks their ids. One instance is shared by all transports of the gateway."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, ids: RequestIds | None = None) -> None:
+        """`ids`: those that are taken already."""
         self.settings = config.settings
         self.classes = {name.encode(): number for number, name in enumerate(config.names.classes)}
         tenants = config.names.tenants if config.proxy_settings.tenants else ()  # else defined by the routes
         self.tenants = {name.encode(): number for number, name in enumerate(tenants)}
-        self.open_ids: set[bytes] = set()  # Request-Id of each open request
+        self.ids = ids if ids is not None else RequestIds()
 
-    def reserve_id(self, head: RequestHead) -> bytes:
-        """Reserve a request's id until `release_id`, and return it. Raises BadRequestError if it is in use.
-
-        Endpoints would treat two open requests with the same id as one, even of different clients.
-        """
+    def reserve_id(self, head: RequestHead, request_class: int) -> bytes:
+        """Reserve a request's id, and return it. Raises BadRequestError if it may not be taken again."""
         request_id = head.headers[b"request-id"]
-        if request_id in self.open_ids:
-            raise BadRequestError(409, "a request with this id is open")
-        self.open_ids.add(request_id)
+        if not self.ids.reserve(request_id, self.is_repeatable(request_class)):
+            raise BadRequestError(409, "a request with this id is open, or may have run")
         return request_id
 
-    def release_id(self, request_id: bytes) -> None:
-        """Release an id, if it is reserved."""
-        self.open_ids.discard(request_id)
+    def is_repeatable(self, request_class: int) -> bool:
+        """Whether requests of a class may simply be repeated, with the same id too."""
+        return self.settings.classes[request_class].idempotency is Idempotency.SAFE
+
+    def finish_id(self, request_id: bytes, request_class: int, may_have_run: bool) -> None:
+        """Handle the end of a request: none of its attempts is in flight any more."""
+        self.ids.finish(request_id, may_have_run and not self.is_repeatable(request_class))
 
     def validate(self, head: RequestHead, launch: Launch, waited_s: float) -> RequestSpec:
         """Return the request in the form that the proxy uses. Raises BadRequestError.
@@ -166,6 +169,7 @@
             is_write=b"isWrite=1" in headers.get(b"request-info", b"").split(b","),
             objective_from_send=True,
             client_id=request_id.decode("latin-1"),
+            on_finished=partial(self.finish_id, request_id, class_index),
         )
 
     def _request_class(self, target: bytes, headers: dict[bytes, bytes]) -> int:
--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -431,6 +431,7 @@
             return
         if self.requests.pop(request.id, None) is not None:
             self.request_log.finished(request.trace)
+            request.finish()
 
     # Attempts
 
@@ -478,13 +479,10 @@
         request = attempt.request
         request.attempts_in_flight -= 1
         latency_us = self.clock.now_us() - attempt.sent_us
-        exchange = (
-            request.attempts[attempt.attempt_number]
-            if attempt.attempt_number < len(request.attempts)
-            else None
-        )
+        exchange = request.attempt(attempt.attempt_number)
         waited_s = exchange.waited_s if exchange is not None else 0.0
         self.request_log.attempt_ended(request.trace, attempt.attempt_number, outcome, waited_s)
+        request.attempt_ended(attempt.attempt_number, outcome)
         if exchange is not None and exchange.is_truncated and outcome is not Outcome.CANCELLED:
             self.request_log.response_broken(request.trace, outcome, exchange.end_cause)
         if outcome is Outcome.SUCCESS and answer is not None:
--- a/badgergap/proxy/requests.py
+++ b/badgergap/proxy/requests.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from badgergap.balancing.interface import Outcome
+from badgergap.balancing.interface import NEVER_RAN, Outcome
 from badgergap.proxy.diagnostics import RequestTrace
 from badgergap.proxy.upstream.connection_pool import Upstream
 from badgergap.proxy.upstream.exchange import Answer, Exchange
@@ -95,6 +95,9 @@
     on_answered: Callable[[], None] | None = None  # called just before the final answer is given
     passes_failures: bool = True  # forward an endpoint's own error response if no attempt succeeds
     objective_from_send: bool = False  # measure the latency objective from when the client sent the request
+    # Called once the final answer was given or the client has left, and no attempt is in flight any more. The
+    # argument: whether an endpoint may have run the request.
+    on_finished: Callable[[bool], None] | None = None
     client_id: str = ""  # the Request-Id that client and endpoints use; for the log
 
 
@@ -111,5 +114,20 @@
     attempts: list[Exchange | None] = field(default_factory=list)  # None: an attempt that was never launched
     attempts_in_flight: int = 0
     endpoint_failure: Answer | None = None  # an endpoint's own error response
+    may_have_run: bool = False  # an attempt that has ended was sent, and not turned away
     epoch: int = 0  # version of the group's settings that it was admitted under
     trace: RequestTrace = field(default_factory=RequestTrace)
+
+    def attempt(self, number: int) -> Exchange | None:
+        """Return an attempt, or None if it was never launched, or has ended while it was being launched."""
+        return self.attempts[number] if number < len(self.attempts) else None
+
+    def attempt_ended(self, number: int, outcome: Outcome) -> None:
+        """Note whether the attempt may have run the request."""
+        exchange = self.attempt(number)
+        self.may_have_run |= exchange is not None and exchange.written and outcome not in NEVER_RAN
+
+    def finish(self) -> None:
+        """Report the end of the request to whoever has passed it on."""
+        if self.spec.on_finished is not None:
+            self.spec.on_finished(self.may_have_run)
--- a/tests/proxy/limits/test_memory.py
+++ b/tests/proxy/limits/test_memory.py
@@ -63,9 +63,7 @@
 
 # Guards against report a0d5b8: hundreds of connections with input in tiny pieces held the event loop up.
 def test_reads_are_shorter_in_an_iteration_of_the_loop_that_takes_long() -> None:
-    age_s = 0.0
-    reads = ReadBuffer(Budget(), lambda: age_s)
-    sizes = []
-    for age_s in (0.0, LONG_ITERATION_S * 1.1, LATE_ITERATION_S * 1.1, 0.0):
-        sizes.append(len(reads.buffer()))
+    ages = iter((0.0, LONG_ITERATION_S * 1.1, LATE_ITERATION_S * 1.1, 0.0))
+    reads = ReadBuffer(Budget(), lambda: next(ages))
+    sizes = [len(reads.buffer()) for _ in range(4)]
     assert sizes == [MAX_BUFFER, MIN_BUFFER, LATE_READ, MAX_BUFFER]
--- a/tests/proxy/test_bodies.py
+++ b/tests/proxy/test_bodies.py
@@ -595,7 +595,7 @@
             assert (await Reader(client.reader).answer())[0] == status
             assert (await it.event(AttemptEnded)).outcome is Outcome.CANCELLED
             await host.left.wait()
-            assert not host.bodies and not it.downstream.validator.open_ids and it.proxy.open_requests == 0
+            assert not host.bodies and not it.downstream.validator.ids.open and it.proxy.open_requests == 0
 
     run(test())
 
--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -56,7 +56,7 @@
 
 def assert_nothing_left(it: Gateway) -> None:
     """Assert that no request, id, attempt or buffered byte is left."""
-    assert not it.proxy.requests and it.proxy.open_requests == 0 and not it.downstream.validator.open_ids
+    assert not it.proxy.requests and it.proxy.open_requests == 0 and not it.downstream.validator.ids.open
     assert it.proxy.balancer.in_flight == 0 and not it.proxy.balancer.requests
     assert it.downstream.budget.used == 0
     assert not any(c.exchange is not None for c in it.proxy.upstream.connections)
--- a/tests/proxy/test_gateway.py
+++ b/tests/proxy/test_gateway.py
@@ -551,7 +551,7 @@
             await it.host.taken.get()
             first.writer.close()
             await it.event(ClientDisconnected)
-            assert not it.downstream.validator.open_ids
+            assert not it.downstream.validator.ids.open
 
     run(test())
 
@@ -596,7 +596,7 @@
             client.send(b"".join(ask() for _ in range(100)))
             assert (await client.answer())[0] == 400
             assert await client.closed()
-            assert not it.downstream.validator.open_ids and it.proxy.open_requests == 0
+            assert not it.downstream.validator.ids.open and it.proxy.open_requests == 0
 
     run(test())
 
@@ -692,7 +692,7 @@
             assert await clients[0].closed()
             assert len(it.downstream.connections) <= most < it.downstream.limit / 2
             await it.served(clients[1])
-            assert not it.downstream.validator.open_ids
+            assert not it.downstream.validator.ids.open
 
     run(test())
 
