Forward a response of unknown length that has begun when its time is over

Cause: an answer of unknown length is held for 50 ms before it is passed on; where the time of its attempt ended within these, it was given up although its first bytes had come in time. A success that has begun is passed on at the time-out.

--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -100,6 +100,9 @@
     def read_unread(self) -> None:
         """Process data from the endpoint that the event loop has not read yet."""
 
+    def release_begun(self) -> None:
+        """Forward a held response that has begun, and whose end is not due in time."""
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection from the pool, and end its exchange as lost."""
         self.pool.forget(self)
@@ -306,6 +309,7 @@
         connection = exchange.connection
         if isinstance(connection, PooledConnection):
             connection.read_unread()
+            connection.release_begun()
         if not exchange.is_final:
             exchange.give_up(Outcome.TIMEOUT)
 
--- a/badgergap/proxy/upstream/stream_exchange.py
+++ b/badgergap/proxy/upstream/stream_exchange.py
@@ -226,12 +226,10 @@
         self.count_unsent()
         if self.attempt is not None and self.exchange is not None:
             spec = self.attempt.spec
-            self.attempt.written, self.attempt.write_blocked = (
-                not spec.runs_when_complete or spec.upload.complete,
-                False,
-            )
+            self.attempt.written = not spec.runs_when_complete or spec.upload.complete
+            self.attempt.write_blocked = False
             self.attempt.progress_at = self.attempt.loop.time()
-            self.attempt.spec.upload.pace(True)
+            spec.upload.pace(True)
 
     def data_received(self, data: bytes) -> None:
         """Parse and forward data from the endpoint; unsolicited data closes the connection."""
@@ -291,16 +289,24 @@
 
     def release_unfinished(self, exchange: Http1Attempt) -> None:
         """Forward a held response of unknown length that has not ended within HOLD_S."""
-        if (
-            self.attempt is exchange
-            and self.held_answer is not None
-            and not exchange.response_started
-            and not exchange.done
-        ):
-            try:
-                self.forward_held(exchange)
-            except InvalidHeadError:
-                self.fail()
+        is_held = self.held_answer is not None and not exchange.response_started
+        if self.attempt is not exchange or exchange.done or not is_held:
+            return
+        try:
+            self.forward_held(exchange)
+        except InvalidHeadError:
+            self.fail()
+
+    def release_begun(self) -> None:
+        """Forward a held success of unknown length once its time is over: its beginning has come in time.
+
+        It may be a long one, of which only the beginning is due by then.
+        """
+        exchange, is_success = self.attempt, self.outcome is Outcome.SUCCESS
+        if exchange is None or self.held_answer is None or not is_success:
+            return
+        if self.held_head.length is None and self.body_size:
+            self.release_unfinished(exchange)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete a response that ends with the connection, or else end the attempt as lost."""
@@ -322,9 +328,8 @@
 
     def describe_loss(self, exc: Exception | None) -> str:
         """Return what ended the connection, and how much of the response had come."""
-        cause = (
-            str(exc) if exc is not None else "closed by the endpoint" if self.peer_ended else "closed here"
-        )
+        closed_by = "closed by the endpoint" if self.peer_ended else "closed here"
+        cause = str(exc) if exc is not None else closed_by
         left = f", {self.body_left} bytes missing" if self.body_left > 0 else ""
         return f"{cause} in state {self.state.name} after {self.raw_size} bytes{left}"
 
--- a/tests/proxy/test_bodies.py
+++ b/tests/proxy/test_bodies.py
@@ -453,6 +453,29 @@
     run(test())
 
 
+# Guards against report a0d5b8: a long answer that an endpoint was still writing slowly was cut off, as it had
+# begun just before its time was over and was still held.
+@pytest.mark.parametrize("framing", ["chunked", "until the end of the connection"])
+def test_a_response_of_unknown_length_that_has_begun_in_time_is_not_cut_off(framing: str) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask(Request_Timeout_Ms="300"))
+            taken = await it.host.taken.get()
+            await asyncio.sleep(0.275)
+            is_chunked = framing == "chunked"
+            head = b"HTTP/1.1 200 OK\r\n" + b"Transfer-Encoding: chunked\r\n" * is_chunked + b"\r\n"
+            taken.raw(head + (b"4\r\nslow\r\n" if is_chunked else b"slow"))
+            for _ in range(3):
+                await asyncio.sleep(0.2)
+                taken.raw(b"4\r\nly, \r\n" if is_chunked else b"ly, ")
+            taken.raw(b"0\r\n\r\n" if is_chunked else b"", close=not is_chunked)
+            status, _, body = await Reader(client.reader).answer()
+            assert (status, body) == (200, b"slowly, ly, ly, ")
+
+    run(test())
+
+
 def test_client_disconnect_within_a_response_cancels_its_attempt() -> None:
     async def test() -> None:
         async with gateway() as it:
