Answer a large request in its client's time though its endpoint reads it slowly

Cause: once a body is no longer held, its request has no deadline until its end is read here. While the endpoint pauses reading, that end may long stand in the sockets, and the client's time runs.

--- a/badgergap/proxy/downstream/client_connection.py
+++ b/badgergap/proxy/downstream/client_connection.py
@@ -160,7 +160,23 @@
     def on_body_complete(self, incoming: IncomingRequest) -> None:
         """Notify the proxy that the body of the current request is complete."""
         if incoming is self.current and self.request is not None:
-            self.server.proxy.on_body_complete(self.request, int(incoming.waited_s() * 1e6))
+            self.server.proxy.start_client_timeout(self.request, int(incoming.waited_s() * 1e6))
+
+    def on_body_waits(self, incoming: IncomingRequest) -> None:
+        """Answer in time a client that may wait since a pause, if its request cannot be retried any more."""
+        since, exchange = self.upload_wait.since, incoming.exchange
+        if since is None or exchange is None or not exchange.is_committed:
+            return  # until then the timeout that began with the request applies
+        if incoming is self.current and self.request is not None:
+            self.server.proxy.start_client_timeout(self.request, int((self.loop.time() - since) * 1e6))
+
+    def on_body_continues(self, incoming: IncomingRequest) -> None:
+        """Wait for the rest of the body of a client that is still sending it."""
+        exchange, request = incoming.exchange, self.request
+        if incoming is not self.current or request is None or exchange is None:
+            return
+        if exchange.is_committed and request.deadline_timer is not None:
+            request.deadline_timer.cancel()
 
     def send_continue(self) -> None:
         """Send 100 Continue if the newest request expects it and no earlier request awaits its response.
--- a/badgergap/proxy/downstream/request_reader.py
+++ b/badgergap/proxy/downstream/request_reader.py
@@ -23,6 +23,7 @@
 from badgergap.proxy.downstream.http_connection import AFTER_BEGIN, AFTER_END, IDLE, RECEIVING, HttpConnection
 from badgergap.proxy.downstream.incoming_request import IncomingRequest
 from badgergap.proxy.downstream.request_validation import BODY_LIMIT, HEAD_LIMIT, BadRequestError
+from badgergap.proxy.downstream.upload_wait import UploadWait
 from badgergap.proxy.limits.memory import Budget, ReadBuffer
 from badgergap.proxy.upstream.stream_exchange import FRAMING_SHARE
 
@@ -66,6 +67,7 @@
         self.arrived_at = 0.0  # time.monotonic() when the newest data reached this machine
         self.due_at = 0.0  # loop time by which more of the body must have arrived
         self.read_body = bytearray()  # the body bytes of one read, which may be in many chunks
+        self.upload_wait = UploadWait()  # of the request that is being received
 
     # Implemented by the subclass
 
@@ -85,6 +87,14 @@
         """Handle the end of a body, whose request may be in transit to an endpoint already."""
         raise NotImplementedError
 
+    def on_body_waits(self, incoming: IncomingRequest) -> None:
+        """Handle a pause after which the client may wait for its response; see `upload_wait`."""
+        raise NotImplementedError
+
+    def on_body_continues(self, incoming: IncomingRequest) -> None:
+        """Handle the end of that: the client has not sent all of the body yet."""
+        raise NotImplementedError
+
     def reject_pipeline(self) -> None:
         """Reject all pipelined requests of a client that exceeds PIPELINE_LIMIT."""
         raise NotImplementedError
@@ -136,6 +146,7 @@
     def begin(self) -> None:
         """Handle the first byte of a request, even one that the parser skips."""
         self.incoming = IncomingRequest()
+        self.upload_wait = UploadWait()
         self.state = AFTER_BEGIN[self.state]
         is_first = not self.requests_read
         self.phase_began_at = min(self.phase_began_at, self.arrived_at) if is_first else self.arrived_at
@@ -150,9 +161,14 @@
         if incoming is not self.incoming or self.upload_paused is not on:
             return
         self.upload_paused = not on
+        now = self.loop.time()
         if on:
             # The time of the pause does not count as a stall of the client.
-            self.due_at = self.loop.time() + UPLOAD_STALL_S
+            self.due_at = now + UPLOAD_STALL_S
+            self.upload_wait.resume(now)
+        elif incoming.length is None or incoming.size < incoming.length:
+            self.upload_wait.pause(now, None if incoming.length is None else incoming.length - incoming.size)
+            self.on_body_waits(incoming)
         self.check_flow()
 
     def must_pause_reading(self) -> bool:
@@ -244,6 +260,8 @@
         if incoming.size == incoming.length and self.has_left_behind(incoming):
             return
         now = self.loop.time()
+        if self.upload_wait.receive(now):
+            self.on_body_continues(incoming)
         self.due_at = max(self.due_at, min(self.due_at + len(body) / MIN_UPLOAD_RATE, now + UPLOAD_STALL_S))
         incoming.upload.put(body)
         self.account_memory()
@@ -259,7 +277,8 @@
         self.state = AFTER_END[self.state]
         if self.state is not IDLE:
             return
-        incoming.received_at = self.arrived_at
+        waits_since = self.upload_wait.since
+        incoming.received_at = self.arrived_at if waits_since is None else min(self.arrived_at, waits_since)
         incoming.keep_alive = self.parser.should_keep_alive()
         if not incoming.upload.complete:
             incoming.upload.end([])
--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -318,8 +318,8 @@
             exchange.timer.cancel()
             exchange.timer = self.loop.call_later(action.timeout_us / 1e6, self.upstream.on_timeout, exchange)
 
-    def on_body_complete(self, request: Request, waited_us: int) -> None:
-        """Start the client timeout of a request whose streamed body became complete `waited_us` ago."""
+    def start_client_timeout(self, request: Request, waited_us: int) -> None:
+        """Start the client timeout of a request that was complete, or may have been, `waited_us` ago."""
         if request.reply is None:
             return
         request.arrived_us = self.clock.now_us()
--- a/tests/proxy/test_bodies.py
+++ b/tests/proxy/test_bodies.py
@@ -576,6 +576,41 @@
     run(test())
 
 
+class SlowReader(Server):
+    """An endpoint that reads 2 MB a second, and answers once it has read a request whole."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        left = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        while left:
+            left -= len(await reader.readexactly(min(left, 50_000)))
+            await asyncio.sleep(0.025)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+# Guards against report a0d5b8: where an endpoint read a large request slowly, the answer came seconds late.
+@pytest.mark.parametrize(("timeout_s", "status"), [(0.6, 504), (6.0, 200)])
+def test_a_request_that_its_endpoint_reads_slowly_is_answered_in_its_time(
+    timeout_s: float, status: int
+) -> None:
+    async def test() -> None:
+        async with gateway_for(SlowReader()) as it:
+            assert it.downstream.socket is not None
+            loop = asyncio.get_running_loop()
+            sock = socket.socket()
+            sock.setblocking(False)
+            await loop.sock_connect(sock, it.downstream.socket.getsockname())
+            body = bytes(6_000_000)  # more than the sockets between gateway and endpoint hold
+            await loop.sock_sendall(sock, ask("buy", body=body, Request_Timeout_Ms=f"{timeout_s * 1000:.0f}"))
+            sent_at = loop.time()
+            answer = await loop.sock_recv(sock, 1000)
+            assert answer.startswith(b"HTTP/1.1 %d " % status)
+            assert loop.time() - sent_at < timeout_s + 0.5
+            sock.close()
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     ("got", "after_s", "late"),
     [(0, 0.9, False), (0, 3.0, True), (64_000, 2.9, False), (64_000, 5.0, True), (640_000, 10.0, False)],
