Do not cut a long answer off under a client that reads it slowly

Cause: a client counts as not reading when what is unsent in this process has not shrunk for 10 s, but the system takes more only once a third of its own buffer is free: at 64 kB/s that takes longer. What the client's system has acknowledged counts as progress now too. Over TLS the system's buffer is not looked at (as before).

--- a/badgergap/proxy/downstream/http_connection.py
+++ b/badgergap/proxy/downstream/http_connection.py
@@ -107,6 +107,7 @@
         self.write_paused = False  # the write buffer is full
         self.upload_paused = False  # the consumer of the body that is being read has paused
         self.unsent_bytes = 0  # in the write buffer at the last check
+        self.unacknowledged_bytes = 0  # in the system's buffer at the last check
         self.phase_began_at = loop.time()  # its accept, last response, or first byte of the newest request
         self.progress_at = self.phase_began_at  # when the client last sent or received data
         self.close_reason = CloseReason.CLIENT  # this side's first reason for closing, if any
@@ -198,11 +199,19 @@
             self.transport.write(data)
 
     def update_write_progress(self, now: float) -> None:
-        """Update `progress_at` at `now` (loop time, seconds) if the write buffer has shrunk."""
-        unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
-        if unsent < self.unsent_bytes:
+        """Update `progress_at` at `now` (loop time, seconds) if the client has received more.
+
+        The system takes more of the write buffer only once much of its own buffer is free: seconds may pass
+        although the client reads all the time.
+        """
+        transport = self.transport
+        unsent = transport.get_write_buffer_size() if transport is not None else 0
+        unacknowledged = 0
+        if unsent and isinstance(transport, TcpTransport):
+            unacknowledged = transport.unacknowledged_bytes()
+        if unsent < self.unsent_bytes or unacknowledged < self.unacknowledged_bytes:
             self.progress_at = now
-        self.unsent_bytes = unsent
+        self.unsent_bytes, self.unacknowledged_bytes = unsent, unacknowledged
 
     # Close by the client
 
--- a/badgergap/proxy/tcp_transport.py
+++ b/badgergap/proxy/tcp_transport.py
@@ -9,10 +9,12 @@
 import asyncio
 import contextlib
 import errno
+import fcntl
 import logging
 import os
 import socket
 import struct
+import termios
 from typing import Any, cast
 
 log = logging.getLogger(__name__)
@@ -23,6 +25,7 @@
 # Linux `struct tcp_info`: the state (first byte), and milliseconds since data was last received.
 TCP_INFO = struct.Struct("=B51xI")
 TCP_CLOSE = 7  # the TCP state of a closed connection
+OUTPUT_QUEUE = struct.Struct("=i")  # the answer to TIOCOUTQ
 READ_SIZE = 64 * 1024  # maximum of one read, unless the protocol's own buffer is smaller
 # Values of SO_LINGER: whether it is on, and for how many seconds.
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
@@ -149,6 +152,14 @@
         self._seen_open = state != TCP_CLOSE
         return float(age_ms) / 1000.0
 
+    def unacknowledged_bytes(self) -> int:
+        """Return the bytes that the system has accepted and the peer has not; 0 if not available."""
+        try:
+            queued = fcntl.ioctl(self._descriptor, termios.TIOCOUTQ, OUTPUT_QUEUE.pack(0))
+        except OSError:
+            return 0
+        return int(OUTPUT_QUEUE.unpack(queued)[0])
+
     def _check_for_error(self) -> None:
         """Check whether the connection was broken after the data that was just read.
 
--- a/tests/proxy/test_bodies.py
+++ b/tests/proxy/test_bodies.py
@@ -516,6 +516,34 @@
 # Retries
 
 
+# Guards against report a0d5b8: a long answer was cut off under a client that read it slowly, as what the
+# system held of it hid that the client read.
+def test_client_that_reads_its_response_slowly_gets_all_of_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client_connection, "UNREAD_S", 1.5)
+    size = 9_000_000
+
+    async def test() -> None:
+        async with gateway() as it:
+            assert it.downstream.socket is not None
+            loop = asyncio.get_running_loop()
+            sock = socket.socket()
+            sock.setblocking(False)
+            await loop.sock_connect(sock, it.downstream.socket.getsockname())
+            await loop.sock_sendall(sock, ask())
+            (await it.host.taken.get()).answer(body=bytes(size))
+            got = 0
+            for _ in range(40):  # 400 kB a second, far slower than the system's buffers are filled
+                got += len(await loop.sock_recv(sock, 60_000))
+                await asyncio.sleep(0.15)
+            while got < size:
+                data = await loop.sock_recv(sock, 1_000_000)
+                assert data, f"cut off after {got} bytes"
+                got += len(data)
+            sock.close()
+
+    run(test())
+
+
 def test_only_a_held_body_is_retried_at_another_endpoint() -> None:
     """An overloaded endpoint did not execute it: without the body the client gets a 503, and may retry."""
 
