Do not take a new process at an endpoint's address for the one that has gone

Cause: connections were told apart by an endpoint's name and address, not by its start, so an attempt that waited for its connection was written to whoever answered there.

A new start of an endpoint ends the use of connections to the old one, also of those that are being made. An endpoint that was listed at an address before another one started there is gone, whatever later lists say. The grace of a drain ends as its address has another owner. Not looked at: members of a group and peers by address, and a discovery service whose versions begin anew.

--- a/badgergap/proxy/endpoints/directory.py
+++ b/badgergap/proxy/endpoints/directory.py
@@ -10,8 +10,9 @@
 from dataclasses import replace
 from functools import partial
 
-from badgergap.balancing.interface import EndpointList, EndpointListKind
+from badgergap.balancing.interface import EndpointList, EndpointListKind, EndpointStatus
 from badgergap.proxy.diagnostics import EventLog
+from badgergap.proxy.endpoints.address_owners import AddressOwners
 from badgergap.proxy.endpoints.discovery import Discovery
 from badgergap.proxy.endpoints.list_freshness import ListFreshness, Resume
 from badgergap.proxy.endpoints.registry import EndpointRegistry
@@ -47,6 +48,7 @@
         self.registry = EndpointRegistry()
         self.caught_up_at = 0.0  # time.monotonic()
         self.start_times: dict[str, StartTimes] = {}  # by source
+        self.address_owners: dict[str, AddressOwners] = {}  # by source
         self.sources: dict[str, EndpointSource] = {}
         self.discovery: Discovery | None = None
         if config.discovery is not None:
@@ -80,6 +82,7 @@
         """Add a source, before `start`. It passes its updates to `receive_update` under its name."""
         self.sources[source.name] = source
         self.start_times[source.name] = StartTimes(self.now_us)
+        self.address_owners[source.name] = AddressOwners()
         self.registry.add_source(source.name, source.rank, source.dynamic, source.fallback)
 
     def start(self) -> None:
@@ -167,6 +170,7 @@
         """
         is_late = update.is_late or self.may_be_outdated
         update = self.start_times[source].convert(update)
+        update = self.address_owners[source].resolve(self.now_us(), update)
         update = replace(self.registry.receive(self.now_us(), source, update), is_late=is_late)
         if source == PLATFORM or update.entries or update.kind is EndpointListKind.FULL:
             self.publish_update(update)
@@ -179,8 +183,20 @@
         for entry in update.entries:
             listed = entry.listed
             self.upstream.update_endpoint(
-                listed.endpoint_id, entry.address, listed.status, entry.protocol, update.is_late
+                listed.endpoint_id,
+                entry.address,
+                listed.status,
+                entry.protocol,
+                update.is_late,
+                listed.started_us,
             )
+        self.upstream.stop_replaced(
+            {
+                entry.address: entry.listed.endpoint_id
+                for entry in update.entries
+                if entry.listed.started_us and entry.listed.status is EndpointStatus.READY
+            }
+        )
         self.feed(update.as_event())
 
     # Manual drains
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -9,7 +9,7 @@
 import time
 from bisect import bisect_right
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from operator import attrgetter
@@ -144,10 +144,16 @@
 
     address: Address
     protocol: str = ""  # protocol of its requests; "" is HTTP/1.1
+    started_us: int = 0  # as listed; 0: long ago
     # time.monotonic() from which no new exchange may be written; None unless it drains or is gone.
     stop_at: float | None = None
     idle: list[PooledConnection] = field(default_factory=list)  # the most recently used one last
 
+    def is_same_process(self, other: Endpoint) -> bool:
+        """Whether both describe one process; a list without a start time does not tell of a new start."""
+        is_restarted = other.started_us not in (0, self.started_us)
+        return self.address == other.address and self.protocol == other.protocol and not is_restarted
+
 
 class Upstream:
     """The endpoints from service discovery, and the pooled connections to them."""
@@ -203,17 +209,21 @@
         status: EndpointStatus,
         protocol: str = "",
         is_late: bool = False,
+        started_us: int = 0,
     ) -> None:
-        """Add or update an endpoint. A new address or protocol closes the idle connections to the old one.
+        """Add or update an endpoint. A new address, protocol or start ends the use of the old process.
 
-        `is_late`: if the endpoint drains, its grace period is already over.
+        `is_late`: if the endpoint drains, its grace period is already over. `started_us`: see
+        `ListedEndpoint`.
         """
-        endpoint = self.endpoints.setdefault(endpoint_id, Endpoint(address, protocol))
-        if endpoint.address != address or endpoint.protocol != protocol:
-            # A different machine: a connection to the old one that is busy now must not be reused later.
+        new = Endpoint(address, protocol, started_us)
+        endpoint = self.endpoints.setdefault(endpoint_id, new)
+        if not endpoint.is_same_process(new):
+            # A connection to the old one that is busy now must not be reused later, and an attempt that
+            # waits for a connection to it is not sent to the new one.
             self.close_idle(endpoint_id)
             endpoint.stop_at = self.now()
-            endpoint = self.endpoints[endpoint_id] = Endpoint(address, protocol)
+            endpoint = self.endpoints[endpoint_id] = new
         if status is EndpointStatus.READY:
             endpoint.stop_at = None
         else:
@@ -230,6 +240,16 @@
         if is_late:
             endpoint.stop_at = min(endpoint.stop_at, self.now())
 
+    def stop_replaced(self, owners: Mapping[Address, EndpointId]) -> None:
+        """End the grace period of endpoints that drain or are gone where another one has their address.
+
+        What still waits for a connection to the old one would reach the new one.
+        """
+        now = self.now()
+        for endpoint_id, endpoint in self.endpoints.items() if owners else ():
+            if endpoint.stop_at is not None and owners.get(endpoint.address, endpoint_id) != endpoint_id:
+                endpoint.stop_at = min(endpoint.stop_at, now)
+
     def drain_unlisted(self, listed: Iterable[EndpointId], is_late: bool = False) -> None:
         """Drain every endpoint that is not listed."""
         for endpoint_id in self.endpoints.keys() - set(listed):
--- a/tests/faults/test_late_connections.py
+++ b/tests/faults/test_late_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -19,6 +20,7 @@
 SLACK_S = 0.05  # of each time limit, by the protocol page
 BREAKS_AFTER_S = 0.45  # the first attempt
 LATE_S = 2.5
+LOGGED_S = 0.2  # until a request that was answered has its line in the log
 WARM_UP = 60  # requests until an attempt is overdue after some milliseconds
 
 
@@ -124,3 +126,30 @@
             assert len(seen(it)) == 2
 
     run(test())
+
+
+# Guards against report a0d5b8: an attempt whose connection came up late reached a new process at the address
+# of the one that it was meant for, which had gone.
+@pytest.mark.parametrize("how", ["another name", "the same name", "another name, the old one not reported"])
+def test_an_attempt_is_not_sent_to_the_next_process_at_its_address(how: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as it:
+            box, *others = it.boxes.values()
+            for other in others:
+                it.tell(other.name, "left")
+            box.hold_accepts()
+            await asyncio.sleep(0.1)
+            client = Client(*await asyncio.open_connection("127.0.0.1", it.gateways[0].port))
+            client.send(ask("pay", body=b"slip", Request_Timeout_Ms="5000"))
+            await asyncio.sleep(0.1)
+            name = box.name if how == "the same name" else "next"
+            if how == "another name":
+                it.tell(box.name, "left")
+            since_ms = int(time.time() * 1000)
+            it.registry.set(name, box.address, "active", zone="a", type="m1", since_ms=since_ms)
+            await box.release_accepts()
+            assert (await client.answer())[0] == 200
+            await asyncio.sleep(LOGGED_S)
+            assert "attempt 0 ended: never_sent" in it.gateways[0].log()
+
+    run(test())
