Judge an id that came again by its own times, and plant violations of the new rules

The checker judges attempts after the repeat by the repeat's times; without a repeat nothing is narrowed.

--- a/badgergap/standins/faults/checker.py
+++ b/badgergap/standins/faults/checker.py
@@ -94,7 +94,7 @@
         request = requests.get(attempt.request_id)
         if request is None or request.end not in (End.LEFT, End.ANSWERED):
             continue
-        if was_being_written(records, request, attempt):
+        if was_being_written(records, request, attempt) or attempt.at >= request.repeated_at:
             continue
         late_s = attempt.at - request.ended_at - stalled_s(records, request.ended_at, attempt.at)
         if late_s > LEAVE_SLACK_S:
@@ -108,8 +108,9 @@
         request = requests.get(attempt.request_id)
         if request is None or was_being_written(records, request, attempt):
             continue
-        left_s = request.sent_at + request.timeout_s - attempt.at
-        over_s = attempt.timeout_ms / 1000 - left_s - stalled_s(records, request.sent_at, attempt.at)
+        sent_at = request.repeated_at if attempt.at >= request.repeated_at else request.sent_at
+        left_s = sent_at + request.timeout_s - attempt.at
+        over_s = attempt.timeout_ms / 1000 - left_s - stalled_s(records, sent_at, attempt.at)
         if over_s > DEADLINE_SLACK_S:
             what = f"{attempt.box} was told {over_s:.3f} s more than was left"
             yield Violation("deadline", request.id, what)
--- a/badgergap/standins/faults/clients.py
+++ b/badgergap/standins/faults/clients.py
@@ -151,7 +151,7 @@
             record.ended_at = time.monotonic()
             record.end = End.LEFT if leaves_s is not None and record.is_whole else End.OPEN
             if self.repeats_ids and record.end is End.LEFT and rng.random() < REPEATED_SHARE:
-                await self._repeat(connection.front, data)
+                await self._repeat(connection.front, data, record)
             return False
         except (asyncio.IncompleteReadError, OSError) as error:
             await self._on_closed(connection, record, error)
@@ -161,13 +161,14 @@
         connection.is_kept = True
         return record.is_whole and head.get("connection", "").lower() != "close"
 
-    async def _repeat(self, front: Front, data: bytes) -> None:
+    async def _repeat(self, front: Front, data: bytes, record: RequestRecord) -> None:
         """Send the same request once more to the same process."""
         starts = front.gateway.starts
         connection = await self._connect(front)
         if connection is None:
             return
         if front.gateway.starts == starts:
+            record.repeated_at = time.monotonic()
             connection.writer.write(data)
             with contextlib.suppress(TimeoutError, asyncio.IncompleteReadError, OSError):
                 async with asyncio.timeout(REPEAT_WAIT_S):
--- a/badgergap/standins/faults/records.py
+++ b/badgergap/standins/faults/records.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -34,6 +35,7 @@
     end: End = End.OPEN
     ended_at: float = 0.0
     status: int = 0
+    repeated_at: float = math.inf  # when it was sent again, with the same id
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/faults/test_checker.py
+++ b/tests/faults/test_checker.py
@@ -82,6 +82,17 @@
     records.attempts.append(attempt(3, box="b1"))
 
 
+def sent_again_after_its_window(records: Records) -> None:
+    records.window_s = 0.5
+    records.requests[3] = request(3, effect="keyed", ended_at=3.8)
+    records.attempts.append(attempt(3, box="b1", at=3.6, timeout_ms=390))
+
+
+def over_its_memory(records: Records) -> None:
+    records.memory_limit_bytes = 96 * 2**20
+    records.peak_memory_bytes = {"n0": 97 * 2**20, "n1": 96 * 2**20}
+
+
 def sent_to_a_draining_box(records: Records) -> None:
     records.drains.append(DrainRecord("b0", 2.4, 3.5))
 
@@ -117,6 +128,8 @@
     (sent_after_the_answer, "sent_on"),
     (told_too_much, "deadline"),
     (ran_twice, "duplicate"),
+    (sent_again_after_its_window, "window"),
+    (over_its_memory, "memory"),
     (sent_to_a_draining_box, "drain"),
     (pushed_over, "failback"),
     (left_half_way, "half"),
@@ -155,6 +168,14 @@
     assert check(records) == []
 
 
+@pytest.mark.parametrize(("repeated_at", "excused"), [(3.3, True), (3.6, False)])
+def test_an_id_that_came_again_may_run_if_it_had_not(repeated_at: float, excused: bool) -> None:
+    records = kept()
+    records.requests[3] = request(3, end=End.LEFT, ended_at=3.2, repeated_at=repeated_at)
+    records.attempts[3] = attempt(3, at=3.4, timeout_ms=890)
+    assert {violation.rule for violation in check(records)} == (set() if excused else {"sent_on", "deadline"})
+
+
 @pytest.mark.parametrize(("told_ms", "excused"), [(490, True), (985, False)])
 def test_a_stop_between_the_look_and_the_write_is_told_by_the_deadline(told_ms: int, excused: bool) -> None:
     """Seed 311 with six gateways: stopped for 0.39 s within 1 ms of a write, whose deadline was too long."""
