--- a/badgergap/proxy/tcp_transport.py
+++ b/badgergap/proxy/tcp_transport.py
@@ -12,6 +12,7 @@
 import fcntl
 import logging
 import os
+import select
 import socket
 import struct
 import termios
@@ -22,6 +23,7 @@
 # Errors of a read or write caused by a shortage on this machine; the connection is intact.
 SHORTAGES = frozenset((errno.ENOBUFS, errno.ENOMEM))
 SHORTAGE_RETRY_S = 0.005
+WRITE_ATTEMPTS = 8  # of a write that fails although there is room
 # Linux `struct tcp_info`: the state (first byte), and milliseconds since data was last received.
 TCP_INFO = struct.Struct("=B51xI")
 TCP_CLOSE = 7  # the TCP state of a closed connection
@@ -241,9 +243,8 @@
         """Send `data` and return how many bytes the system accepted; schedules another try for the rest."""
         sent = 0
         try:
-            sent = self._socket.send(data)
             while sent < len(data):
-                sent += self._socket.send(memoryview(data)[sent:])
+                sent += self._send_once(memoryview(data)[sent:])
         except BlockingIOError:
             self._wait_to_write()
         except OSError as error:
@@ -254,6 +255,24 @@
                 self._write_retry = self._loop.call_later(SHORTAGE_RETRY_S, self._write_again)
         return sent
 
+    def _send_once(self, data: memoryview) -> int:
+        """Return how many bytes the system accepted. Raises BlockingIOError if it accepts none for now.
+
+        A write may fail for a moment though there is room (select(2)): waiting for the event loop would cost
+        a round of it each time, in which a deadline within `data` runs out.
+        """
+        for _ in range(WRITE_ATTEMPTS - 1):
+            with contextlib.suppress(BlockingIOError):
+                return self._socket.send(data)
+            if not self._has_room():
+                break
+        return self._socket.send(data)
+
+    def _has_room(self) -> bool:
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLOUT)
+        return bool(poll.poll(0))
+
     def _wait_to_write(self) -> None:
         if not self._is_waiting_to_write:
             self._is_waiting_to_write = True
@@ -359,7 +378,7 @@
         self._stop_waiting_to_write()
         if self._write_retry is not None:
             self._write_retry.cancel()
-        self._unsent.clear()
+        self._unsent = bytearray()  # the error's traceback may still refer to the old one
         self._loop.call_soon(self._connection_lost, error)
 
     def _connection_lost(self, error: Exception | None) -> None:
--- a/tests/proxy/test_tcp_transport.py
+++ b/tests/proxy/test_tcp_transport.py
@@ -7,6 +7,7 @@
 import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import pytest
 
@@ -118,3 +119,42 @@
             assert await recorder.end is None and recorder.data == b"last"
 
     run(test())
+
+
+class FlakySocket(socket.socket):
+    """A socket whose writes fail with EAGAIN so many times although there is room."""
+
+    failures = 0
+
+    def send(self, data: Any, flags: int = 0) -> int:
+        if self.failures:
+            self.failures -= 1
+            raise BlockingIOError
+        return super().send(data, flags)
+
+
+# Guards against deadlines passed on too long (heavy soak, seed 127): each failed write cost a round of the
+# event loop.
+@pytest.mark.parametrize(("failures", "sent_at_once"), [(3, True), (tcp_transport.WRITE_ATTEMPTS, False)])
+def test_write_that_fails_although_there_is_room_is_repeated_at_once(
+    failures: int, sent_at_once: bool
+) -> None:
+    async def test() -> None:
+        with (
+            socket.create_server(("127.0.0.1", 0)) as listener,
+            socket.create_connection(listener.getsockname()) as peer,
+        ):
+            accepted, _ = listener.accept()
+            ours = FlakySocket(fileno=accepted.detach())
+            ours.setblocking(False)
+            recorder = Recorder()
+            transport = TcpTransport(asyncio.get_running_loop(), ours, recorder)
+            transport.start()
+            ours.failures = failures
+            transport.write(b"all of it")
+            assert (transport.get_write_buffer_size() == 0) is sent_at_once
+            transport.close()
+            await recorder.end
+            assert peer.recv(100) == b"all of it"
+
+    run(test())
