Let two processes of a gateway share the memory for bodies

While a hot restart lasts each has half. Unit test only; no run of two processes under heavy clients was made.

--- a/badgergap/hot_restart/coordinator.py
+++ b/badgergap/hot_restart/coordinator.py
@@ -320,6 +320,7 @@
         other_descriptors = OTHER_DESCRIPTORS if self.predecessor is not None else 0
         self.downstream.connections_elsewhere = counts.clients + other_descriptors
         self.proxy.upstream.connections_elsewhere = counts.endpoints
+        self.downstream.budget.divide(1 if self.predecessor is None else 2)
 
     # As the predecessor
 
@@ -395,6 +396,7 @@
         for proxy in self.proxies().values():
             proxy.balancer.is_standby = True
             proxy.upstream.close_all_idle()
+        self.downstream.budget.divide(2)
         self.downstream.hand_over(self._export_connection)
         for name, component in self.transferable.items():
             component.release_clients(partial(self._export_descriptor, name))
@@ -433,6 +435,7 @@
         if self.ending:
             return
         log.warning("the process that took the clients has gone: they are taken here again")
+        self.downstream.budget.divide(1)
         for proxy in self.proxies().values():
             proxy.balancer.is_standby = False
         if self.config.listen is not None:
--- a/badgergap/proxy/limits/memory.py
+++ b/badgergap/proxy/limits/memory.py
@@ -39,9 +39,15 @@
 
     def __init__(self, total: int = DEFAULT_TOTAL) -> None:
         self.total, self.used = total, 0
+        self._undivided = total
         self.read = self.hold = 0  # limits, in bytes: of one read, and of the part of one body that is kept
         self.change(0)
 
+    def divide(self, processes: int) -> None:
+        """Use an equal part of the total: so many processes of one gateway share its memory for now."""
+        self.total = self._undivided // processes
+        self.change(0)
+
     def change(self, by: int) -> None:
         """Record that `by` more bytes are buffered, or fewer if it is negative."""
         self.used += by
--- a/tests/proxy/limits/test_memory.py
+++ b/tests/proxy/limits/test_memory.py
@@ -54,6 +54,16 @@
     assert budget.read == MAX_BUFFER and budget.used == 0
 
 
+# Guards against report a0d5b8: the memory of two processes of one gateway counts together.
+def test_two_processes_of_a_gateway_use_half_of_the_total_each() -> None:
+    budget = Budget(4 * 1024 * 1024)
+    budget.change(3 * 1024 * 1024)
+    budget.divide(2)
+    assert budget.total == 2 * 1024 * 1024 and budget.read == budget.hold == MIN_BUFFER
+    budget.divide(1)
+    assert budget.total == 4 * 1024 * 1024 and budget.hold > MIN_BUFFER
+
+
 @pytest.mark.parametrize("memory_mb", [0, 1, 16, 32, 40, 80, 192])
 def test_total_leaves_memory_for_the_process(memory_mb: int) -> None:
     total = total_of(memory_mb)
