Look for a close behind a streamed body without reading on

Read, not seen to fail: reading on within a callback of the parser would feed the parser while it runs. The look at the end of a streamed body asks the socket alone, which is what it needs.

--- a/badgergap/proxy/downstream/request_reader.py
+++ b/badgergap/proxy/downstream/request_reader.py
@@ -324,4 +324,5 @@
 
         Endpoints run a request only once they have its end.
         """
-        return not incoming.upload.is_held and self.client_has_left()
+        # Within a callback of the parser nothing may be read on.
+        return not incoming.upload.is_held and super().client_has_left()
