Read chunked answers in the stand-ins' clients, and let a joining test ask before any answer

The gateway passes on an answer of unknown length that has begun when its time is over, in chunks; the clients read that now.

Trace: its endpoints answer after 0.1 s, and 18 clients ask one after the other; those that ask after the first answers do not join. The endpoints answer after 1 s now; all asserts are as they were.

--- a/badgergap/standins/net.py
+++ b/badgergap/standins/net.py
@@ -23,9 +23,22 @@
 
 async def read_message(reader: asyncio.StreamReader) -> tuple[str, Head, bytes]:
     first, head = await read_head(reader)
+    if head.get("transfer-encoding", "").lower() == "chunked":
+        return first, head, await read_chunks(reader)
     return first, head, await reader.readexactly(int(head.get("content-length", "0")))
 
 
+async def read_chunks(reader: asyncio.StreamReader) -> bytes:
+    """Read a chunked body, and drop its trailers."""
+    body = b""
+    while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
+        body += await reader.readexactly(size)
+        await reader.readexactly(2)
+    while await reader.readuntil(b"\r\n") != b"\r\n":
+        pass
+    return body
+
+
 class Server:
     """Accepts connections on a port of its own."""
 
--- a/tests/joining/test_joins.py
+++ b/tests/joining/test_joins.py
@@ -188,7 +188,7 @@
 
 def test_head_goes_beside_get_and_unlike_ones_apart(tmp_path: Path) -> None:
     async def test() -> None:
-        async with joined(tmp_path) as it:
+        async with joined(tmp_path, delay_s=1.0) as it:  # all have asked before the first answer
             unlike: list[tuple[str, dict[str, str]]] = [
                 ("GET", {}),
                 ("HEAD", {}),
