Take the ports of stand-ins that come back from below the system's range

Trace: the port had been given by the system (35295), which gives it to any client while the relay is closed; the heavy clients of the tests beside it take hundreds. Relays, boxes and the processes of the hot restart tests choose theirs as the rig does, below the range that the system gives. The rig's function moved to the module that all stand-ins share.

--- a/badgergap/standins/box.py
+++ b/badgergap/standins/box.py
@@ -19,6 +19,8 @@
 
 import httptools
 
+from badgergap.standins.net import free_port
+
 SEEN_LIMIT = 200_000  # requests that a box remembers; the oldest go first
 SPOILS = ("error", "cut", "garbage", "unframed")
 FILLERS = 4  # connections that fill an accept queue of the least length
@@ -96,10 +98,10 @@
     async def start(self, cold: bool = False) -> None:
         """Listen; on the address of before, if there was one. `cold`: its warm-up begins now."""
         loop = asyncio.get_running_loop()
+        self.port = self.port or free_port()
         self.listener = await loop.create_server(
             lambda: BoxConnection(self), self.host, self.port, reuse_address=True, backlog=512
         )
-        self.port = self.listener.sockets[0].getsockname()[1]
         self.started_at = time.monotonic() if cold else -1e9
         self.started_ms = int(time.time() * 1000) if cold else 0
         self.lives += 1
--- a/badgergap/standins/net.py
+++ b/badgergap/standins/net.py
@@ -3,11 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import socket
+from pathlib import Path
 
 Head = dict[str, str]
 
 
+def free_port() -> int:
+    """One that nobody has, and that the system gives to nobody who asks for any."""
+    least = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    while True:
+        port = random.SystemRandom().randrange(min(12_000, least - 1000), least)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
+
+
 def small_socket() -> socket.socket:
     """Takes in little unread, so that a test can make the other side's writes wait."""
     sock = socket.socket()
--- a/badgergap/standins/platform.py
+++ b/badgergap/standins/platform.py
@@ -21,8 +21,8 @@
 from badgergap.standins.box import Box
 from badgergap.standins.discovery import DiscoveryService
 from badgergap.standins.load import Kind
+from badgergap.standins.net import free_port
 from badgergap.standins.registry import LiveRegistry
-from badgergap.standins.rig import free_port
 
 READY_S = 20.0
 START = "trap '' HUP; exec \"$0\" -m badgergap"  # as the deploy file does
--- a/badgergap/standins/relay.py
+++ b/badgergap/standins/relay.py
@@ -7,6 +7,8 @@
 
 import asyncio
 
+from badgergap.standins.net import free_port
+
 
 class Relay:
     def __init__(self, host: str, port: int) -> None:
@@ -22,7 +24,9 @@
         self.connections = 0
 
     async def start(self) -> None:
-        """Listen: on the address of before, if there was one."""
+        """Listen: on the address of before, if there was one, which nobody has taken meanwhile."""
+        if not self.address[1]:
+            self.address = ("127.0.0.1", free_port())
         self.listener = await asyncio.start_server(self._accept, *self.address, reuse_address=True)
         self.address = self.listener.sockets[0].getsockname()[:2]
 
--- a/badgergap/standins/rig.py
+++ b/badgergap/standins/rig.py
@@ -16,7 +16,6 @@
 import secrets
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -28,22 +27,13 @@
 from badgergap.admin import AdminError, NoAnswer, NoGateway, call
 from badgergap.admin.protocol import VERSION, AskGroup, ProtocolError
 from badgergap.standins.app import App
+from badgergap.standins.net import free_port
 from badgergap.standins.relay import Relay
 
 START_S = 20.0
 BACK_S = 2.0  # for a process to listen again
 
 
-def free_port() -> int:
-    """One that nobody has, and that the system gives to nobody who asks for any."""
-    least = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
-    while True:
-        port = random.SystemRandom().randrange(min(12_000, least - 1000), least)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
-
-
 @dataclass(eq=False)
 class Gateway:
     name: str
--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -29,7 +29,8 @@
 from badgergap.consensus.replicated_state import GroupState
 from badgergap.consensus.settings import MemberSettings
 from badgergap.consensus.versions import ProposeVersion, encode_command
-from badgergap.standins.rig import Gateway, free_port, rig
+from badgergap.standins.net import free_port
+from badgergap.standins.rig import Gateway, rig
 from badgergap.storage.record_log import RecordLog
 from benchmarks.common import child, closed_load, cpu_s, fleet, quantile, site_file
 
--- a/tests/faults/test_calls.py
+++ b/tests/faults/test_calls.py
@@ -14,8 +14,8 @@
 
 from badgergap.standins.faults.injector import Call, Injector
 from badgergap.standins.load import Kind
+from badgergap.standins.net import free_port
 from badgergap.standins.platform import GatewayProcess, Platform, settings_of
-from badgergap.standins.rig import free_port
 from tests.sockets import Client, ask, run
 
 KINDS = (Kind("look", "safe", 20.0, 20.0),)
--- a/tests/hot_restart/test_coordinator.py
+++ b/tests/hot_restart/test_coordinator.py
@@ -20,7 +20,7 @@
 from badgergap.hot_restart.coordinator import HotRestartCoordinator
 from badgergap.hot_restart.frames import encode_frame
 from badgergap.hot_restart.rendezvous import SOCKET_NAME, Rendezvous
-from badgergap.standins.net import Server, read_message
+from badgergap.standins.net import Server, free_port, read_message
 from tests.proxy.commands.test_commands import send_command
 from tests.proxy.lifecycle.test_process import wait_for_log
 from tests.sockets import (
@@ -92,12 +92,6 @@
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        port: int = sock.getsockname()[1]
-        return port
-
-
 @asynccontextmanager
 async def site(tmp_path: Path, endpoints: int = 2) -> AsyncIterator[Site]:
     fakes, registry = [FakeEndpoint() for _ in range(endpoints)], Registry()
