--- a/review/6/case.py
+++ b/review/6/case.py
@@ -82,7 +82,7 @@
         if reply.status == 200 and reply.is_whole and reply.body != made[request_id]:
             broken.append(request_id)
             case.record.note(
-                f"BROKEN: {request_id} was served with {len(reply.body)} bytes as a whole answer, but no host "
+                f"BROKEN: {request_id} got {len(reply.body)} bytes as a whole answer, but no host "
                 f"made it (the host's answer has {len(made[request_id])}, and {cut.get(request_id)} reset it)"
             )
 
