--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -274,10 +274,19 @@
 
     async def start(self) -> None:
         """Listen."""
-        if not self.port:
-            self.port = free_port()
-            KEPT.pop().close()  # a fleet of hosts would need too many descriptors
-        self.server = await asyncio.start_server(self.accept, LOCAL, self.port, limit=2**20, backlog=512)
+        while self.server is None:
+            is_first = not self.port
+            if is_first:
+                self.port = free_port()
+                KEPT.pop().close()  # a fleet of hosts would need too many descriptors
+            try:
+                self.server = await asyncio.start_server(
+                    self.accept, LOCAL, self.port, limit=2**20, backlog=512
+                )
+            except OSError:
+                if not is_first:
+                    raise
+                self.port = 0  # another process has just taken it
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve the requests of one connection, one after the other."""
