Read a message of discovery once, however many lines or chunks it comes in

As the list of 3,200 hosts came indented on a watch, the event loop stood still for 14 s; 130 of 229 requests got no final answer, nor did health checks, operators or SIGTERM.

Cause: work on the whole incomplete message for each of its parts. `DiscoveryCall.read_line` added up the lengths of all its lines after each line, and `on_body` copied all of an incomplete line for each chunk.

Change: `MessageSplitter` takes the stream as it comes, keeps one buffer, and counts brackets as bytes arrive.

--- a/badgergap/proxy/endpoints/discovery_call.py
+++ b/badgergap/proxy/endpoints/discovery_call.py
@@ -61,9 +61,8 @@
         self.watch = watch
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
-        self.buffer = bytearray()
-        self.messages = MessageSplitter()
-        self.partial_bytes = 0  # bytes of an incomplete message
+        self.fetched = bytearray()  # a list that is fetched, as far as it was received
+        self.messages = MessageSplitter()  # of a watch
         self.ended = False
         self.connecting = True
         self.is_broken = False  # discovery has closed the connection, as `read_unread` has seen
@@ -128,7 +127,7 @@
     @property
     def has_incomplete_message(self) -> bool:
         """Whether a message has begun whose rest is missing."""
-        return bool(self.buffer) or self.messages.has_incomplete_message
+        return bool(self.fetched) or self.messages.size > 0
 
     def restart_silence_timer(self) -> None:
         """Restart the timer that acts when discovery sends nothing."""
@@ -198,18 +197,26 @@
         """Buffer the body, and process each complete line of a watch; fails over LINE_LIMIT bytes."""
         if self.ended:
             return
-        self.buffer += body
         self.answered = True
-        if len(self.buffer) + self.partial_bytes > LINE_LIMIT:
+        if self.watch:
+            self.read_lines(body)
+        else:
+            self.fetched += body
+        if len(self.fetched) + self.messages.size > LINE_LIMIT:
             self.fail("line too long")
-        elif self.watch:
-            *lines, rest = self.buffer.split(b"\n")
-            self.buffer = rest
-            for line in lines:
-                if not self.ended:
-                    self.read_line(bytes(line))
-            if self.buffer and not self.ended:
-                self.await_line_end()
+
+    def read_lines(self, body: bytes) -> None:
+        """Process each line of a watch that this part of the body completes."""
+        *line_ends, rest = body.split(b"\n")
+        for line_end in line_ends:
+            self.messages.add(line_end)
+            self.read_line()
+            if self.ended:
+                return
+        if rest:
+            self.messages.add(rest)
+        if self.messages.is_complete:
+            self.await_line_end()
 
     def await_line_end(self) -> None:
         """Process what the buffer holds if its line end has not come LINE_END_S after it."""
@@ -223,9 +230,8 @@
         if self.line_end_timer is not None:
             self.line_end_timer.cancel()
             self.line_end_timer = None
-        if self.watch and not self.ended and self.messages.is_last_line(self.buffer):
-            line, self.buffer = bytes(self.buffer), bytearray()
-            self.read_line(line)
+        if self.watch and not self.ended and self.messages.is_complete:
+            self.read_line()
 
     def on_message_complete(self) -> None:
         """Process a fetched list; a watch that ends has failed."""
@@ -236,18 +242,17 @@
             self.fail("the watch ended")
         else:
             self.end()
-            if not self.read(bytes(self.buffer)):
+            if not self.read(bytes(self.fetched)):
                 self.discovery.on_call_failed(self)
 
-    def read_line(self, line: bytes) -> None:
-        """Process one line of a watch, and report a message that it completes or that is unreadable."""
+    def read_line(self) -> None:
+        """Process the end of a line of a watch; report a message that it completes or that is unreadable."""
         try:
-            message = self.messages.add_line(line)
+            message = self.messages.end_line()
         except ValueError as error:
             log.warning("discovery: skipped an unreadable message: %s", error)
             self.discovery.on_unreadable(self)
             message = None
-        self.partial_bytes = sum(map(len, self.messages.lines))
         if message is not None and not self.read(message):
             self.discovery.on_unreadable(self)
 
