Apply a change of one endpoint without going through the whole fleet

A watch that brings a change of each of 3,200 hosts at once, a line each (a release, a zone that is lost), held the event loop up for 5 to 8 s.

Cause: each list event, also one with a single endpoint, summed up all weights, sorted all ranks, looked for replaced addresses among all endpoints, and sorted all endpoints that are gone beyond 1,024.

Change: `EndpointTable` keeps its order (bisect) and its sums up to date, `Upstream` knows its endpoints by address, `SourceState.gone` stands in the order of time, and reinstated endpoints are a set.

The check of `gone` in test_registry.py compares keys, as it is a dict now: the same names.

--- a/badgergap/balancing/balancer.py
+++ b/badgergap/balancing/balancer.py
@@ -190,7 +190,8 @@
         learned, restored = decode_snapshot(raw, class_count, self.table.by_id, self.context.now_us)
         self._apply_learned_state(learned)
         self.table.replace([each.endpoint for each in restored])
-        self.table.reinstated += [each.endpoint for each in restored if each.awaits_first_request]
+        awaiting = (each.endpoint for each in restored if each.awaits_first_request)
+        self.table.reinstated.update(dict.fromkeys(awaiting))
 
     def _learned_state(self) -> LearnedState:
         from badgergap.balancing.snapshot import LearnedState
--- a/badgergap/balancing/endpoint_selection.py
+++ b/badgergap/balancing/endpoint_selection.py
@@ -63,8 +63,7 @@
         The subset grows with the attempts in flight, so that a busy proxy does not overload a few endpoints,
         and shrinks slowly.
         """
-        if endpoint in self._table.reinstated:
-            self._table.reinstated.remove(endpoint)
+        self._table.reinstated.pop(endpoint, None)
         shrunk = MIN_SUBSET_SIZE + (self.subset_size - MIN_SUBSET_SIZE) * SUBSET_DECAY
         self.subset_size = max(MIN_SUBSET_SIZE + in_flight, shrunk)
         if self._slow_start.capacity_fraction(endpoint, now_us) < 1.0:
--- a/badgergap/balancing/endpoint_table.py
+++ b/badgergap/balancing/endpoint_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from bisect import bisect_left, insort
 from dataclasses import dataclass
 from operator import attrgetter
 
@@ -28,14 +29,22 @@
 
 
 class EndpointTable:
-    """All endpoints, by identifier and by rank, and those that an operator has reinstated."""
+    """All endpoints, by identifier and by rank, and those that an operator has reinstated.
+
+    Many list events may come at once, each with one endpoint: the work for an event must not grow with the
+    table. So the order by rank and the sums over all endpoints are kept up to date.
+    """
 
     def __init__(self, settings: Settings, slow_start: SlowStart, rng: random.Random) -> None:
         self.by_id: dict[int, Endpoint] = {}
         self.ranked: list[Endpoint] = []  # in ascending order of rank; the subset is taken from the front
-        self.reinstated: list[Endpoint] = []  # used before their manual drain, but not since it ended
+        # Used before their manual drain, but not since it ended; a set in the order of insertion.
+        self.reinstated: dict[Endpoint, None] = {}
         self.full_weights: dict[int, float] = {}  # by kind: largest listed weight; live weights are lower
         self.class_count = len(settings.classes)
+        # Sum of the controller's weights; None when it has to be computed anew.
+        self._total_weight: float | None = 0.0
+        self._inverse_weights: dict[int, float] = {}  # by kind: sum of the inverse listed weights
         self._settings = settings
         self._slow_start = slow_start
         self._rng = rng
@@ -48,54 +57,93 @@
 
     def apply(self, event: EndpointList, now_us: int, usual_latency_us: float, subset_size: float) -> None:
         """Apply an endpoint list: a complete one, or only the endpoints that have changed."""
-        if event.kind is not EndpointListKind.DELTA:
-            listed = {entry.endpoint_id for entry in event.endpoints}
-            self.by_id = {number: each for number, each in self.by_id.items() if number in listed}
-        # Computed once for the list: doing it per entry would take quadratic time.
-        weights = [endpoint.weight for endpoint in self.by_id.values()]
-        mean_weight = sum(weights) / len(weights) if weights else MAX_WEIGHT
         budget_us = self._slow_start.budget_us(subset_size, len(self.ranked))
-        rules = NewEndpointDefaults(now_us, mean_weight, usual_latency_us, budget_us)
+        if event.kind is not EndpointListKind.DELTA:
+            self._remove_unlisted({entry.endpoint_id for entry in event.endpoints})
+        rules = NewEndpointDefaults(now_us, self._mean_weight(), usual_latency_us, budget_us)
         for entry in event.endpoints:
             self._apply_entry(entry, rules)
-        self._rank()
 
     def replace(self, endpoints: list[Endpoint]) -> None:
         """Replace the endpoints that have the same identifiers."""
         for endpoint in endpoints:
-            self.by_id[endpoint.entry.endpoint_id] = endpoint
-        self.ranked = sorted(self.by_id.values(), key=attrgetter("rank"))
+            self._put(endpoint)
+
+    def set_weight(self, endpoint: Endpoint, weight: float) -> None:
+        """Set the controller's weight of an endpoint."""
+        endpoint.weight = weight
+        self._total_weight = None
 
     def mean_load_per_core(self) -> float:
         """Return the mean number of requests that wait for a core, derived from live weights.
 
         A live weight is the endpoint's full weight divided by (1 + load). The table must not be empty.
         """
-        loads = (
-            self.full_weights[endpoint.entry.kind] / max(MIN_WEIGHT, endpoint.entry.weight) - 1.0
-            for endpoint in self.by_id.values()
-        )
-        return sum(loads) / len(self.by_id)
-
-    def _rank(self) -> None:
-        by_id = self.by_id
-        self.reinstated = [each for each in self.reinstated if by_id.get(each.entry.endpoint_id) is each]
-        self.ranked = [each for each in self.ranked if by_id.get(each.entry.endpoint_id) is each]
-        ranked = set(self.ranked)
-        self.ranked += [each for each in by_id.values() if each not in ranked]
-        self.ranked.sort(key=attrgetter("rank"))  # fast on a list that is almost sorted
+        relative = sum(self.full_weights[kind] * inverse for kind, inverse in self._inverse_weights.items())
+        return relative / len(self.by_id) - 1.0
+
+    def _mean_weight(self) -> float:
+        if not self.by_id:
+            return MAX_WEIGHT
+        if self._total_weight is None:
+            self._total_weight = sum(endpoint.weight for endpoint in self.by_id.values())
+        return self._total_weight / len(self.by_id)
+
+    def _remove_unlisted(self, listed: set[int]) -> None:
+        """Remove the endpoints that a complete list lacks, and compute the sums anew, without rounding."""
+        for endpoint_id in [each for each in self.by_id if each not in listed]:
+            self._remove(endpoint_id)
+        self._total_weight = None
+        self._inverse_weights = {}
+        for endpoint in self.by_id.values():
+            self._add_inverse_weight(endpoint.entry)
+
+    def _put(self, endpoint: Endpoint) -> None:
+        """Add an endpoint, in place of the one with the same identifier."""
+        endpoint_id = endpoint.entry.endpoint_id
+        previous = self.by_id.get(endpoint_id)
+        if previous is not None:
+            self._unlink(previous)
+        self.by_id[endpoint_id] = endpoint
+        insort(self.ranked, endpoint, key=attrgetter("rank"))
+        if self._total_weight is not None:
+            self._total_weight += endpoint.weight
+        self._add_inverse_weight(endpoint.entry)
+
+    def _remove(self, endpoint_id: int) -> None:
+        endpoint = self.by_id.pop(endpoint_id, None)
+        if endpoint is not None:
+            self._unlink(endpoint)
+
+    def _unlink(self, endpoint: Endpoint) -> None:
+        """Take an endpoint out of the order, the reinstated ones and the sums."""
+        first = bisect_left(self.ranked, endpoint.rank, key=attrgetter("rank"))
+        del self.ranked[self.ranked.index(endpoint, first)]
+        self.reinstated.pop(endpoint, None)
+        if self._total_weight is not None:
+            self._total_weight -= endpoint.weight
+        self._add_inverse_weight(endpoint.entry, -1)
+
+    def _add_inverse_weight(self, entry: ListedEndpoint, sign: int = 1) -> None:
+        inverse = sign / max(MIN_WEIGHT, entry.weight)
+        self._inverse_weights[entry.kind] = self._inverse_weights.get(entry.kind, 0.0) + inverse
+
+    def _update_entry(self, endpoint: Endpoint, entry: ListedEndpoint) -> None:
+        self._add_inverse_weight(endpoint.entry, -1)
+        endpoint.entry = entry
+        self._add_inverse_weight(entry)
 
     def _apply_entry(self, entry: ListedEndpoint, rules: NewEndpointDefaults) -> None:
         known = self.by_id.get(entry.endpoint_id)
         was_out = known is not None and known.entry.status is EndpointStatus.OUT
         is_out = entry.status is EndpointStatus.OUT
         if entry.status is EndpointStatus.GONE:
-            self.by_id.pop(entry.endpoint_id, None)
+            self._remove(entry.endpoint_id)
         elif known is None or (was_out and not is_out) or has_restarted(known, entry):
             is_reinstated = was_out and not is_out
-            self.by_id[entry.endpoint_id] = self._new_endpoint(entry, known, is_reinstated, rules)
+            self._put(self._new_endpoint(entry, known, is_reinstated, rules))
         else:
-            known.entry = entry
+            self._update_entry(known, entry)
         if is_out and not was_out:
             self.by_id[entry.endpoint_id].marked_out_us = rules.now_us
         self.full_weights[entry.kind] = max(entry.weight, self.full_weights.get(entry.kind, MIN_WEIGHT))
@@ -138,7 +186,7 @@
         if endpoint.start_us <= endpoint.marked_out_us:
             endpoint.start_us = now_us
         if endpoint.used:
-            self.reinstated.append(endpoint)
+            self.reinstated[endpoint] = None
 
 
 def has_restarted(known: Endpoint, entry: ListedEndpoint) -> bool:
--- a/badgergap/balancing/outcome_evaluation.py
+++ b/badgergap/balancing/outcome_evaluation.py
@@ -43,7 +43,7 @@
             self._latency.learn(request, latency_us)
         # Otherwise the endpoint keeps the weight that it had when the breaker opened.
         if endpoint.breakers[0].state is BreakerState.CLOSED:
-            endpoint.weight = next_weight(endpoint.weight, is_bad)
+            self._table.set_weight(endpoint, next_weight(endpoint.weight, is_bad))
         self._admission.on_outcome(request, outcome, latency_us, now_us)
         overall, of_class = attempt.trial_episodes
         self._record(endpoint, 0, failed, overall)
@@ -57,7 +57,7 @@
         if outcome not in (Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR):
             return
         endpoint = attempt.endpoint
-        endpoint.weight = next_weight(endpoint.weight, is_bad=True)
+        self._table.set_weight(endpoint, next_weight(endpoint.weight, is_bad=True))
         for breaker in endpoint.breakers_of(request.request_class):
             if breaker.mark_latest_success_failed(self._context.now_us) is BreakerState.OPEN:
                 number = endpoint.entry.endpoint_id
--- a/badgergap/balancing/snapshot.py
+++ b/badgergap/balancing/snapshot.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import cast
 
@@ -57,7 +57,7 @@
 
 
 def encode_snapshot(
-    learned: LearnedState, endpoints: Iterable[Endpoint], reinstated: Sequence[Endpoint]
+    learned: LearnedState, endpoints: Iterable[Endpoint], reinstated: Container[Endpoint]
 ) -> dict[str, object]:
     """Return the snapshot as JSON-compatible data."""
     return {
--- a/badgergap/proxy/endpoints/registry.py
+++ b/badgergap/proxy/endpoints/registry.py
@@ -18,6 +18,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
+from itertools import islice
 
 from badgergap.balancing.interface import EndpointListKind, EndpointStatus
 from badgergap.errors import BadgergapError
@@ -71,7 +72,7 @@
     last_update_us: int = 0
     failing_since_us: int = 0
     records: dict[str, EndpointRecord] = field(default_factory=dict)
-    gone: set[str] = field(default_factory=set)  # names in `records` whose status is gone
+    gone: dict[str, None] = field(default_factory=dict)  # names in `records` that are gone, oldest first
 
     @property
     def endpoint_count(self) -> int:
@@ -82,15 +83,14 @@
         """Add records, each replacing an earlier one of the same name."""
         self.records.update(records)
         for name, record in records.items():
+            self.gone.pop(name, None)
             if record.gone:
-                self.gone.add(name)
-            else:
-                self.gone.discard(name)
+                self.gone[name] = None
 
     def forget(self, name: str) -> None:
         """Drop the record of an endpoint. Raises KeyError if there is none."""
         del self.records[name]
-        self.gone.discard(name)
+        self.gone.pop(name, None)
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,7 +163,7 @@
 
     def _apply_absences(self, state: SourceState, records: dict[str, EndpointRecord], now_us: int) -> None:
         """Apply what a full list lacks: gone for a dynamic source, forgotten for a static one."""
-        for name in state.records.keys() - records.keys():
+        for name in sorted(state.records.keys() - records.keys()):
             if not state.dynamic:
                 state.forget(name)
             elif name not in state.gone:
@@ -172,11 +172,8 @@
 
     def _trim_gone(self, state: SourceState) -> None:
         """Forget the oldest endpoints that are gone, beyond GONE_LIMIT."""
-        excess = len(state.gone) - GONE_LIMIT
-        if excess <= 0:
-            return
-        oldest_first = sorted(state.gone, key=lambda name: (state.records[name].at_us, name))
-        for name in oldest_first[:excess]:
+        excess = max(0, len(state.gone) - GONE_LIMIT)
+        for name in list(islice(state.gone, excess)):
             state.forget(name)
 
     # Manual drains
@@ -263,7 +260,7 @@
         named: set[str] = set()  # by sources of lower rank
         for state in self.sources.values():
             if not (state.fallback and self._is_fallback_replaced()):
-                present |= state.records.keys() - state.gone - named
+                present |= state.records.keys() - state.gone.keys() - named
                 named |= state.records.keys()
         return len(present)
 
--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -8,7 +8,7 @@
 import ssl
 import time
 from bisect import bisect_right
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
@@ -195,6 +195,7 @@
         # Called by `close`, for transports that manage their own connections.
         self.on_close: list[Callable[[], None]] = []
         self.endpoints: dict[EndpointId, Endpoint] = {}
+        self.endpoint_ids: defaultdict[Address, set[EndpointId]] = defaultdict(set)  # by address
         self.connections: set[PooledConnection] = set()
         # Whether one more connection may be made. Replaced where several pools share one limit.
         self.has_capacity: Callable[[], bool] = self.is_below_limit
@@ -222,12 +223,21 @@
             # waits for a connection to it is not sent to the new one.
             self.close_idle(endpoint_id)
             endpoint.stop_at = self.now()
+            self.remove_endpoint(endpoint_id)
             endpoint = self.endpoints[endpoint_id] = new
+        self.endpoint_ids[address].add(endpoint_id)
         if status is EndpointStatus.READY:
             endpoint.stop_at = None
         else:
             self.drain_endpoint(endpoint_id, is_late)
 
+    def remove_endpoint(self, endpoint_id: EndpointId) -> None:
+        """Forget an endpoint. Raises KeyError if it is unknown."""
+        address = self.endpoints.pop(endpoint_id).address
+        self.endpoint_ids[address].discard(endpoint_id)
+        if not self.endpoint_ids[address]:
+            del self.endpoint_ids[address]
+
     def drain_endpoint(self, endpoint_id: EndpointId, is_late: bool = False) -> None:
         """Send nothing new to the endpoint after its grace period. `is_late`: the period is already over."""
         endpoint = self.endpoints.get(endpoint_id)
@@ -245,9 +255,11 @@
         What still waits for a connection to the old one would reach the new one.
         """
         now = self.now()
-        for endpoint_id, endpoint in self.endpoints.items() if owners else ():
-            if endpoint.stop_at is not None and owners.get(endpoint.address, endpoint_id) != endpoint_id:
-                endpoint.stop_at = min(endpoint.stop_at, now)
+        for address, owner in owners.items():
+            for endpoint_id in self.endpoint_ids.get(address, ()):
+                endpoint = self.endpoints[endpoint_id]
+                if endpoint_id != owner and endpoint.stop_at is not None:
+                    endpoint.stop_at = min(endpoint.stop_at, now)
 
     def drain_unlisted(self, listed: Iterable[EndpointId], is_late: bool = False) -> None:
         """Drain every endpoint that is not listed."""
@@ -431,7 +443,7 @@
             while endpoint.idle and endpoint.idle[0].idle_since < oldest:
                 endpoint.idle[0].abort()
             if endpoint.stop_at is not None and endpoint.stop_at <= self.now() and not endpoint.idle:
-                del self.endpoints[endpoint_id]
+                self.remove_endpoint(endpoint_id)
 
     def close(self) -> None:
         """Call the `on_close` callbacks, then close all connections at once."""
--- a/tests/proxy/endpoints/test_registry.py
+++ b/tests/proxy/endpoints/test_registry.py
@@ -199,7 +199,7 @@
         assert all(applied.get(name) is not READY for name in registry.drains)
         assert registry.endpoint_count == len(serving)
         for state in registry.sources.values():
-            assert state.gone == {name for name, record in state.records.items() if record.gone}
+            assert state.gone.keys() == {name for name, record in state.records.items() if record.gone}
 
 
 def test_limited_view_lists_drained_endpoints_first() -> None:
