End a connection whose reset was met by a read ahead of the event loop

Of some 200 answers with no length that were reset as their time ran out, 15 to 17 came to their clients as complete 200 answers, with half of the body.

Cause: the system reports a reset once. `read_now` reads a socket ahead of the event loop (as the time of an attempt is over, or before a decision); its recv met the reset, which was suppressed, and the transport's own recv then returned 0 bytes, an end in good order. `Http1Connection.connection_lost` took a body that ends with its connection for complete.

The data before the reset is still read first.

The same cause elsewhere: all reads ahead use `read_now` (endpoints, clients behind unread bodies, discovery's calls), so they are mended with it. Writes that fail end the connection with their error; `_check_for_error` keeps its error; QUIC streams, TLS (close_notify), chunked and measured bodies tell an end from a reset by themselves.

--- a/badgergap/proxy/tcp_transport.py
+++ b/badgergap/proxy/tcp_transport.py
@@ -184,7 +184,7 @@
 
     def _on_read_error(self, error: OSError) -> None:
         if error.errno not in SHORTAGES:
-            self._fail(error)
+            self.fail(error)
             return
         # The socket stays readable: without this the loop would retry immediately.
         self._loop.remove_reader(self._descriptor)
@@ -196,7 +196,7 @@
 
     def _on_eof(self) -> None:
         if self._pending_error is not None:
-            self._fail(self._pending_error)
+            self.fail(self._pending_error)
             return
         if cast(asyncio.Protocol, self._protocol).eof_received():
             self._stop_reading()
@@ -249,7 +249,7 @@
             self._wait_to_write()
         except OSError as error:
             if error.errno not in SHORTAGES:
-                self._fail(error)
+                self.fail(error)
             else:
                 self._stop_waiting_to_write()
                 self._write_retry = self._loop.call_later(SHORTAGE_RETRY_S, self._write_again)
@@ -329,7 +329,7 @@
         try:
             self._socket.shutdown(socket.SHUT_WR)
         except OSError as error:
-            self._fail(error)
+            self.fail(error)
 
     # Closing
 
@@ -364,7 +364,7 @@
         """Close immediately with this error; called by the TLS protocols of asyncio and uvloop."""
         self._schedule_connection_lost(error)
 
-    def _fail(self, error: OSError) -> None:
+    def fail(self, error: OSError) -> None:
         """Close immediately because the connection is broken."""
         log.debug("connection failed: %s", error.strerror)
         self._schedule_connection_lost(error)
--- a/badgergap/proxy/unread_input.py
+++ b/badgergap/proxy/unread_input.py
@@ -46,7 +46,8 @@
 def read_now(transport: asyncio.BaseTransport | None, limit: int) -> Iterator[bytes]:
     """Read up to `limit` bytes from a socket now, ahead of the event loop. Yields nothing for TLS.
 
-    Stops at the end of the stream or an error, either of which is left to the transport.
+    Stops at the end of the stream, which is left to the transport, or at an error, which ends the connection
+    here: the system reports an error once, and the transport would read the end of the stream in its place.
     """
     if transport is None or transport.get_extra_info("ssl_object") is not None:
         return
@@ -55,27 +56,36 @@
         # Uses a duplicate descriptor: the event loop may close the transport's in the meantime.
         socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as sock,
     ):
-        while limit > 0 and (data := _receive(sock, min(limit, READ_SIZE))):
+        while limit > 0 and (data := _receive(sock, min(limit, READ_SIZE), transport)):
             limit -= len(data)
             yield data
 
 
-def _receive(sock: socket.socket, size: int) -> bytes:
+def _receive(sock: socket.socket, size: int, transport: asyncio.BaseTransport) -> bytes:
     """Receive data that has arrived; again if a read fails for a moment though there is some.
 
-    Returns nothing at the end of the stream and if there is no data. Raises OSError.
+    Returns nothing at the end of the stream, if there is no data, and if the connection is broken.
     """
     for _ in range(RECEIVE_ATTEMPTS):
         try:
             return sock.recv(size, socket.MSG_DONTWAIT)
         except OSError as error:
             if error.errno not in TEMPORARY_ERRORS:
-                raise
+                _fail(transport, error)
+                break
         if not _poll_descriptor(sock.fileno(), select.POLLIN):
             break
     return b""
 
 
+def _fail(transport: asyncio.BaseTransport, error: OSError) -> None:
+    """End a connection because of an error that was met ahead of its transport."""
+    if isinstance(transport, TcpTransport):
+        transport.fail(error)
+    elif isinstance(transport, asyncio.WriteTransport):
+        transport.abort()
+
+
 def data_age_s(transport: asyncio.BaseTransport | None) -> float:
     """Return the seconds since a TCP socket last received data, read or unread; 0 if not available."""
     if transport is None or transport.is_closing():
--- a/tests/proxy/test_tcp_transport.py
+++ b/tests/proxy/test_tcp_transport.py
@@ -5,13 +5,14 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
 import pytest
 
-from badgergap.proxy import tcp_transport
+from badgergap.proxy import tcp_transport, unread_input
 from badgergap.proxy.tcp_transport import TcpTransport
 from tests.sockets import run
 
@@ -158,3 +159,22 @@
             assert peer.recv(100) == b"all of it"
 
     run(test())
+
+
+# Guards against review/6: an error that a read ahead of the transport met was forgotten, and the connection
+# seemed to end in good order.
+@pytest.mark.parametrize("paused", [False, True])
+def test_reset_that_is_read_ahead_of_the_transport_is_noticed(paused: bool) -> None:
+    async def test() -> None:
+        async with connected() as (transport, recorder, peer):
+            if paused:
+                transport.pause_reading()
+            peer.sendall(b"half")
+            reset(peer)
+            while not unread_input.peer_has_closed(transport):  # the event loop reads nothing meanwhile
+                time.sleep(0.001)
+            assert list(unread_input.read_now(transport, 100)) == [b"half"]
+            error = await asyncio.wait_for(asyncio.shield(recorder.end), 2.0)
+            assert isinstance(error, ConnectionResetError)
+
+    run(test())
