Read ahead of the event loop without a descriptor of its own

What callers would see: with no free descriptor, an answer or a drain that has arrived is not read in time: the request is answered as out of time, or sent to a host that drains.

Cause: `read_now` duplicated the descriptor for each look, and took a failure (EMFILE) for nothing to read.

Change: the socket of a `TcpTransport` is used as it is, since that transport closes it in a later step of the loop; other transports may close it meanwhile, and keep the duplicate. It also saves two system calls a look.

Test: test_data_is_read_ahead_of_the_transport_without_a_free_descriptor, failed before ([] read).

--- a/badgergap/proxy/unread_input.py
+++ b/badgergap/proxy/unread_input.py
@@ -51,16 +51,27 @@
     """
     if transport is None or transport.get_extra_info("ssl_object") is not None:
         return
-    with (
-        contextlib.suppress(OSError, ValueError),
-        # Uses a duplicate descriptor: the event loop may close the transport's in the meantime.
-        socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as sock,
-    ):
+    with contextlib.suppress(OSError, ValueError), _socket_of(transport) as sock:
         while limit > 0 and (data := _receive(sock, min(limit, READ_SIZE), transport)):
             limit -= len(data)
             yield data
 
 
+@contextlib.contextmanager
+def _socket_of(transport: asyncio.BaseTransport) -> Iterator[socket.socket]:
+    """Return a transport's socket. Raises OSError or ValueError.
+
+    A `TcpTransport` closes its socket in a later step of the event loop. Another transport may close it while
+    its data is processed, so a duplicate is used, for which there has to be a free descriptor.
+    """
+    sock = transport.get_extra_info("socket")
+    if isinstance(transport, TcpTransport):
+        yield sock
+        return
+    with socket.socket(fileno=os.dup(sock.fileno())) as duplicate:
+        yield duplicate
+
+
 def _receive(sock: socket.socket, size: int, transport: asyncio.BaseTransport) -> bytes:
     """Receive data that has arrived; again if a read fails for a moment though there is some.
 
--- a/tests/proxy/test_tcp_transport.py
+++ b/tests/proxy/test_tcp_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import struct
 import time
@@ -178,3 +179,21 @@
             assert isinstance(error, ConnectionResetError)
 
     run(test())
+
+
+# Guards against answers and lists that are not read in time because no descriptor is free.
+def test_data_is_read_ahead_of_the_transport_without_a_free_descriptor(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def fail(descriptor: int) -> int:
+        raise OSError(errno.EMFILE, "too many open files")
+
+    async def test() -> None:
+        async with connected() as (transport, _, peer):
+            transport.pause_reading()
+            peer.sendall(b"list")
+            with monkeypatch.context() as patch:
+                patch.setattr("os.dup", fail)
+                assert list(unread_input.read_now(transport, 100)) == [b"list"]
+
+    run(test())
