--- a/badgergap/proxy/upstream/connection_pool.py
+++ b/badgergap/proxy/upstream/connection_pool.py
@@ -130,6 +130,11 @@
         """Whether no exchange is in progress; `is_quiet` checks the connection before its next one."""
         return self.exchange is None
 
+    @property
+    def is_broken(self) -> bool:
+        """Whether the connection is closing or closed, so that no further data will come."""
+        return self.transport is None or self.transport.is_closing()
+
     def is_quiet(self) -> bool:
         """Whether there is nothing to read, neither data nor the end of the stream.
 
@@ -340,7 +345,8 @@
         connection = exchange.connection
         if isinstance(connection, PooledConnection):
             connection.read_unread()
-            connection.release_begun()
+            if not connection.is_broken:
+                connection.release_begun()
         if not exchange.is_final:
             exchange.give_up(Outcome.TIMEOUT)
 
--- a/badgergap/proxy/upstream/stream_exchange.py
+++ b/badgergap/proxy/upstream/stream_exchange.py
@@ -305,8 +305,6 @@
         exchange, is_success = self.attempt, self.outcome is Outcome.SUCCESS
         if exchange is None or self.held_answer is None or not is_success:
             return
-        if self.transport is None or self.transport.is_closing():
-            return  # broken: the end of the response will not come
         if self.held_head.length is None and self.body_size:
             self.release_unfinished(exchange)
 
