Give an endpoint its capacity where the settings know no warm-up

What callers would see: answers 500 as long as an endpoint is listed whose start is ahead of the gateway's clock, by some milliseconds of skew, where the settings set no warm-up time.

Cause: `SlowStart.capacity_fraction` divided by the warm-up time for an age below 0. Found by the random list events of test_endpoint_table.py.

Test: test_without_a_warm_up_an_endpoint_has_its_capacity..., failed before with ZeroDivisionError.

--- a/badgergap/balancing/slow_start.py
+++ b/badgergap/balancing/slow_start.py
@@ -44,7 +44,7 @@
     def capacity_fraction(self, endpoint: Endpoint, now_us: int) -> float:
         """Return the guaranteed share of its capacity that an endpoint has now; 1 once it is warm."""
         age_us = now_us - endpoint.start_us
-        if endpoint.start_us == 0 or age_us >= self.warm_up_us:
+        if endpoint.start_us == 0 or self.warm_up_us == 0 or age_us >= self.warm_up_us:
             return 1.0
         start = self.initial_capacity
         return start + (1.0 - start) * max(0, age_us) / self.warm_up_us
--- a/tests/balancing/test_pure_rules.py
+++ b/tests/balancing/test_pure_rules.py
@@ -103,6 +103,13 @@
     assert SLOW_START.capacity_fraction(warming, 1) == 1.0
 
 
+# Guards against a division by zero, which failed every request, where the settings know no slow start.
+def test_without_a_warm_up_an_endpoint_has_its_capacity_also_if_it_starts_in_the_future() -> None:
+    at_once = SlowStart(0.2, 0, 3.0, 1_000_000, proxy_count=10)
+    endpoint = Endpoint(ListedEndpoint(1), 1.0, 0.0, [], start_us=2_000)
+    assert [at_once.capacity_fraction(endpoint, now_us) for now_us in (1_000, 2_000, 3_000)] == [1.0] * 3
+
+
 def test_the_budget_is_split_among_the_proxies_that_use_the_endpoint() -> None:
     whole = PLANNED_BUDGET_SHARE * 3.0 * 1_000_000
     assert SLOW_START.budget_us(SubsetShare.of(10.0, 10, 0, 0.1)) == whole / 10
