Work out the budget of new endpoints once a list and zone

The part is worked out for all new endpoints again, once a list and zone, as a list may have thousands of entries. Result: tests/compatibility and tests/balancing pass.

--- a/badgergap/balancing/endpoint_table.py
+++ b/badgergap/balancing/endpoint_table.py
@@ -5,7 +5,7 @@
 import random
 from bisect import bisect_left, insort
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from operator import attrgetter
 
 from badgergap.balancing.circuit_breaker import CircuitBreaker
@@ -28,6 +28,7 @@
     weight: float  # mean weight of the endpoints known so far
     usual_latency_us: float  # the longest smoothed latency of all classes
     subset_size: float  # of this proxy
+    budgets_us: dict[int, float] = field(default_factory=dict)  # by zone: see `slow_start_budget_us`
 
 
 class EndpointTable:
@@ -186,16 +187,16 @@
         return endpoint
 
     def _spread_us(self, endpoint: Endpoint, is_reinstated: bool, rules: NewEndpointDefaults) -> float:
-        """Return the part of its budget that a warming endpoint may start with; 0 for one that is warm."""
+        """Return the part of its budget that an endpoint may start with."""
+        zone = endpoint.entry.zone
+        if zone not in rules.budgets_us:  # once for the list, as it may have thousands of entries
+            rules.budgets_us[zone] = self.slow_start_budget_us(endpoint, rules.subset_size)
+        budget_us = rules.budgets_us[zone]
+        if not is_reinstated:
+            return BURST_SHARE * budget_us
         capacity = self._slow_start.capacity_fraction(endpoint, rules.now_us)
-        if capacity >= 1.0:
-            return 0.0
-        budget_us = self.slow_start_budget_us(endpoint, rules.subset_size)
-        spread_us = BURST_SHARE * budget_us
-        if is_reinstated:
-            rate = (1.0 - BURST_SHARE) * budget_us * capacity
-            spread_us = min(spread_us, REINSTATED_SPREAD_US * rate / self._settings.overload_window_us)
-        return spread_us
+        rate = (1.0 - BURST_SHARE) * budget_us * capacity
+        return min(BURST_SHARE * budget_us, REINSTATED_SPREAD_US * rate / self._settings.overload_window_us)
 
     def _reinstate(self, endpoint: Endpoint, now_us: int) -> None:
         """Return an endpoint to service after a manual drain.
