Follow discovery to where the process before has moved, over hot restarts

After discovery had moved by a new configuration and SIGHUP, a new version that took over followed the first address again, where every connection was refused. A host that drained then got a third of all requests for as long as the process ran.

Cause: a start takes ROUTER_DISCOVERY before the file; a reload takes the file once it has changed, as the variable is fixed for the life of a process. The new process gets the same variable, and the state that it takes over held the list and its version, but not the address that they are of.

Evidence: the log of the new process names its calls and their address ("discovery call 1: watch ... at"); it was the first address, with the version of the second. So neither the list nor the version was at fault.

Change: `DiscoveryOrigin`, handed over with the state: the address, the value in the file, the variable, and when the file was read. `follow` continues with the address of the other process as a reload would: the file wins if it has changed since, the variable if it is another one. A move during the hand-over is told like operators' commands (`DiscoveryMoved`), in both directions. If another address is followed, the list has no version: versions of two services are unrelated. Older releases ignore the new key, and send none; then all is as before.

--- a/badgergap/hot_restart/coordinator.py
+++ b/badgergap/hot_restart/coordinator.py
@@ -57,6 +57,7 @@
 from badgergap.proxy.endpoints.sources import PLATFORM
 from badgergap.proxy.lifecycle.component import Component, PoolOwner
 from badgergap.proxy.lifecycle.config import Config
+from badgergap.proxy.lifecycle.discovery_origin import origin_of
 from badgergap.proxy.pools import MAIN
 from badgergap.proxy.proxy import Proxy
 from badgergap.proxy.tcp_transport import TcpTransport
@@ -258,6 +259,7 @@
         downstream.lame_duck_observers.append(self.on_lame_duck)
         if proxy.directory.discovery is not None:
             proxy.directory.discovery.on_news = self.on_endpoint_news
+            proxy.directory.on_discovery_moved = self.sync.on_discovery_moved
 
     def restore_learned_state(self) -> None:
         """Restore learned state in the pools that list endpoints and have not used any."""
@@ -387,6 +389,7 @@
             pools={name: pool.balancer.snapshot() for name, pool in proxies.items() if name != MAIN},
             request_classes=proxy.latest_config.names.classes,
             endpoint_counts={name: len(pool.upstream.endpoints) for name, pool in proxies.items()},
+            discovery=origin_of(proxy.latest_config),
         )
 
     def release_clients(self, successor: Link) -> None:
--- a/badgergap/hot_restart/messages.py
+++ b/badgergap/hot_restart/messages.py
@@ -9,8 +9,15 @@
 from dataclasses import dataclass
 
 from badgergap.hot_restart.frames import JsonObject
-from badgergap.hot_restart.state_transfer import GatewayIdentity, TransferredState, write_state
+from badgergap.hot_restart.state_transfer import (
+    GatewayIdentity,
+    TransferredState,
+    read_discovery,
+    write_discovery,
+    write_state,
+)
 from badgergap.proxy.endpoints.discovery import EndpointNews
+from badgergap.proxy.lifecycle.discovery_origin import DiscoveryOrigin
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +95,13 @@
     news: EndpointNews
 
 
+@dataclass(frozen=True, slots=True)
+class DiscoveryMoved:
+    """From either process: it follows discovery at another address."""
+
+    origin: DiscoveryOrigin
+
+
 @dataclass(frozen=True, slots=True)
 class RequestsTaken:
     """From either process: the ids of requests that it has taken, and that must not run again."""
@@ -121,6 +135,7 @@
     | ManualDrainChanged
     | LameDuckChanged
     | EndpointsChanged
+    | DiscoveryMoved
     | RequestsTaken
     | ConnectionCounts
     | UnknownMessage
@@ -148,6 +163,8 @@
             return {"lame": lame}
         case EndpointsChanged(news):
             return {"news": news.raw, "of": list(news.address), "after": news.after}
+        case DiscoveryMoved(origin):
+            return {"moved": write_discovery(origin)}
         case RequestsTaken(request_ids):
             return {"taken": [request_id.decode("latin-1") for request_id in request_ids]}
         case ConnectionCounts(clients, endpoints):
@@ -177,6 +194,8 @@
             return LameDuckChanged(lame)
         case {"news": dict(raw_list), "of": [str(host), int(port)], "after": int(after)}:
             return EndpointsChanged(EndpointNews((host, port), after, raw_list))
+        case {"moved": moved} if (origin := read_discovery(moved)) is not None:
+            return DiscoveryMoved(origin)
         case {"taken": [*request_ids]}:
             texts = (each for each in request_ids if isinstance(each, str))
             return RequestsTaken(tuple(each.encode("latin-1", "replace") for each in texts))
--- a/badgergap/hot_restart/state_sync.py
+++ b/badgergap/hot_restart/state_sync.py
@@ -1,9 +1,10 @@
 """Keeps operators' decisions and the endpoint list the same in all linked processes of one gateway.
 
 A process that has exported its state to another one forwards each later manual drain, its end, each lame-duck
-command, each newer endpoint list and the id of each request that must not run again. It does so from the
-export on, and not only once the other one has taken the clients. Changes and state use one ordered link, so
-that none is lost in between. The receiver applies them in order, as soon as its proxy has started.
+command, each newer endpoint list, each move of discovery and the id of each request that must not run again.
+It does so from the export on, and not only once the other one has taken the clients. Changes and state use
+one ordered link, so that none is lost in between. The receiver applies them in order, as soon as its proxy
+has started.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from badgergap.hot_restart.state_transfer import TransferredState
 from badgergap.proxy.downstream.listener import Downstream
 from badgergap.proxy.endpoints.discovery import EndpointNews
+from badgergap.proxy.lifecycle.discovery_origin import DiscoveryOrigin, follow, origin_of
 from badgergap.proxy.pools import MAIN, proxy_for_endpoint
 from badgergap.proxy.proxy import Proxy
 
@@ -73,9 +75,12 @@
                 self.downstream.leave_lame_duck()
             else:
                 self.downstream.enter_lame_duck(state.lame_duck_age_s)
+            if state.discovery is not None:
+                self._follow_discovery(state.discovery)
             discovery = self.proxies()[MAIN].directory.discovery
             if discovery is not None:
-                self._apply_news(EndpointNews(discovery.address, 0, state.endpoint_list))
+                address = state.discovery.address if state.discovery is not None else discovery.address
+                self._apply_news(EndpointNews(address, 0, state.endpoint_list))
         finally:
             self.origin = None
 
@@ -90,6 +95,12 @@
         if self.links:
             self.notify(messages.RequestsTaken((request_id,)))
 
+    def on_discovery_moved(self) -> None:
+        """Tell the other processes that this one follows discovery at another address."""
+        origin = origin_of(self.proxies()[MAIN].latest_config)
+        if origin is not None:
+            self.notify(messages.DiscoveryMoved(origin))
+
     def notify(self, message: Message) -> None:
         """Forward a change to all linked processes, except to the one that has made it."""
         for link in list(self.links):
@@ -107,6 +118,8 @@
                     (downstream.enter_lame_duck if is_lame_duck else downstream.leave_lame_duck)()
                 case messages.EndpointsChanged(news):
                     self._apply_news(news)
+                case messages.DiscoveryMoved(origin):
+                    self._follow_discovery(origin)
                 case messages.RequestsTaken(request_ids):
                     downstream.validator.ids.remember_all(request_ids)
                 case _:
@@ -120,6 +133,11 @@
         proxy = proxy_for_endpoint(self.proxies().values(), endpoint)
         proxy.directory.apply_manual_drain(endpoint, by, drained)
 
+    def _follow_discovery(self, other: DiscoveryOrigin) -> None:
+        proxy = self.proxies()[MAIN]
+        proxy.latest_config = follow(proxy.latest_config, other)
+        proxy.directory.reload(proxy.latest_config)
+
     def _apply_news(self, news: EndpointNews) -> None:
         discovery = self.proxies()[MAIN].directory.discovery
         if discovery is None:
--- a/badgergap/hot_restart/state_transfer.py
+++ b/badgergap/hot_restart/state_transfer.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from badgergap.balancing.interface import EndpointStatus
@@ -19,7 +19,8 @@
 from badgergap.hot_restart.frames import JsonObject
 from badgergap.proxy.endpoints.registry import DRAIN_LIMIT, ManualDrain
 from badgergap.proxy.endpoints.sources import Entry
-from badgergap.proxy.lifecycle.config import Address, Names
+from badgergap.proxy.lifecycle.config import Address, Config, Names
+from badgergap.proxy.lifecycle.discovery_origin import DiscoveryOrigin, follow
 
 STATUS_ON_WIRE = {EndpointStatus.READY: "active", EndpointStatus.DRAINING: "leaving"}
 LAME_DUCK_AGE_LIMIT_S = 1e9
@@ -49,12 +50,25 @@
     pools: dict[str, JsonObject] = field(default_factory=dict)  # balancer snapshots of the other pools
     request_classes: tuple[str, ...] = ()  # the snapshots refer to them by index; empty if unknown
     endpoint_counts: dict[str, int] = field(default_factory=dict)  # number of endpoints by pool
+    discovery: DiscoveryOrigin | None = None  # None: no discovery, or an older release has sent the state
     missing: tuple[str, ...] = field(default=(), compare=False)  # malformed fields, with the reason
 
+    def configure(self, config: Config) -> Config:
+        """Return the configuration with the endpoints of this state, and the discovery that has listed them.
+
+        Versions of two services are unrelated: the list of another one has none.
+        """
+        endpoint_list = self.endpoint_list
+        if self.discovery is not None:
+            config = follow(config, self.discovery)
+            if config.discovery != self.discovery.address:
+                endpoint_list = {**endpoint_list, "index": 0}
+        return replace(config, known=endpoint_list)
+
 
 def write_state(state: TransferredState, identity: GatewayIdentity) -> JsonObject:
     """Return the message that carries a state. Its keys are part of the protocol and never change."""
-    return {
+    raw = {
         "will": identity.to_json(),
         "offset_ns": state.clock_offset_ns,
         "known": state.endpoint_list,
@@ -65,6 +79,9 @@
         "classes": list(state.request_classes),
         "hosts": state.endpoint_counts,
     }
+    if state.discovery is not None:
+        raw["follows"] = write_discovery(state.discovery)
+    return raw
 
 
 def read_state(raw: JsonObject, identity: GatewayIdentity) -> TransferredState:
@@ -87,6 +104,7 @@
         pools=pools,
         request_classes=request_classes,
         endpoint_counts=reader.endpoint_counts(),
+        discovery=reader.discovery(),
         missing=tuple(reader.missing),
     )
 
@@ -163,6 +181,33 @@
         self.missing.append("the numbers of endpoints")
         return {}
 
+    def discovery(self) -> DiscoveryOrigin | None:
+        """Return which discovery is followed; None if it is malformed, or an older release sent none."""
+        raw = self.raw.get("follows")
+        discovery = read_discovery(raw)
+        if raw is not None and discovery is None:
+            self.missing.append("the address of discovery")
+        return discovery
+
+
+def write_discovery(origin: DiscoveryOrigin) -> JsonObject:
+    """Return the form in messages of which discovery is followed. Its keys never change."""
+    return {
+        "address": list(origin.address),
+        "file": origin.filed,
+        "variable": origin.environment,
+        "read_at_ns": origin.read_at_ns,
+    }
+
+
+def read_discovery(raw: object) -> DiscoveryOrigin | None:
+    """Read which discovery is followed; None if it is malformed."""
+    match raw:
+        case {"address": [str(host), int(port)], "file": filed, "variable": variable, "read_at_ns": int(at)}:
+            if variable is None or isinstance(variable, str):
+                return DiscoveryOrigin((host, port), filed, variable, at)
+    return None
+
 
 def read_drain(raw: Any) -> ManualDrain:
     """Read a manual drain. Raises ValueError or TypeError if it is malformed."""
--- a/badgergap/proxy/endpoints/directory.py
+++ b/badgergap/proxy/endpoints/directory.py
@@ -68,6 +68,7 @@
         if self.discovery is not None and self.discovery.pushed:
             self.freshness = ListFreshness(loop, self.discovery.is_watched)
         self.manual_drain_listeners: list[ManualDrainListener] = []
+        self.on_discovery_moved: Callable[[], None] = lambda: None  # called when another address is followed
         # Called with each update; True: it was handled elsewhere, and comes back by `apply_update`.
         self.intercept_update: Callable[[str, EndpointUpdate], bool] | None = None
         # Whether a source may be watched and fetched from.
@@ -113,6 +114,7 @@
         ):
             log.info("discovery has moved to %s:%d", *config.discovery)
             self.discovery.move(config.discovery)
+            self.on_discovery_moved()
 
     @property
     def is_current(self) -> bool:
--- a/badgergap/proxy/lifecycle/component.py
+++ b/badgergap/proxy/lifecycle/component.py
@@ -4,7 +4,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable, Mapping, Sequence
-from typing import Any, Protocol, runtime_checkable
+from typing import Protocol, runtime_checkable
 
 from badgergap.proxy.downstream.listener import Downstream
 from badgergap.proxy.lifecycle.config import Config
@@ -70,9 +70,8 @@
 class InheritedState(Protocol):
     """The state that a gateway starts with, received from the previous process."""
 
-    @property
-    def endpoint_list(self) -> dict[str, Any]:
-        """The endpoint list, in the form of `Config.known`."""
+    def configure(self, config: Config) -> Config:
+        """Return the configuration with this state's endpoints, and the discovery that has listed them."""
 
     @property
     def clock_offset_ns(self) -> int:
--- a/badgergap/proxy/lifecycle/config.py
+++ b/badgergap/proxy/lifecycle/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields, replace
 from pathlib import Path
@@ -54,6 +55,8 @@
     console: Address | None = None  # for operator commands; None: no such listener
     memory_mb: int = 0  # memory of the process; 0: not stated
     proxy_settings: ProxySettings = field(default_factory=ProxySettings)  # of the same section as `settings`
+    environment_discovery: str | None = None  # the environment variable for `discovery`
+    read_at_ns: int = field(default=0, compare=False)  # time.monotonic_ns() before the file was read
 
 
 def parse_address(text: object) -> Address:
@@ -66,7 +69,7 @@
 
 def load_config(environ: Mapping[str, str]) -> Config:
     """Load the configuration that the environment variables name. Raises ConfigError."""
-    path = environ.get("ROUTER_CONFIG")
+    path, read_at_ns = environ.get("ROUTER_CONFIG"), time.monotonic_ns()
     if not path:
         raise ConfigError("ROUTER_CONFIG is not set")
     try:
@@ -80,7 +83,11 @@
     filed_discovery = raw.get("discovery")
     for key in ("name", "listen", "discovery", "console"):
         raw[key] = environ.get(f"ROUTER_{key.upper()}", raw.get(key))
-    return parse_config(raw, filed_discovery)
+    return replace(
+        parse_config(raw, filed_discovery),
+        environment_discovery=environ.get("ROUTER_DISCOVERY"),
+        read_at_ns=read_at_ns,
+    )
 
 
 def reload_config(environ: Mapping[str, str], old: Config) -> Config:
@@ -100,7 +107,7 @@
 
     `known` is used only at the start.
     """
-    reloadable = {"discovery", "filed_discovery", "known", "proxy_settings"}
+    reloadable = {"discovery", "filed_discovery", "known", "proxy_settings", "read_at_ns"}
     if old.grows:
         appended_classes = old.settings.classes + new.settings.classes[len(old.settings.classes) :]
         new_limit = new.proxy_settings.max_open_requests
--- a/badgergap/proxy/lifecycle/process.py
+++ b/badgergap/proxy/lifecycle/process.py
@@ -8,7 +8,6 @@
 import signal
 import sys
 from collections.abc import Sequence
-from dataclasses import replace
 
 import uvloop
 
@@ -118,9 +117,7 @@
         hung_up.set()
     hot_restart = make_hot_restart(config) if make_hot_restart is not None else None
     inherited = await hot_restart.inherit() if hot_restart is not None else None
-    proxy = Proxy(
-        config if inherited is None else replace(config, known=inherited.endpoint_list), loop, observer
-    )
+    proxy = Proxy(config if inherited is None else inherited.configure(config), loop, observer)
     if inherited is not None:
         proxy.clock.offset_ns = inherited.clock_offset_ns
     downstream = Downstream(config, proxy, loop)
--- a/badgergap/proxy/proxy.py
+++ b/badgergap/proxy/proxy.py
@@ -125,12 +125,12 @@
 
     def reload(self, config: Config) -> None:
         """Apply what a new configuration can change at runtime; keeps endpoints, connections and balancer."""
-        self.directory.reload(config)
         for name in needs_restart(self.config, config):
             log.warning("the new configuration changes %s: that needs a restart", name)
         if config.grows:
             self.add_classes(config)
         self.latest_config = config
+        self.directory.reload(config)
 
     def add_classes(self, config: Config) -> None:
         """Add the request classes that a configuration lists after the existing ones."""
--- a/badgergap/site/convert.py
+++ b/badgergap/site/convert.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import replace
 
 from badgergap.balancing.interface import DeduplicationScope, Idempotency, Prices, RequestClass, Settings
@@ -73,6 +74,7 @@
         names=Names(tuple(name for name, _ in classes), tenants, zones, kinds),
         known={},
         filed_discovery=str(discovery) if discovery is not None else None,
+        read_at_ns=time.monotonic_ns(),
         grows=True,
         console=site.site.console.pair if site.site.console is not None else None,
     )
