Hand start times of endpoints over as they were converted, after a step of the clock

What hosts would see: after a step of the wall clock (forward by an hour, say) and a hot restart, a host that has just started counts as started an hour before, gets its whole share, and falls over. After a step back a host counts as cold for an hour.

Cause: `StartTimes` converts a start time when it is first listed, by the step known then. The state held converted times in the list, which the new process converted a second time, and, once listed again, all anew by the step of its own start.

Change: if the clock has been stepped, the state holds the start times as listed and as converted, and the list holds those that were listed. Older releases ignore the new key; without a step the state is as before.

Not played with real processes: the machine's clock is left alone.

--- a/badgergap/hot_restart/coordinator.py
+++ b/badgergap/hot_restart/coordinator.py
@@ -253,6 +253,7 @@
             for transferable in self.transferable.values():
                 transferable.import_listeners(self.component_listeners, self.ready)
             proxy.directory.registry.restore(state.drains)
+            proxy.directory.restore_start_times(state.start_times)
             if state.lame_duck_age_s is not None:
                 downstream.enter_lame_duck(state.lame_duck_age_s)
         proxy.directory.manual_drain_listeners.append(self.on_manual_drain)
@@ -374,15 +375,13 @@
     def current_state(self) -> TransferredState:
         """Return the state that a successor needs to continue the work of this process."""
         proxy, lame_duck = self.proxy, self.downstream.lame_duck
-        platform = proxy.directory.registry.sources.get(PLATFORM)
-        records = platform.records.values() if platform is not None else ()
-        entries = [record.entry for record in records]
-        discovery = proxy.directory.discovery
-        index = discovery.index if discovery is not None else 0
+        entries = proxy.directory.registry.entries_of(PLATFORM)
+        index, start_times = proxy.directory.list_version, proxy.directory.export_start_times()
         proxies = self.proxies()
         return TransferredState(
             clock_offset_ns=proxy.clock.offset_ns,
-            endpoint_list=export_endpoint_list(entries, proxy.config.names, index),
+            endpoint_list=export_endpoint_list(entries, proxy.config.names, index, start_times),
+            start_times=start_times,
             drains=tuple(proxy.directory.registry.drains.values()),
             lame_duck_age_s=lame_duck.age(self.loop.time()) if lame_duck else None,
             learned_state=proxy.balancer.snapshot(),
--- a/badgergap/hot_restart/state_transfer.py
+++ b/badgergap/hot_restart/state_transfer.py
@@ -10,8 +10,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
+from types import MappingProxyType
 from typing import Any
 
 from badgergap.balancing.interface import EndpointStatus
@@ -19,9 +20,11 @@
 from badgergap.hot_restart.frames import JsonObject
 from badgergap.proxy.endpoints.registry import DRAIN_LIMIT, ManualDrain
 from badgergap.proxy.endpoints.sources import Entry
+from badgergap.proxy.endpoints.start_times import StartTime
 from badgergap.proxy.lifecycle.config import Address, Config, Names
 from badgergap.proxy.lifecycle.discovery_origin import DiscoveryOrigin, follow
 
+NO_START_TIMES: Mapping[str, StartTime] = MappingProxyType({})
 STATUS_ON_WIRE = {EndpointStatus.READY: "active", EndpointStatus.DRAINING: "leaving"}
 LAME_DUCK_AGE_LIMIT_S = 1e9
 
@@ -50,6 +53,9 @@
     pools: dict[str, JsonObject] = field(default_factory=dict)  # balancer snapshots of the other pools
     request_classes: tuple[str, ...] = ()  # the snapshots refer to them by index; empty if unknown
     endpoint_counts: dict[str, int] = field(default_factory=dict)  # number of endpoints by pool
+    start_times: dict[str, StartTime] = field(
+        default_factory=dict
+    )  # by endpoint name; see `StartTimes.export`
     discovery: DiscoveryOrigin | None = None  # None: no discovery, or an older release has sent the state
     missing: tuple[str, ...] = field(default=(), compare=False)  # malformed fields, with the reason
 
@@ -79,6 +85,8 @@
         "classes": list(state.request_classes),
         "hosts": state.endpoint_counts,
     }
+    if state.start_times:
+        raw["starts"] = state.start_times
     if state.discovery is not None:
         raw["follows"] = write_discovery(state.discovery)
     return raw
@@ -104,6 +112,7 @@
         pools=pools,
         request_classes=request_classes,
         endpoint_counts=reader.endpoint_counts(),
+        start_times=reader.start_times(),
         discovery=reader.discovery(),
         missing=tuple(reader.missing),
     )
@@ -181,6 +190,15 @@
         self.missing.append("the numbers of endpoints")
         return {}
 
+    def start_times(self) -> dict[str, StartTime]:
+        """Return the start times on the gateway's clock; none if malformed."""
+        starts = self.raw.get("starts", {})
+        try:
+            return {str(name): StartTime(int(listed), int(ours)) for name, (listed, ours) in starts.items()}
+        except (AttributeError, TypeError, ValueError):
+            self.missing.append("the start times of the endpoints")
+            return {}
+
     def discovery(self) -> DiscoveryOrigin | None:
         """Return which discovery is followed; None if it is malformed, or an older release sent none."""
         raw = self.raw.get("follows")
@@ -219,8 +237,13 @@
     return ManualDrain(name, by, at_us, action)
 
 
-def export_endpoint_list(entries: Iterable[Entry], names: Names, index: int) -> JsonObject:
-    """Return the endpoints that are not gone, in the form of service discovery and `Config.known`."""
+def export_endpoint_list(
+    entries: Iterable[Entry], names: Names, index: int, start_times: Mapping[str, StartTime] = NO_START_TIMES
+) -> JsonObject:
+    """Return the endpoints that are not gone, in the form of service discovery and `Config.known`.
+
+    Start times are those that were listed, as the receiver converts them to the gateway's clock.
+    """
     return {
         "index": index,
         "snapshot": True,
@@ -233,9 +256,15 @@
                 "group": entry.listed.group,
                 "status": STATUS_ON_WIRE[entry.listed.status],
                 "weight": entry.listed.weight,
-                "since_ms": entry.listed.started_us // 1000,
+                "since_ms": _listed_start_us(entry, start_times) // 1000,
             }
             for entry in entries
             if entry.listed.status in STATUS_ON_WIRE
         ],
     }
+
+
+def _listed_start_us(entry: Entry, start_times: Mapping[str, StartTime]) -> int:
+    started_us = entry.listed.started_us
+    start = start_times.get(entry.name)
+    return start.listed_us if start is not None and start.converted_us == started_us else started_us
--- a/badgergap/proxy/endpoints/directory.py
+++ b/badgergap/proxy/endpoints/directory.py
@@ -6,7 +6,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from functools import partial
 
@@ -17,7 +17,7 @@
 from badgergap.proxy.endpoints.list_freshness import ListFreshness, Resume
 from badgergap.proxy.endpoints.registry import EndpointRegistry
 from badgergap.proxy.endpoints.sources import PLATFORM, EndpointSource, EndpointUpdate
-from badgergap.proxy.endpoints.start_times import StartTimes
+from badgergap.proxy.endpoints.start_times import StartTime, StartTimes
 from badgergap.proxy.lifecycle.config import Config
 from badgergap.proxy.upstream.connection_pool import Upstream
 
@@ -116,6 +116,21 @@
             self.discovery.move(config.discovery)
             self.on_discovery_moved()
 
+    @property
+    def list_version(self) -> int:
+        """The version of discovery's list, 0 without a discovery."""
+        return self.discovery.index if self.discovery is not None else 0
+
+    def export_start_times(self) -> dict[str, StartTime]:
+        """Return the start times of the platform's endpoints, for another process of this gateway."""
+        start_times = self.start_times.get(PLATFORM)
+        return start_times.export() if start_times is not None else {}
+
+    def restore_start_times(self, exported: Mapping[str, StartTime]) -> None:
+        """Continue with the start times of another process of this gateway, before the start."""
+        if PLATFORM in self.start_times:
+            self.start_times[PLATFORM].restore(exported)
+
     @property
     def is_current(self) -> bool:
         """Whether there are endpoints, and discovery's list, if there is a discovery, is up to date."""
--- a/badgergap/proxy/endpoints/registry.py
+++ b/badgergap/proxy/endpoints/registry.py
@@ -220,6 +220,11 @@
 
     # Queries
 
+    def entries_of(self, source: str) -> list[Entry]:
+        """Return the endpoints as a source has reported them; an unknown source has none."""
+        state = self.sources.get(source)
+        return [record.entry for record in state.records.values()] if state is not None else []
+
     def entry(self, name: str) -> Entry | None:
         """Return the merged endpoint, or None for one that no source has listed."""
         records = self._records_of(name)
--- a/tests/proxy/endpoints/test_start_times.py
+++ b/tests/proxy/endpoints/test_start_times.py
@@ -3,15 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
+from badgergap.balancing.interface import EndpointListKind
+from badgergap.hot_restart.state_transfer import (
+    GatewayIdentity,
+    TransferredState,
+    export_endpoint_list,
+    read_state,
+    write_state,
+)
+from badgergap.proxy.endpoints.endpoint_list import parse_list
 from badgergap.proxy.endpoints.sources import PLATFORM, endpoint_id_of
-from badgergap.proxy.endpoints.start_times import wall_clock_us
+from badgergap.proxy.endpoints.start_times import US_PER_S, StartTimes, wall_clock_us
+from badgergap.proxy.lifecycle.config import Names
 from tests.proxy.test_endings import until
 from tests.sockets import chunk, entry, gateway, news, run, settings
 
 WARM_UP_US = 60_000_000
+IDENTITY = GatewayIdentity("n0", ("127.0.0.1", 3000))
 
 
 # Guards against start times that are not converted after a step of the wall clock: an endpoint that had just
@@ -38,3 +50,40 @@
                 assert balancer.endpoints[endpoint_id_of("h0")] is endpoint
 
     run(test())
+
+
+# Guards against start times that a hot restart converts twice, or anew: after a step forward of the wall
+# clock a cold endpoint counted as warm at the new process.
+@pytest.mark.parametrize("step_s", [-3600, 0, 3600])
+@pytest.mark.parametrize("listed", ["before the step", "after the step"])
+def test_start_times_stay_the_same_over_hot_restarts(listed: str, step_s: int) -> None:
+    now_s, step_at_s, names = 1_000_000, 1_000_000, Names((), (), (), ())
+    started_s = step_at_s - 10 if listed == "before the step" else step_at_s + 10
+    expected_us = started_s * US_PER_S
+    listed_s = started_s + (step_s if listed == "after the step" else 0)
+    raw = {"snapshot": False, "endpoints": [entry("h0", "127.0.0.1:80", since_ms=listed_s * 1000)]}
+
+    def now_us() -> int:
+        return now_s * US_PER_S
+
+    def wall_us() -> int:
+        return (now_s + (step_s if now_s >= step_at_s else 0)) * US_PER_S
+
+    now_s = started_s + 1
+    serving = StartTimes(now_us, wall_us)
+    update = serving.convert(parse_list(raw, names))
+    now_s = step_at_s + 20
+    for _ in range(2):  # twice in a row
+        state = TransferredState(
+            0,
+            export_endpoint_list(update.entries, names, 7, serving.export()),
+            start_times=serving.export(),
+        )
+        received = read_state(json.loads(json.dumps(write_state(state, IDENTITY))), IDENTITY)
+        assert not received.missing
+        serving = StartTimes(now_us, wall_us)
+        serving.restore(received.start_times)
+        update = serving.convert(parse_list(received.endpoint_list, names, EndpointListKind.DISK))
+        assert [each.listed.started_us for each in update.entries] == [expected_us]
+        again = serving.convert(parse_list(raw, names))  # discovery lists it again
+        assert [each.listed.started_us for each in again.entries] == [expected_us]
