Take the lines of a read of the admin socket one after another without copying the rest

What callers would see: a caller of the admin socket that sends many short lines at once holds the event loop up.

Cause: after each line all that was left of the read was copied (`partition`).

Change: the line is taken off the buffer in place.

--- a/badgergap/admin/room.py
+++ b/badgergap/admin/room.py
@@ -560,17 +560,19 @@
         self.working = True
         try:
             while self.paused_at is None and not self.closing:
-                line, end, rest = self.buffer.partition(b"\n")
-                if len(line) > protocol.LINE_LIMIT:
+                end = self.buffer.find(b"\n")
+                length = end if end >= 0 else len(self.buffer)
+                if length > protocol.LINE_LIMIT:
                     text = f"a line over {protocol.LINE_LIMIT} bytes"
                     self.write(protocol.failure("", Failure(code="malformed", text=text)))
                     self.close()
-                elif not end:
+                elif end < 0:
                     break
                 else:
-                    self.buffer = rest
+                    line = bytes(self.buffer[:end])
+                    del self.buffer[: end + 1]  # in place: a read may hold thousands of lines
                     if line.strip():
-                        self.room.answer(self, bytes(line))
+                        self.room.answer(self, line)
         finally:
             self.working = False
 
--- a/tests/admin/test_room.py
+++ b/tests/admin/test_room.py
@@ -7,6 +7,7 @@
 import os
 import socket
 import threading
+import time
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -24,6 +25,7 @@
 from badgergap.balancing.interface import AttemptEnded, EndpointList, EndpointListKind
 from badgergap.proxy.endpoints.registry import ManualDrain
 from badgergap.standins.scripted import chunk, entry, news
+from benchmarks import fleet_sizes
 from tests.sockets import Gateway, gateway, run
 from tests.sockets import ask as request
 
@@ -380,6 +382,25 @@
     run(test())
 
 
+# Guards against copying what a read has left after each line: a read of blank lines held the event loop up.
+def test_the_lines_of_one_read_are_taken_in_time_linear_in_their_number(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with site(tmp_path) as (_, room):
+            connection = module.Connection(room)
+            monkeypatch.setattr(module.Connection, "closing", False)
+            sizes, times_s = (100_000, 400_000), []
+            for size in sizes:
+                began_at = time.thread_time()
+                connection.data_received(b"\n" * size)
+                times_s.append(time.thread_time() - began_at)
+                assert not connection.buffer
+            assert fleet_sizes.growth(sizes, times_s) < 1.5, times_s
+
+    run(test())
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
     lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner, max_size=4),
